--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,187 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/counters"
+)
+
+// Pool holds the connections to all backends. Idle ones are kept by place, so
+// that none to an earlier process of a backend is used for its successor.
+type Pool struct {
+	opt   Options
+	count *counters.Set
+
+	mu   sync.Mutex
+	open int                    // connections open or opening
+	idle map[core.Place][]*conn // the latest used last
+}
+
+type conn struct {
+	net.Conn
+	in    *bufio.Reader
+	place core.Place
+	since time.Time // idle since
+}
+
+var errNoSockets = errors.New("no socket left for a connection")
+
+// take returns an idle connection to the place, or a new one.
+func (p *Pool) take(ctx context.Context, at core.Place) (*conn, error) {
+	for {
+		c := p.pop(at)
+		if c == nil {
+			break
+		}
+		// A connection that the backend has closed would take the req and lose it: a
+		// harmless failure would turn into a Reset, which an unsafe class can't repeat.
+		if time.Since(c.since) < p.opt.IdleFor && c.quiet() {
+			p.count.Add("conn.reused")
+			return c, nil
+		}
+		p.give(c, false)
+	}
+	if !p.reserve() {
+		return nil, errNoSockets
+	}
+	d := p.opt.dialer()
+	nc, err := d.DialContext(ctx, "tcp", at.Endpoint)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	p.count.Add("conn.opened")
+	return &conn{Conn: nc, in: bufio.NewReaderSize(nc, 4096), place: at}, nil
+}
+
+func (p *Pool) pop(at core.Place) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[at]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[at] = list[:len(list)-1]
+	return c
+}
+
+// reserve books a socket; where none is left, the longest idle connection goes.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	if p.open < p.opt.MaxConns {
+		p.open++
+		p.mu.Unlock()
+		return true
+	}
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.place] = p.idle[oldest.place][1:] // its socket is the one booked
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		p.count.Add("conn.limit")
+		return false
+	}
+	oldest.Close()
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// give takes a connection back: to be used again, or to be closed.
+func (p *Pool) give(c *conn, reusable bool) {
+	if !reusable {
+		c.Close()
+		p.release()
+		return
+	}
+	c.since = time.Now()
+	p.mu.Lock()
+	p.idle[c.place] = append(p.idle[c.place], c)
+	p.mu.Unlock()
+}
+
+// CloseIdle closes the idle connections to a place. It does not block.
+func (p *Pool) CloseIdle(at core.Place) {
+	p.mu.Lock()
+	list := p.idle[at]
+	delete(p.idle, at)
+	p.mu.Unlock()
+	if len(list) > 0 {
+		go p.closeAll(list)
+	}
+}
+
+func (p *Pool) closeAll(list []*conn) {
+	for _, c := range list {
+		p.give(c, false)
+	}
+}
+
+// Reap closes idle connections clearly before the backends would, until quit is closed.
+func (p *Pool) Reap(quit <-chan struct{}) {
+	tick := time.NewTicker(max(p.opt.IdleFor/10, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-quit:
+			return
+		case now := <-tick.C:
+			p.closeAll(p.stale(now))
+		}
+	}
+}
+
+func (p *Pool) stale(now time.Time) (old []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for at, list := range p.idle {
+		keep := list[:0:0]
+		for _, c := range list {
+			if now.Sub(c.since) >= p.opt.IdleFor {
+				old = append(old, c)
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		if p.idle[at] = keep; len(keep) == 0 {
+			delete(p.idle, at)
+		}
+	}
+	return old
+}
+
+// quiet tells whether nothing has come on an idle connection: no bytes, which
+// would belong to no req, and no close.
+func (c *conn) quiet() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,209 @@
+// Package config is the one place where a node's environment and its
+// configuration file are read, checked and given defaults.
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"pipitmux/internal/director"
+	"pipitmux/internal/wire"
+	"pipitmux/logic"
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name, Listen, Director string
+	Seed                   uint64
+	Cores                  float64
+	MemoryMB, Sockets      int
+	Known                  director.List
+	Settings               logic.Settings
+	ConnectTimeout         time.Duration
+	RetryAfter             time.Duration // of a refusal, 0 where clients heed none
+}
+
+// Defaults of what may be left out.
+const (
+	defaultCores          = 1.0
+	defaultMemoryMB       = 192
+	defaultSockets        = 1024
+	leastSockets          = 128
+	defaultConnectTimeout = time.Second
+	defaultConnIdle       = 5 * time.Second
+)
+
+// file is the form of the configuration file.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    director.List   `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that PROXY_CONFIG names. The variables PROXY_NAME,
+// PROXY_LISTEN and PROXY_DISCOVERY go before what the file says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return nil, fmt.Errorf("%s: %s cannot be used", wrong.Field, wrong.Value)
+		}
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	f.Name = cmp.Or(getenv("PROXY_NAME"), f.Name)
+	f.Listen = cmp.Or(getenv("PROXY_LISTEN"), f.Listen)
+	f.Discovery = cmp.Or(getenv("PROXY_DISCOVERY"), f.Discovery)
+	return f.check()
+}
+
+func (f *file) check() (*Config, error) {
+	c := &Config{Name: f.Name, Listen: f.Listen, Director: f.Discovery, Known: f.Known,
+		Cores:    cmp.Or(f.Limits.Cores, defaultCores),
+		MemoryMB: cmp.Or(f.Limits.MemoryMB, defaultMemoryMB),
+		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets),
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Director}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is not host:port", a.key, a.addr)
+		}
+	}
+	var err error
+	switch {
+	case f.Seed == "":
+		c.Seed = rand.Uint64()
+	default:
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", f.Seed)
+		}
+	}
+	switch {
+	case c.Cores < 0:
+		return nil, fmt.Errorf("limits.cores: %v is below 0", c.Cores)
+	case c.MemoryMB < 0:
+		return nil, fmt.Errorf("limits.memory_mb: %d is below 0", c.MemoryMB)
+	case c.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is below the %d that a node needs", c.Sockets, leastSockets)
+	}
+	if _, err := c.Known.Entries(); err != nil {
+		return nil, fmt.Errorf("known.%w", err)
+	}
+	return c, c.settings(f.Settings)
+}
+
+// settings hands the settings to the decoder that the simulator's adapter uses.
+func (c *Config) settings(raw json.RawMessage) error {
+	if len(raw) == 0 {
+		return errors.New("settings: missing")
+	}
+	facts, err := Facts(raw)
+	if err != nil {
+		return err
+	}
+	if c.Settings, err = wire.Settings(facts); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.Settings.ConnIdle = cmp.Or(c.Settings.ConnIdle, defaultConnIdle)
+	c.RetryAfter = c.Settings.MaxRetryAfter
+	// The one setting that only a real node needs.
+	const key = "limits.connect-timeout-us"
+	c.ConnectTimeout = defaultConnectTimeout
+	for part := range strings.SplitSeq(facts, " ") {
+		if k, v, _ := strings.Cut(part, "="); k == key {
+			us, err := strconv.ParseInt(v, 10, 64)
+			if err != nil || us < 0 || us > int64(time.Hour/time.Microsecond) {
+				return fmt.Errorf("settings.%s: %q cannot be used", key, v)
+			}
+			c.ConnectTimeout = cmp.Or(time.Duration(us)*time.Microsecond, defaultConnectTimeout)
+		}
+	}
+	if _, err := logic.New(c.Settings, 0); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Facts flattens nested settings to the pairs path=value of the simulator's
+// first message, which internal/wire reads.
+func Facts(raw json.RawMessage) (string, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber() // figures stay the digits that came
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return "", fmt.Errorf("settings: %w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return "", errors.New("settings: more than one object")
+	}
+	var out []string
+	flatten(&out, "", tree)
+	return strings.Join(out, " "), nil
+}
+
+func flatten(out *[]string, path string, v any) {
+	put := func(text string) { *out = append(*out, strings.TrimSuffix(path, ".")+"="+text) }
+	switch v := v.(type) {
+	case map[string]any:
+		keys := make([]string, 0, len(v))
+		for k := range v {
+			keys = append(keys, k)
+		}
+		sort.Strings(keys)
+		for _, k := range keys {
+			flatten(out, path+k+".", v[k])
+		}
+	case []any:
+		if len(v) > 0 {
+			if _, objects := v[0].(map[string]any); objects {
+				*out = append(*out, fmt.Sprintf("%scount=%d", path, len(v)))
+				for i, item := range v {
+					flatten(out, fmt.Sprintf("%s%d.", path, i), item)
+				}
+				return
+			}
+		}
+		items := make([]string, len(v))
+		for i, item := range v {
+			items[i] = plain(item)
+		}
+		put(strings.Join(items, ","))
+	default:
+		put(plain(v))
+	}
+}
+
+var plainText = strings.NewReplacer(" ", "_", ",", "_", "\t", "_", "\n", "_")
+
+func plain(v any) string {
+	if v == nil {
+		return "-"
+	}
+	return plainText.Replace(fmt.Sprint(v))
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,255 @@
+// Package director asks the director for the list of backends, once or as a
+// watch, over HTTP/1.1 on plain connections.
+package director
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"pipitmux/internal/core"
+	"pipitmux/logic"
+)
+
+const (
+	connectWithin = time.Second
+	// A watch says something every 2 s, an empty line at least. One that is silent for
+	// longer has lost its director without a word, and would hide every drain to come.
+	silentFor = 5 * time.Second
+	maxLine   = 4 << 20
+
+	backoffFirst = 500 * time.Millisecond // of a watch that the module does not ask for
+	backoffMost  = 4 * time.Second
+)
+
+// List is the director's form of a list of backends.
+type List struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is a backend in a List.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+var states = map[string]logic.ServerState{
+	"in_service": logic.Serving, "terminating": logic.Draining, "terminated": logic.Gone,
+}
+
+// Entries returns the backends of a list as the core takes them.
+func (l *List) Entries() ([]core.Entry, error) {
+	out := make([]core.Entry, 0, len(l.Targets))
+	for i, t := range l.Targets {
+		state, ok := states[t.State]
+		if !ok {
+			return nil, fmt.Errorf("targets.%d.state: %q is not a state", i, t.State)
+		}
+		if t.UID == "" {
+			return nil, fmt.Errorf("targets.%d.uid: missing", i)
+		}
+		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && state != logic.Gone {
+			return nil, fmt.Errorf("targets.%d.endpoint: %w", i, err)
+		}
+		out = append(out, core.Entry{Endpoint: t.Endpoint, Server: logic.Server{
+			ID: logic.ServerID(t.UID), Capacity: t.Capacity, State: state, Kind: t.Kind, Zone: t.Zone,
+			Cell: t.Cell, Born: time.Duration(max(t.BootMS, 0)) * time.Millisecond,
+		}})
+	}
+	return out, nil
+}
+
+// Director calls the director at one address. Each Subscribe and each Fetch is
+// answered by one list; a failed call by ListFailed.
+type Director struct {
+	addr string
+	tell func(logic.ListKind, []core.Entry)
+
+	mu   sync.Mutex
+	rev  int64
+	stop context.CancelFunc // of the present watch
+	done chan struct{}      // closed when it has ended
+}
+
+var _ core.Director = (*Director)(nil)
+
+// New returns a Director that has yet to call. rev is the version of the list
+// that the node knows already.
+func New(addr string, rev int64, tell func(logic.ListKind, []core.Entry)) *Director {
+	return &Director{addr: addr, rev: rev, tell: tell}
+}
+
+// Fetch asks for the whole list. It does not block.
+func (d *Director) Fetch() {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), silentFor)
+		defer cancel()
+		told := false
+		err := d.call(ctx, "/v1/endpoints", func(body *bufio.Reader) error {
+			var l List
+			if err := json.NewDecoder(io.LimitReader(body, maxLine)).Decode(&l); err != nil {
+				return err
+			}
+			entries, err := l.Entries()
+			if err == nil {
+				told = true
+				d.tell(logic.ListFull, entries)
+			}
+			return err
+		})
+		if !told {
+			log.Printf("director: list: %v", err)
+			d.tell(logic.ListFailed, nil)
+		}
+	}()
+}
+
+// Subscribe starts a watch in place of the present one. It does not block.
+func (d *Director) Subscribe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	before, stopBefore := d.done, d.stop
+	done := make(chan struct{})
+	d.stop, d.done = stop, done
+	go func() {
+		defer close(done)
+		if before != nil { // its reply, or the lack of one, comes before this one's
+			stopBefore()
+			<-before
+		}
+		replied, err := d.watch(ctx)
+		if ctx.Err() != nil && replied {
+			return // replaced: the module holds this watch for the new one
+		}
+		log.Printf("director: watch: %v", err)
+		d.tell(logic.ListFailed, nil)
+	}()
+}
+
+// Keep watches until ctx ends, for a module that does not ask. The pauses
+// between failed watches double.
+func (d *Director) Keep(ctx context.Context) {
+	pause := backoffFirst
+	for ctx.Err() == nil {
+		replied, err := d.watch(ctx)
+		if replied {
+			pause = backoffFirst
+		}
+		log.Printf("director: watch: %v", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause/2)):
+		}
+		pause = min(2*pause, backoffMost)
+	}
+}
+
+// watch tells lists until the watch ends, which it always does with an error.
+// It also returns whether a first list was told.
+func (d *Director) watch(ctx context.Context) (replied bool, err error) {
+	d.mu.Lock()
+	path := fmt.Sprintf("/v1/endpoints?stream=1&index=%d", d.rev)
+	d.mu.Unlock()
+	err = d.call(ctx, path, func(body *bufio.Reader) error {
+		for {
+			line, err := readLine(body)
+			if err != nil {
+				return err
+			}
+			if len(line) == 0 && replied {
+				continue
+			}
+			l := List{Rev: -1} // an empty first line is the reply that nothing has changed
+			if len(line) > 0 {
+				if err := json.Unmarshal(line, &l); err != nil {
+					return err
+				}
+			}
+			entries, err := l.Entries()
+			if err != nil {
+				return err
+			}
+			if l.Rev >= 0 {
+				d.mu.Lock()
+				d.rev = l.Rev
+				d.mu.Unlock()
+			}
+			kind := logic.ListChanges
+			if l.All {
+				kind = logic.ListFull
+			}
+			replied = true
+			d.tell(kind, entries)
+		}
+	})
+	return replied, err
+}
+
+func readLine(in *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := in.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return bytes.TrimSpace(line), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(line) > maxLine:
+			return nil, errors.New("a line is too long")
+		}
+	}
+}
+
+// patient ends a connection on which nothing comes for silentFor.
+type patient struct{ net.Conn }
+
+func (p patient) Read(b []byte) (int, error) {
+	if err := p.SetReadDeadline(time.Now().Add(silentFor)); err != nil {
+		return 0, err
+	}
+	return p.Conn.Read(b)
+}
+
+// call sends a GET and has the body of its 200 answer read.
+func (d *Director) call(ctx context.Context, path string, read func(*bufio.Reader) error) error {
+	dialer := net.Dialer{Timeout: connectWithin}
+	c, err := dialer.DialContext(ctx, "tcp", d.addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	c.SetWriteDeadline(time.Now().Add(connectWithin))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, d.addr); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(patient{c}), nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s", path, res.Status)
+	}
+	return read(bufio.NewReader(res.Body))
+}
