Test the program over sockets, and give up a watch that broke at a line

Seen: with a director that sends a line that is no JSON, the watch was not given up and the module heard nothing more. net/http's Body.Close reads an answer to its end first, and a watch has none while empty lines come (internal/director/director.go, call). The same call held the outcome of an over-long answer up in internal/backend/backend.go, exchange. Ruled out: the read deadline (it works, the silent watch was given up) and the module (it had not been told). Change: neither body is closed any more, the connection is; a test each (TestDirectorGivenUp, 'answer without end').

--- a/cmd/oakseam/main.go
+++ b/cmd/oakseam/main.go
@@ -81,6 +81,7 @@
 	quit := make(chan struct{})
 	defer close(quit)
 	go owner.Run(pool, d)
+	defer owner.Stop()
 	go pool.Reap(quit)
 	if !c.Settings.MustSubscribe {
 		go d.Keep(context.Background())
--- /dev/null
+++ b/cmd/oakseam/oakseam_test.go
@@ -0,0 +1,418 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBytesGoOnUnchanged(t *testing.T) {
+	b := newBackend(t, func(c *net.TCPConn, _ req) bool { return say(c, 200, "Content-Type: a/b\r\n", "\x00an swer\r\n") })
+	n, _ := serve(t, b.addr)
+	h := headers("reading")
+	a := n.try("POST", "/api/x%2Fy?key=4%20&z=%c3", "bo\x00dy\r\n", h)
+	require.NotNil(t, a)
+	assert.Equal(t, 200, a.status)
+	assert.Equal(t, "\x00an swer\r\n", a.body)
+	assert.Equal(t, "a/b", a.header.Get("Content-Type"))
+	r := receive(t, b.seen, "the req")
+	assert.Equal(t, "POST /api/x%2Fy?key=4%20&z=%c3", r.Method+" "+r.RequestURI)
+	assert.Equal(t, "bo\x00dy\r\n", r.body)
+	assert.Equal(t, h["X-Correlation-Id"], r.Header.Get("X-Correlation-Id"))
+	assert.Equal(t, "k1", r.Header.Get("Idempotency-Key"))
+	assert.Regexp(t, `^\d+[mu]$`, r.Header.Get("X-Time-Left"))
+	assert.Equal(t, 200, n.ask("lookup").status)
+	assert.Equal(t, "GET", receive(t, b.seen, "the safe req").Method)
+}
+
+func TestMalformedReqsGetAPlain4xx(t *testing.T) {
+	b := newBackend(t, ok)
+	n, _ := serve(t, b.addr)
+	for _, tt := range []struct {
+		name, method, path, key, value string
+		body                           int
+		want                           int
+	}{
+		{"no id", "POST", "/api", "X-Correlation-Id", "", 0, 400},
+		{"long id", "POST", "/api", "X-Correlation-Id", strings.Repeat("i", 300), 0, 400},
+		{"unknown class", "POST", "/api", "X-Service-Class", "nonesuch", 0, 400},
+		{"no unit", "POST", "/api", "X-Time-Left", "480", 0, 400},
+		{"no number", "POST", "/api", "X-Time-Left", "m", 0, 400},
+		{"keyed without key", "POST", "/api", "X-Service-Class", "reading", 0, 400},
+		{"method of another class", "GET", "/api", "X-Repeat", "0", 0, 405},
+		{"large body", "POST", "/api", "X-Repeat", "0", 64<<10 + 1, 413},
+		{"other path", "POST", "/apix", "X-Repeat", "0", 0, 404},
+		{"largest body", "POST", "/api", "X-Repeat", "0", 64 << 10, 200},
+	} {
+		h := headers("topup")
+		h[tt.key] = tt.value
+		a := n.try(tt.method, tt.path, strings.Repeat("b", tt.body), h)
+		if assert.NotNil(t, a, tt.name) {
+			assert.Equal(t, tt.want, a.status, tt.name)
+		}
+	}
+	assert.Len(t, b.seen, 1, "only the last one goes to a backend")
+}
+
+// TestOutcomes has the first attempt end in a way, and tells by the class and
+// the second attempt what the node took that for.
+func TestOutcomes(t *testing.T) {
+	status := func(code int, header string) func(*net.TCPConn, req) bool {
+		return func(c *net.TCPConn, _ req) bool { return say(c, code, header, "no") }
+	}
+	part := func(text string) func(*net.TCPConn, req) bool {
+		return func(c *net.TCPConn, _ req) bool { io.WriteString(c, text); return false }
+	}
+	const unprocessed = "X-Unprocessed: 1\r\n"
+	for _, tt := range []struct {
+		name, class string
+		first       func(*net.TCPConn, req) bool
+		want, sends int
+		outcome     string
+	}{
+		{"turned away", "topup", status(503, unprocessed), 200, 2, "queue-full"},
+		{"turned away late", "topup", status(504, unprocessed), 200, 2, "queue-full"},
+		{"upstream 503 is not passed on", "topup", status(503, ""), 502, 1, "error"},
+		{"500 marked unprocessed may have run", "topup", status(500, unprocessed), 502, 1, "error"},
+		{"429 is not passed on", "topup", status(429, ""), 502, 1, "error"},
+		{"redirect is no service", "topup", status(302, "Location: /\r\n"), 502, 1, "error"},
+		{"error of a keyed req", "reading", status(500, ""), 200, 2, "error"},
+		{"reset after the req", "topup", broken, 502, 1, "reset"},
+		{"reset of a keyed req", "reading", broken, 200, 2, "reset"},
+		{"end without an answer", "topup", part(""), 502, 1, "reset"},
+		{"answer cut in its head", "topup", part("HTTP/1.1 200 OK\r\nContent-"), 502, 1, "reset"},
+		{"answer cut in its body", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1, "reset"},
+		{"no HTTP", "topup", part("what?\r\n\r\n"), 502, 1, "reset"},
+		{"answer over 64 KiB", "topup", func(c *net.TCPConn, _ req) bool { return say(c, 200, "", strings.Repeat("x", 64<<10+1)) }, 502, 1, "error"},
+		{"answer without end", "topup", func(c *net.TCPConn, _ req) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n"+strings.Repeat("x", 0x11000)+"\r\n")
+			return true
+		}, 502, 1, "error"},
+		{"interim answer first", "topup", func(c *net.TCPConn, r req) bool { io.WriteString(c, "HTTP/1.1 103 x\r\n\r\n"); return ok(c, r) }, 200, 1, "ok"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			sends := make(chan struct{}, 10)
+			script := func(c *net.TCPConn, r req) bool {
+				sends <- struct{}{}
+				if len(sends) == 1 {
+					return tt.first(c, r)
+				}
+				return ok(c, r)
+			}
+			n, _ := serve(t, newBackend(t, script).addr, newBackend(t, script).addr)
+			assert.Equal(t, tt.want, n.ask(tt.class).status)
+			assert.Len(t, sends, tt.sends)
+			n.counts("outcome."+tt.outcome, "1")
+		})
+	}
+}
+
+// TestRefusedConnection: what was never written goes elsewhere, an unsafe req too.
+func TestRefusedConnection(t *testing.T) {
+	b := newBackend(t, ok)
+	s := settings()
+	s["charges"].(object)["handshake"] = 0.0 // else the module stays with the backend it has a connection to
+	n := start(t, configure(t, freeAddr(t), newDirector(t).addr, list(7, true, target("s-0", freeAddr(t), "in_service", 0),
+		target("s-1", b.addr, "in_service", 0)), s))
+	n.until("the closed address was tried", func() bool {
+		assert.Equal(t, 200, n.ask("topup").status)
+		return n.counter("outcome.connect-failed") != "0"
+	})
+}
+
+// TestTimeOut: the attempt's connection is closed, the req fails in its time,
+// and the late answer reaches nobody.
+func TestTimeOut(t *testing.T) {
+	late := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+		if r.URL.RawQuery == "late" {
+			<-late
+		}
+		return ok(c, r)
+	})
+	n, _ := serve(t, b.addr)
+	began := time.Now()
+	a := n.try("POST", "/api?late", "", headers("brief"))
+	require.NotNil(t, a)
+	assert.Equal(t, 502, a.status)
+	assert.GreaterOrEqual(t, time.Since(began), 250*time.Millisecond, "the module's time-out, not an earlier one")
+	n.counts("outcome.timed-out", "1")
+	close(late)
+	n.until("the node has ended the connection", func() bool { return b.closed.Load() == 1 })
+	// The module may shy away from its only backend for a while.
+	n.until("another req is served", func() bool { return n.ask("topup").status == 200 })
+	assert.EqualValues(t, 2, b.opened.Load(), "a connection that owes an answer is not used again")
+	n.counts("answer.failed", "1")
+	n.counts("answer.served", "1")
+}
+
+func TestClientGone(t *testing.T) {
+	b := newBackend(t, silent)
+	n, _ := serve(t, b.addr)
+	c, err := net.Dial("tcp", n.addr)
+	require.NoError(t, err)
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: g\r\nX-Service-Class: topup\r\nX-Time-Left: 9000m\r\nContent-Length: 2\r\n\r\nab")
+	receive(t, b.seen, "the req")
+	c.Close()
+	n.counts("client.gone", "1")
+	n.counts("outcome.canceled", "1")
+	n.until("the attempt was called off", func() bool { return b.closed.Load() == 1 })
+}
+
+// TestDuplicateID: the second req of an id is turned down, and its end leaves the first alone.
+func TestDuplicateID(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	n, _ := serve(t, b.addr)
+	h := headers("topup")
+	first := make(chan *answer, 1)
+	go func() { first <- n.try("POST", "/api", "", h) }()
+	receive(t, b.seen, "the first req")
+	second := n.try("POST", "/api", "", h)
+	require.NotNil(t, second)
+	assert.Equal(t, 409, second.status)
+	close(release)
+	a := receive(t, first, "the first answer")
+	require.NotNil(t, a)
+	assert.Equal(t, 200, a.status)
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	b := newBackend(t, ok)
+	n, _ := serve(t, b.addr)
+	for range 5 {
+		require.Equal(t, 200, n.ask("topup").status)
+	}
+	assert.EqualValues(t, 1, b.opened.Load())
+}
+
+// TestStaleConnections: an unsafe req is never written to a connection on which
+// it would end as a Reset.
+func TestStaleConnections(t *testing.T) {
+	for name, script := range map[string]func(*net.TCPConn, req) bool{
+		"closed after the answer": func(c *net.TCPConn, r req) bool { ok(c, r); return false },
+		"close announced":         func(c *net.TCPConn, _ req) bool { return say(c, 200, "Connection: close\r\n", "done") },
+		"bytes beyond the answer": func(c *net.TCPConn, _ req) bool { return say(c, 200, "", "done") && say(c, 200, "", "stray") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, script)
+			n, _ := serve(t, b.addr)
+			for i := range 3 {
+				a := n.ask("topup")
+				assert.Equal(t, 200, a.status)
+				assert.Equal(t, "done", a.body)
+				n.until("its connection ended", func() bool { return name == "closed after the answer" || b.closed.Load() >= int64(i) })
+			}
+			assert.EqualValues(t, 3, b.opened.Load())
+			n.counts("outcome.reset", "0")
+		})
+	}
+}
+
+// TestIdleConnectionsEndEarly: the node closes them itself, before conn-idle-us.
+func TestIdleConnectionsEndEarly(t *testing.T) {
+	b := newBackend(t, ok)
+	s := settings()
+	s["limits"].(object)["conn-idle-us"] = 400000
+	d := newDirector(t)
+	n := start(t, configure(t, freeAddr(t), d.addr, list(7, true, target("s-0", b.addr, "in_service", 0)), s))
+	require.Equal(t, 200, n.ask("topup").status)
+	n.until("the idle connection ended", func() bool { return b.closed.Load() == 1 })
+	require.Equal(t, 200, n.ask("topup").status)
+	assert.EqualValues(t, 2, b.opened.Load())
+}
+
+func TestDirectorChangesFlow(t *testing.T) {
+	one, two := newBackend(t, ok), newBackend(t, ok)
+	n, d := serve(t, one.addr)
+	assert.Equal(t, "stream=1&index=7", receive(t, d.calls, "the first watch"))
+	lines := receive(t, d.watch, "the first watch")
+	require.Equal(t, 200, n.ask("topup").status)
+
+	now := time.Now().UnixMilli() - 60000
+	lines <- line(t, list(8, false, target("s-0", one.addr, "in_service", now)))
+	n.until("a new boot ends the old connections", func() bool { return one.closed.Load() == 1 })
+	require.Equal(t, 200, n.ask("topup").status)
+	lines <- line(t, list(9, false, target("s-0", two.addr, "in_service", now)))
+	n.until("a new endpoint ends the old connections", func() bool { return one.closed.Load() == 2 })
+	require.Equal(t, 200, n.ask("topup").status)
+	assert.Len(t, two.seen, 1)
+
+	lines <- line(t, list(10, false, target("s-0", two.addr, "terminating", now)))
+	n.counts("list.changes", "4") // with the empty first reply
+	a := n.ask("topup")
+	assert.Equal(t, 503, a.status, "nothing new to a backend that drains")
+	assert.Equal(t, "2.5", a.header.Get("Retry-After"))
+	assert.Equal(t, 503, n.try("GET", "/ready", "", nil).status)
+	assert.Len(t, two.seen, 1)
+
+	lines <- line(t, list(11, true, target("s-1", one.addr, "in_service", 0)))
+	n.counts("list.full", "1")
+	assert.Equal(t, 200, n.try("GET", "/ready", "", nil).status)
+	assert.Equal(t, 200, n.ask("topup").status)
+	close(lines)
+	assert.Equal(t, "stream=1&index=11", receive(t, d.calls, "a watch after the broken one"))
+	n.counts("list.failed", "1")
+}
+
+// TestDirectorGivenUp: a watch that has gone silent would hide every drain.
+func TestDirectorGivenUp(t *testing.T) {
+	for name, text := range map[string]string{
+		"silent": "fall silent", "not JSON": "{\n", "unknown state": `{"rev":8,"targets":[{"uid":"s-0","endpoint":"a:1","state":"odd"}]}` + "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, ok)
+			n, d := serve(t, b.addr)
+			receive(t, d.calls, "the first watch")
+			receive(t, d.watch, "the first watch") <- text
+			assert.Equal(t, "stream=1&index=7", receive(t, d.calls, "another watch"))
+			n.counts("list.failed", "1")
+			assert.Equal(t, 200, n.ask("topup").status, "the list as last told holds on")
+		})
+	}
+}
+
+func TestNoDirector(t *testing.T) {
+	b := newBackend(t, ok)
+	n := start(t, configure(t, freeAddr(t), freeAddr(t), list(7, true, target("s-0", b.addr, "in_service", 0)), settings()))
+	n.until("calls fail and go on", func() bool { return n.counter("list.failed") > "1" })
+	assert.Equal(t, 200, n.ask("topup").status)
+}
+
+func TestNoBackends(t *testing.T) {
+	n, _ := serve(t)
+	assert.Equal(t, 503, n.try("GET", "/ready", "", nil).status)
+	assert.Equal(t, 503, n.ask("topup").status)
+}
+
+// TestSessionLimit: beyond the sockets that a node may hold for clients there
+// is a synthetic answer, at once, and the sessions within go on.
+func TestSessionLimit(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	d := newDirector(t)
+	config := configure(t, freeAddr(t), d.addr, list(7, true, target("s-0", b.addr, "in_service", 0)), settings())
+	config["limits"].(object)["sockets"] = 128
+	n := start(t, config)
+	var open []net.Conn
+	for range (128 - spareSockets) / 2 {
+		c, err := net.Dial("tcp", n.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		open = append(open, c)
+	}
+	a := n.ask("topup")
+	assert.Equal(t, 503, a.status)
+	assert.Equal(t, "2.5", a.header.Get("Retry-After"))
+	assert.Empty(t, b.seen)
+	open[0].Close()
+	close(release)
+	n.until("a session that ended makes room", func() bool { return n.ask("topup").status == 200 })
+}
+
+func TestTermination(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	n, _ := serve(t, b.addr)
+	idle, err := net.Dial("tcp", n.addr)
+	require.NoError(t, err)
+	defer idle.Close()
+	fmt.Fprintf(idle, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err = idle.Read(make([]byte, 1000))
+	require.NoError(t, err)
+
+	first := make(chan *answer, 1)
+	go func() { first <- n.try("POST", "/api", "", headers("topup")) }()
+	receive(t, b.seen, "the req before the signal")
+	require.NoError(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	n.until("the node ends", func() bool {
+		a := n.try("GET", "/ready", "", nil)
+		return a != nil && a.status == 503
+	})
+	late, err := net.Dial("tcp", n.addr) // the front still deals out new connections
+	require.NoError(t, err)
+	defer late.Close()
+	io.WriteString(late, "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: l\r\nX-Service-Class: topup\r\nContent-Length: 0\r\n\r\n")
+	receive(t, b.seen, "the req after the signal")
+	_, err = idle.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "an idle client session ends cleanly")
+	close(release)
+	a := receive(t, first, "the first answer")
+	require.NotNil(t, a)
+	assert.Equal(t, 200, a.status)
+	res, err := http.ReadResponse(bufio.NewReader(late), nil)
+	require.NoError(t, err)
+	assert.Equal(t, 200, res.StatusCode)
+	assert.True(t, res.Close, "the answer ends its client session")
+	assert.NoError(t, receive(t, n.end, "the exit"), "exit code 0")
+	assert.Contains(t, n.log.String(), "counter answer.served 2\n")
+}
+
+func TestBadConfiguration(t *testing.T) {
+	for key, change := range map[string]func(c, s object){
+		"listen":                             func(c, _ object) { c["listen"] = "nowhere" },
+		"discovery":                          func(c, _ object) { delete(c, "discovery") },
+		"seed":                               func(c, _ object) { c["seed"] = "xyz" },
+		"limits.sockets":                     func(c, _ object) { c["limits"].(object)["sockets"] = 12 },
+		"limits.memory_mb":                   func(c, _ object) { c["limits"].(object)["memory_mb"] = "much" },
+		"known.targets.0.state":              func(c, _ object) { c["known"] = list(1, true, target("s", "a:1", "odd", 0)) },
+		"settings":                           func(c, _ object) { delete(c, "settings") },
+		"classes.1.effect":                   func(_, s object) { s["classes"].([]any)[1].(object)["effect"] = "odd" },
+		"settings.limits.connect-timeout-us": func(_, s object) { s["limits"].(object)["connect-timeout-us"] = "x" },
+	} {
+		s := settings()
+		c := configure(t, "127.0.0.1:0", "127.0.0.1:1", list(7, true), s)
+		c["settings"] = s
+		change(c, s)
+		out, err := command(t, c).CombinedOutput()
+		var exit *exec.ExitError
+		if assert.ErrorAs(t, err, &exit, key) {
+			assert.Equal(t, exitConfig, exit.ExitCode(), key)
+		}
+		assert.Contains(t, string(out), key+":", key)
+		assert.Equal(t, 1, strings.Count(string(out), "\n"), "one line: %s", out)
+	}
+}
+
+func TestUnsetConfiguration(t *testing.T) {
+	cmd := exec.Command(program)
+	cmd.Env = []string{}
+	out, err := cmd.CombinedOutput()
+	assert.Error(t, err)
+	assert.Equal(t, "oakseam: config: PROXY_CONFIG: not set\n", string(out))
+}
+
+func TestKeptSessionServesManyReqs(t *testing.T) {
+	b := newBackend(t, ok)
+	n, _ := serve(t, b.addr)
+	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: patience}
+	before := n.counter("session.opened")
+	require.NotEqual(t, "", before)
+	for range 3 {
+		r, err := http.NewRequest("POST", "http://"+n.addr+"/api", strings.NewReader("b"))
+		require.NoError(t, err)
+		for k, v := range headers("topup") {
+			r.Header.Set(k, v)
+		}
+		res, err := kept.Do(r)
+		require.NoError(t, err)
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		assert.Equal(t, 200, res.StatusCode)
+	}
+	n.counts("req.taken", "3")
+	n.counts("session.opened", "2") // the one that waited for the start, and this one
+}
--- /dev/null
+++ b/cmd/oakseam/peers_test.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience bounds every wait for a condition; no verdict hangs on a shorter one.
+const patience = 20 * time.Second
+
+var program string
+
+// TestMain builds the real program. OAKSEAM_TEST_BUILD holds further flags for that.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "oakseam-test")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "oakseam")
+	args := append([]string{"build", "-o", program}, strings.Fields(os.Getenv("OAKSEAM_TEST_BUILD"))...)
+	if out, err := exec.Command("go", append(args, ".")...).CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type object = map[string]any
+
+func class(name, effect string, aim time.Duration) object {
+	return object{"name": name, "effect": effect, "slo-us": aim.Microseconds(), "deadline-us": 2 * aim.Microseconds(),
+		"worth": 8.0, "group": "all", "window-us": 60000000, "late-worth": 0.0, "stream": false}
+}
+
+func settings() object {
+	return object{
+		"classes": []any{class("topup", "unsafe", 5*time.Second), class("reading", "keyed", 5*time.Second),
+			class("lookup", "safe", 5*time.Second), class("brief", "unsafe", 300*time.Millisecond)},
+		"locality": "dc-one", "replicas-of-me": 1, "registry-mode": "subscribe", "tick-us": 5000,
+		"limits": object{"try-limit": 5, "second-copies": true, "cancelling": true, "retry-after": true,
+			"max-retry-after-us": 2500000, "conn-idle-us": 5000000, "connect-timeout-us": 2000000},
+		"rules":   object{"ask-within-us": 10000000, "stop-sending-within-us": 1500000, "answer-slack-us": 20000},
+		"charges": object{"handshake": 0.02},
+		"report":  object{"how": "answers", "fields": []any{"pending"}},
+	}
+}
+
+func target(uid, endpoint, state string, boot int64) object {
+	return object{"uid": uid, "endpoint": endpoint, "az": "dc-one", "model": "m", "pod_group": 0,
+		"state": state, "capacity_hint": 1.0, "boot_ms": boot}
+}
+
+func list(rev int, all bool, targets ...object) object {
+	if targets == nil {
+		targets = []object{}
+	}
+	return object{"rev": rev, "all": all, "targets": targets}
+}
+
+func line(t *testing.T, o object) string {
+	text, err := json.Marshal(o)
+	require.NoError(t, err)
+	return string(text) + "\n"
+}
+
+// node is the real program, running.
+type node struct {
+	t    *testing.T
+	addr string
+	cmd  *exec.Cmd
+	log  output
+	end  chan error
+}
+
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// freeAddr returns an address that nobody listens at.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func configure(t *testing.T, addr, director string, known, settings object) object {
+	return object{"name": "n0", "listen": addr, "discovery": director, "seed": "9392d72b8053217c",
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}
+}
+
+func command(t *testing.T, config object) *exec.Cmd {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(line(t, config)), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	return cmd
+}
+
+// start runs the program until the test ends, and waits until it listens.
+func start(t *testing.T, config object) *node {
+	n := &node{t: t, addr: config["listen"].(string), cmd: command(t, config), end: make(chan error, 1)}
+	n.cmd.Stdout, n.cmd.Stderr = &n.log, &n.log
+	require.NoError(t, n.cmd.Start())
+	go func() { n.end <- n.cmd.Wait() }()
+	t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		if t.Failed() {
+			t.Logf("the program said:\n%s", n.log.String())
+		}
+		require.NotContains(t, n.log.String(), "panic", "the program must not panic")
+		require.NotContains(t, n.log.String(), "DATA RACE")
+	})
+	n.until("it listens", func() bool { return n.try("GET", "/", "", nil) != nil })
+	return n
+}
+
+// serve starts a node that knows backends of the given addresses.
+func serve(t *testing.T, addrs ...string) (*node, *directorPeer) {
+	d := newDirector(t)
+	var targets []object
+	for i, a := range addrs {
+		targets = append(targets, target(fmt.Sprint("s-", i), a, "in_service", 0))
+	}
+	return start(t, configure(t, freeAddr(t), d.addr, list(7, true, targets...), settings())), d
+}
+
+func (n *node) until(what string, ok func() bool) {
+	n.t.Helper()
+	require.Eventually(n.t, ok, patience, 5*time.Millisecond, what)
+}
+
+// answer is a whole answer of the node.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// client opens a client session for each req, so that no req of a test waits for another's.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+
+func (n *node) try(method, path, body string, header map[string]string) *answer {
+	req, err := http.NewRequest(method, "http://"+n.addr+path, strings.NewReader(body))
+	require.NoError(n.t, err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil
+	}
+	return &answer{res.StatusCode, res.Header, string(text)}
+}
+
+var ids atomic.Int64
+
+func headers(class string) map[string]string {
+	h := map[string]string{"X-Correlation-Id": fmt.Sprint("id-", ids.Add(1)), "X-Service-Class": class, "X-Time-Left": "9000m"}
+	if class == "reading" {
+		h["Idempotency-Key"] = "k1"
+	}
+	return h
+}
+
+// ask sends a req of a class and wants an answer.
+func (n *node) ask(class string) *answer {
+	n.t.Helper()
+	method := "POST"
+	if class == "lookup" {
+		method = "GET"
+	}
+	a := n.try(method, "/api", "", headers(class))
+	require.NotNil(n.t, a, "every req gets an answer")
+	return a
+}
+
+// counter reads a count by SIGUSR1, the latest print of it.
+func (n *node) counter(name string) string {
+	require.NoError(n.t, n.cmd.Process.Signal(syscall.SIGUSR1))
+	found := regexp.MustCompile(`(?m)^counter `+regexp.QuoteMeta(name)+` (\d+)$`).FindAllStringSubmatch(n.log.String(), -1)
+	if found == nil {
+		return "0"
+	}
+	return found[len(found)-1][1]
+}
+
+func (n *node) counts(name, want string) {
+	n.t.Helper()
+	n.until(name+" is "+want, func() bool { return n.counter(name) == want })
+}
+
+// req is what a backend was sent, on which of its connections, from 1.
+type req struct {
+	*http.Request
+	body string
+	conn int
+}
+
+// backendPeer answers each req by a script and tells what it saw.
+type backendPeer struct {
+	addr   string
+	seen   chan req
+	opened atomic.Int64
+	closed atomic.Int64 // connections that the node has ended
+}
+
+// newBackend runs a backend. The script writes the answer's bytes itself; a
+// connection that it returns false for is closed.
+func newBackend(t *testing.T, script func(c *net.TCPConn, r req) bool) *backendPeer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	b := &backendPeer{addr: l.Addr().String(), seen: make(chan req, 1000)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.talk(c.(*net.TCPConn), int(b.opened.Add(1)), script)
+		}
+	}()
+	return b
+}
+
+func (b *backendPeer) talk(c *net.TCPConn, no int, script func(*net.TCPConn, req) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			b.closed.Add(1)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		seen := req{r, string(body), no}
+		b.seen <- seen
+		if !script(c, seen) {
+			return
+		}
+	}
+}
+
+func say(c *net.TCPConn, status int, header, body string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), header, body)
+	return true
+}
+
+func ok(c *net.TCPConn, _ req) bool {
+	return say(c, 200, "X-Backend-Load: inflight=7,queue=2\r\n", "done")
+}
+
+// silent says nothing and keeps the connection.
+func silent(*net.TCPConn, req) bool { return true }
+
+// broken resets the connection with the req read whole.
+func broken(c *net.TCPConn, _ req) bool { c.SetLinger(0); return false }
+
+// directorPeer answers watches by what the test sends it.
+type directorPeer struct {
+	addr  string
+	calls chan string          // the query of each watch
+	watch chan (chan<- string) // the open watch: lines to write; closing it ends the watch
+}
+
+func newDirector(t *testing.T) *directorPeer {
+	d := &directorPeer{calls: make(chan string, 100), watch: make(chan (chan<- string), 100)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d.addr = l.Addr().String()
+	over := make(chan struct{})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.calls <- r.URL.RawQuery
+		lines := make(chan string, 10)
+		d.watch <- lines
+		beat := time.NewTicker(time.Second)
+		defer beat.Stop()
+		for said := false; ; said = true {
+			text := "\n"
+			if said {
+				select {
+				case <-over:
+					return
+				case <-r.Context().Done():
+					return
+				case <-beat.C:
+				case l, open := <-lines:
+					if !open {
+						return
+					}
+					if text = l; l == "fall silent" {
+						<-r.Context().Done()
+						return
+					}
+				}
+			}
+			io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+		}
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { close(over); s.Close() })
+	return d
+}
+
+// receive waits for what a peer tells.
+func receive[T any](t *testing.T, c <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		require.Fail(t, "waited in vain for "+what)
+	}
+	return v
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -129,7 +129,8 @@
 	if err != nil {
 		return end, &Error{WrittenWhole, because(ctx, err)}
 	}
-	defer res.Body.Close()
+	// The body is not closed: that would first read an answer without end to its end. Its
+	// connection is closed where it was not read whole.
 	end.Report = p.report(res.Header.Get("X-Backend-Load"))
 	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBody+1))
 	if err != nil {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,127 @@
+package core
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/counters"
+	"pipitmux/logic"
+)
+
+// peers are backends and a director that note what they are asked.
+type peers struct {
+	mu   sync.Mutex
+	went []logic.ServerID
+	ends chan func(Ended)
+}
+
+func (p *peers) Start(a Attempt, done func(Ended)) func() {
+	p.mu.Lock()
+	p.went = append(p.went, a.Place.ID)
+	p.mu.Unlock()
+	p.ends <- done
+	return func() {}
+}
+func (p *peers) CloseIdle(Place) {}
+func (p *peers) Subscribe()      {}
+func (p *peers) Fetch()          {}
+
+// serve ends every attempt as served.
+func (p *peers) serve() {
+	for end := range p.ends {
+		go end(Ended{Result: logic.OK, At: time.Now()})
+	}
+}
+
+type waiting chan Answer
+
+func receive(t *testing.T, w waiting) {
+	t.Helper()
+	select {
+	case <-w:
+	case <-time.After(20 * time.Second):
+		require.FailNow(t, "a req has no answer")
+	}
+}
+
+func (w waiting) Answer(a Answer) { w <- a }
+
+func newCore(t *testing.T, states ...logic.ServerState) *Core {
+	c, err := New(logic.Settings{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Aim: 5 * time.Second,
+		Deadline: 10 * time.Second, Worth: 8}}}, 1, counters.New())
+	require.NoError(t, err)
+	c.List(logic.ListCached, entries(states...))
+	return c
+}
+
+func entries(states ...logic.ServerState) (out []Entry) {
+	for i, s := range states {
+		out = append(out, Entry{Server: logic.Server{ID: logic.ServerID(fmt.Sprint("s-", i)), Capacity: 1, State: s}, Endpoint: "x:1"})
+	}
+	return out
+}
+
+// A drain that was told after reqs had been queued still goes first.
+func TestDrainGoesAheadOfWaitingReqs(t *testing.T) {
+	c, p := newCore(t, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), 100)}
+	answers := make(waiting, 100)
+	for i := range 50 {
+		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i), Class: "topup", Arrived: time.Now(), Session: answers}))
+	}
+	c.List(logic.ListChanges, entries(logic.Serving, logic.Draining))
+	go c.Run(p, p)
+	defer c.Stop()
+	go p.serve()
+	for range 50 {
+		receive(t, answers) // served, or refused where one backend is too few
+	}
+	assert.Contains(t, p.went, logic.ServerID("s-0"))
+	assert.NotContains(t, p.went, logic.ServerID("s-1"))
+}
+
+// More comes in than the queue holds, while every end of an attempt has to pass
+// the same queue: all get through, and each req has one answer.
+func TestFullQueueLosesNothing(t *testing.T) {
+	const reqs = 4 * queueLength
+	c, p := newCore(t, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), reqs)}
+	answers := make(waiting, 2*reqs)
+	taken := make(chan int, 100)
+	for range cap(taken) {
+		go func() {
+			n := 0
+			for range reqs / cap(taken) {
+				r := Req{ID: fmt.Sprintf("%p-%d", &n, n), Class: "topup", Arrived: time.Now(), Session: answers}
+				if c.Submit(r) == nil {
+					n++
+				}
+			}
+			taken <- n
+		}()
+	}
+	go c.Run(p, p)
+	defer c.Stop()
+	go p.serve()
+	want := 0
+	for range cap(taken) {
+		want += <-taken
+	}
+	require.Greater(t, want, queueLength/2)
+	for range want {
+		receive(t, answers)
+	}
+	assert.Empty(t, answers)
+}
+
+// The queue is full and nobody serves it: a req is turned down, not held for ever.
+func TestSubmitGivesUp(t *testing.T) {
+	c := newCore(t, logic.Serving)
+	for i := range queueLength {
+		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i)}))
+	}
+	assert.ErrorIs(t, c.Submit(Req{ID: "one more"}), ErrFull)
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -247,7 +247,8 @@
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	// The body is not closed: that would first read a watch to its end, and one that broke
+	// at a line would be held for ever while empty lines come. The connection is closed.
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s answered %s", path, res.Status)
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -96,13 +96,9 @@
 // that was taken has its answer, or with an error at the end of ctx.
 func (f *Front) End(ctx context.Context) error {
 	f.ending.Store(true) // answers end their client sessions from now on
-	for _, pause := range []time.Duration{stayOpen, leaveIdle} {
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-		f.listener.Close()
-	}
+	time.Sleep(stayOpen)
+	f.listener.Close()
+	time.Sleep(leaveIdle)
 	return f.server.Shutdown(ctx)
 }
 
