Let a due attempt time out instead of calling it off

Seen: under the race detector TestTimeOut now and then found the outcome 'canceled' where the module's time-out had passed. The module sets its last timer and the attempt's time-out to the same instant; the core counted the first from one reading of the clock and the second from a later one, so the timer came first and its Cancel ended the attempt (internal/core/core.go, act and send). A canceled attempt blames no backend: a hanging one is set aside later than the module means to. Ruled out: a late timer in the pool; with the core at rest most attempts did time out, since the calling off lost the race by microseconds. Change: all actions of an event count from one reading of the clock, and an attempt whose time is over is not called off. TestTimeOutIsNotCalledOff found one calling off before, none after. Also: the front gets its listener when it is made; the end of a node read it beside the goroutine that wrote it (found by the race detector).

--- a/cmd/oakseam/main.go
+++ b/cmd/oakseam/main.go
@@ -64,15 +64,15 @@
 		IdleFor:  c.Settings.ConnIdle * 9 / 10,
 		MaxConns: usable * 4 / 10, Fields: c.Settings.ReportFields,
 	}, count)
-	front := session.New(session.Options{
-		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter, MaxSessions: usable / 2,
-	}, owner, count)
-	d := director.New(c.Director, c.Known.Rev, owner.List)
-
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	front := session.New(session.Options{
+		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter, MaxSessions: usable / 2,
+	}, listener, owner, count)
+	d := director.New(c.Director, c.Known.Rev, owner.List)
+
 	known, err := c.Known.Entries()
 	if err != nil {
 		return err
@@ -87,7 +87,7 @@
 		go d.Keep(context.Background())
 	}
 	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
+	go func() { served <- front.Serve() }()
 	log.Printf("%s serves on %s", c.Name, c.Listen)
 	for {
 		select {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,6 +115,7 @@
 	local  []func() // events that the owner has for itself
 
 	origin time.Time
+	at     time.Time // of the event that the module is told: its sends and timers count from there
 	reqs   map[logic.RequestID]*held
 	places map[logic.ServerID]Place
 	states map[logic.ServerID]logic.ServerState
@@ -133,6 +134,7 @@
 
 type sent struct {
 	at     time.Time
+	until  time.Time
 	server logic.ServerID
 	cancel func()
 }
@@ -244,11 +246,9 @@
 	}
 }
 
-// now is the module's clock: Unix time as it was at the start, and steady from
+// clock is the module's: Unix time as it was at the start, and steady from
 // then on. A backend's start, given in Unix time, needs no mapping and stays
 // the same value in every list; the module takes a changed one for a restart.
-func (c *Core) now() time.Duration { return c.clock(time.Now()) }
-
 func (c *Core) clock(t time.Time) time.Duration {
 	return time.Duration(c.origin.UnixNano()) + t.Sub(c.origin)
 }
@@ -263,7 +263,8 @@
 			c.answer(id, Answer{Kind: Failed})
 		}
 	}()
-	for _, a := range c.module.Handle(c.now(), ev) {
+	c.at = time.Now()
+	for _, a := range c.module.Handle(c.clock(c.at), ev) {
 		c.act(a)
 	}
 }
@@ -273,7 +274,10 @@
 	case logic.Send:
 		c.send(a)
 	case logic.Cancel:
-		if r := c.reqs[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+		// The module's last timer for a req and the time-out of its attempt fall due together.
+		// An attempt whose time is over ends as timed out: called off, a backend that hangs
+		// would bear no blame, or would by chance.
+		if r := c.reqs[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && c.at.Before(r.attempts[a.Attempt].until) {
 			r.attempts[a.Attempt].cancel()
 		}
 	case logic.Refuse:
@@ -281,7 +285,7 @@
 	case logic.Fail:
 		c.answer(a.ID, Answer{Kind: Failed})
 	case logic.SetTimer:
-		heap.Push(&c.timers, timer{at: time.Now().Add(a.After), token: a.Token})
+		heap.Push(&c.timers, timer{at: c.at.Add(a.After), token: a.Token})
 	case logic.Subscribe:
 		c.director.Subscribe()
 	case logic.Fetch:
@@ -353,13 +357,13 @@
 		log.Printf("module: a send for %q, which is not held", a.ID)
 		return
 	}
-	now := time.Now()
+	now := c.at
 	until := now.Add(a.Within)
 	if a.Within <= 0 || until.After(r.until) {
 		until = r.until
 	}
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, sent{at: now, server: a.Server, cancel: func() {}})
+	r.attempts = append(r.attempts, sent{at: now, until: until, server: a.Server, cancel: func() {}})
 	r.open++
 	place, known := c.places[a.Server]
 	if r.over || !known || !until.After(now) || c.settings.MaxAttempts > 0 && n >= c.settings.MaxAttempts {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	mu   sync.Mutex
 	went []logic.ServerID
 	ends chan func(Ended)
+	off  atomic.Int64 // attempts called off
 }
 
 func (p *peers) Start(a Attempt, done func(Ended)) func() {
@@ -25,7 +27,7 @@
 	p.went = append(p.went, a.Place.ID)
 	p.mu.Unlock()
 	p.ends <- done
-	return func() {}
+	return func() { p.off.Add(1) }
 }
 func (p *peers) CloseIdle(Place) {}
 func (p *peers) Subscribe()      {}
@@ -51,9 +53,9 @@
 
 func (w waiting) Answer(a Answer) { w <- a }
 
-func newCore(t *testing.T, states ...logic.ServerState) *Core {
-	c, err := New(logic.Settings{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Aim: 5 * time.Second,
-		Deadline: 10 * time.Second, Worth: 8}}}, 1, counters.New())
+func newCore(t *testing.T, aim time.Duration, states ...logic.ServerState) *Core {
+	c, err := New(logic.Settings{CanCancel: true, Classes: []logic.Class{
+		{Name: "topup", Effect: logic.Unsafe, Aim: aim, Deadline: 2 * aim, Worth: 8}}}, 1, counters.New())
 	require.NoError(t, err)
 	c.List(logic.ListCached, entries(states...))
 	return c
@@ -68,7 +70,7 @@
 
 // A drain that was told after reqs had been queued still goes first.
 func TestDrainGoesAheadOfWaitingReqs(t *testing.T) {
-	c, p := newCore(t, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), 100)}
+	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), 100)}
 	answers := make(waiting, 100)
 	for i := range 50 {
 		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i), Class: "topup", Arrived: time.Now(), Session: answers}))
@@ -88,7 +90,7 @@
 // the same queue: all get through, and each req has one answer.
 func TestFullQueueLosesNothing(t *testing.T) {
 	const reqs = 4 * queueLength
-	c, p := newCore(t, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), reqs)}
+	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), reqs)}
 	answers := make(waiting, 2*reqs)
 	taken := make(chan int, 100)
 	for range cap(taken) {
@@ -119,9 +121,23 @@
 
 // The queue is full and nobody serves it: a req is turned down, not held for ever.
 func TestSubmitGivesUp(t *testing.T) {
-	c := newCore(t, logic.Serving)
+	c := newCore(t, 5*time.Second, logic.Serving)
 	for i := range queueLength {
 		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i)}))
 	}
 	assert.ErrorIs(t, c.Submit(Req{ID: "one more"}), ErrFull)
 }
+
+// An attempt that lasts until its req's end has timed out: the module's timer
+// for that same instant must not turn it into one that was called off.
+func TestTimeOutIsNotCalledOff(t *testing.T) {
+	c, p := newCore(t, 100*time.Millisecond, logic.Serving), &peers{ends: make(chan func(Ended), 1)}
+	answers := make(waiting, 1)
+	go c.Run(p, p)
+	defer c.Stop()
+	require.NoError(t, c.Submit(Req{ID: "r", Class: "topup", Arrived: time.Now(), Session: answers}))
+	receive(t, answers)
+	require.Len(t, p.ends, 1, "it was sent")
+	assert.Zero(t, p.off.Load(), "calls off")
+	(<-p.ends)(Ended{Result: logic.TimedOut, At: time.Now()})
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -55,14 +55,15 @@
 	count    *counters.Set
 	classes  map[string]logic.Class
 	server   *http.Server
-	listener net.Listener
+	listener *limited
 	sessions atomic.Int64
 	ending   atomic.Bool
 }
 
-// New returns a Front that has yet to serve.
-func New(opt Options, owner Owner, count *counters.Set) *Front {
+// New returns a Front that has yet to serve on l.
+func New(opt Options, l net.Listener, owner Owner, count *counters.Set) *Front {
 	f := &Front{opt: opt, owner: owner, count: count, classes: map[string]logic.Class{}}
+	f.listener = &limited{Listener: l, front: f, slots: make(chan struct{}, opt.MaxSessions+overflow)}
 	longest := time.Duration(0)
 	for _, c := range opt.Classes {
 		f.classes[c.Name] = c
@@ -84,8 +85,7 @@
 }
 
 // Serve takes client sessions until End. It returns nil then.
-func (f *Front) Serve(l net.Listener) error {
-	f.listener = &limited{Listener: l, front: f, slots: make(chan struct{}, f.opt.MaxSessions+overflow)}
+func (f *Front) Serve() error {
 	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.ending.Load() {
 		return err
 	}
