--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -292,6 +292,20 @@
 	assert.Equal(t, 200, n.ask("topup").status)
 }
 
+// Where the module does not ask, the node watches by itself and tells it of no failure.
+func TestAutomaticRegistry(t *testing.T) {
+	b, d, s := newBackend(t, ok), newDirector(t), settings()
+	s["registry-mode"] = "automatic"
+	n := start(t, configure(t, freeAddr(t), d.addr, list(7, true), s))
+	receive(t, d.calls, "the first watch")
+	close(receive(t, d.watch, "the first watch"))
+	receive(t, d.calls, "a watch after the broken one")
+	receive(t, d.watch, "the second watch") <- line(t, list(8, true, target("s-0", b.addr, "in_service", 0)))
+	n.until("ready", func() bool { return n.try("GET", "/ready", "", nil).status == 200 })
+	assert.Equal(t, 200, n.ask("topup").status)
+	n.counts("list.failed", "0")
+}
+
 func TestNoBackends(t *testing.T) {
 	n, _ := serve(t)
 	assert.Equal(t, 503, n.try("GET", "/ready", "", nil).status)
