End client sessions that were never used when the node ends

Seen: a client session that had brought no req stayed open until the last moment after SIGTERM, since http.Server.Shutdown counts one that is younger than 5 s as busy (internal/session/session.go, End). The node then ended seconds later than it had to, and a req that came on it late could be lost. Ruled out: idle sessions, which Shutdown does close at once. TestTermination waits for it: it failed before (the req held back meanwhile timed out) and passes now.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +59,15 @@
 	listener *limited
 	sessions atomic.Int64
 	ending   atomic.Bool
+
+	mu     sync.Mutex
+	unused map[net.Conn]struct{} // client sessions without a first req yet
 }
 
 // New returns a Front that has yet to serve on l.
 func New(opt Options, l net.Listener, owner Owner, count *counters.Set) *Front {
-	f := &Front{opt: opt, owner: owner, count: count, classes: map[string]logic.Class{}}
+	f := &Front{opt: opt, owner: owner, count: count, classes: map[string]logic.Class{},
+		unused: map[net.Conn]struct{}{}}
 	f.listener = &limited{Listener: l, front: f, slots: make(chan struct{}, opt.MaxSessions+overflow)}
 	longest := time.Duration(0)
 	for _, c := range opt.Classes {
@@ -75,15 +80,33 @@
 		WriteTimeout:      headerWithin + bodyWithin + 2*longest,
 		IdleTimeout:       idleFor,
 		MaxHeaderBytes:    16 << 10,
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			if s == http.StateNew {
-				f.count.Add("session.opened")
-			}
-		},
+		ConnState:         f.track,
 	}
 	return f
 }
 
+func (f *Front) track(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == http.StateNew {
+		f.count.Add("session.opened")
+		f.unused[c] = struct{}{}
+		return
+	}
+	delete(f.unused, c)
+}
+
+// closeUnused ends the client sessions that have brought no req. Shutdown would
+// leave them open for seconds: a req that came then might find the end of the
+// node before its answer, where one that meets a close is sent again.
+func (f *Front) closeUnused() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.unused {
+		c.Close()
+	}
+}
+
 // Serve takes client sessions until End. It returns nil then.
 func (f *Front) Serve() error {
 	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.ending.Load() {
@@ -99,6 +122,7 @@
 	time.Sleep(stayOpen)
 	f.listener.Close()
 	time.Sleep(leaveIdle)
+	f.closeUnused()
 	return f.server.Shutdown(ctx)
 }
 
