Bound what is read of a backend's answer, and serve none without a length

Checked: a trace of how attempts broke shows 11 that read a head until their time-out ("malformed MIME header" at the deadline). backend.readHead read heads and interim answers without a bound, at the speed of the wire, for up to 250 ms on a quarter of a core: the node's share was used up and all other reqs waited. Memory grew with the head, too.

Changed: 16 KiB for the heads of an answer, 64 KiB more for its body; what is longer, or says so by its length, is an answer that may have run, and its connection goes. A body without length and coding is not served: nobody can tell it from one that was cut off. Load values that are no number, endless, negative or huge count as not told.

--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -94,11 +94,20 @@
 		{"answer cut in its head", "topup", part("HTTP/1.1 200 OK\r\nContent-"), 502, 1, "reset"},
 		{"answer cut in its body", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1, "reset"},
 		{"no HTTP", "topup", part("what?\r\n\r\n"), 502, 1, "reset"},
-		{"answer over 64 KiB", "topup", func(c *net.TCPConn, _ req) bool { return say(c, 200, "", strings.Repeat("x", 64<<10+1)) }, 502, 1, "error"},
+		{"answer over 64 KiB", "topup", func(c *net.TCPConn, _ req) bool { return say(c, 200, "", strings.Repeat("x", 64<<10+1)) }, 502, 1, "reset"},
 		{"answer without end", "topup", func(c *net.TCPConn, _ req) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n"+strings.Repeat("x", 0x11000)+"\r\n")
 			return true
-		}, 502, 1, "error"},
+		}, 502, 1, "reset"},
+		{"head without end", "topup", endless("HTTP/1.1 200 OK\r\n", "X-Pad: more\r\n"), 502, 1, "reset"},
+		{"line without end", "topup", endless("HTTP/1.1 200 OK\r\nX-Pad: ", "more"), 502, 1, "reset"},
+		{"interim answers without end", "topup", endless("", "HTTP/1.1 103 x\r\n\r\n"), 502, 1, "reset"},
+		{"trailer without end", "topup", endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: more\r\n"), 502, 1, "reset"},
+		{"3 GB that keep coming", "topup", endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "more"), 502, 1, "reset"},
+		{"body without a length", "topup", part("HTTP/1.1 200 OK\r\n\r\nhalf of it"), 502, 1, "reset"},
+		{"length that is none", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nhalf"), 502, 1, "reset"},
+		{"two lengths", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nhalf"), 502, 1, "reset"},
+		{"spoilt answer to a keyed req", "reading", endless("HTTP/1.1 200 OK\r\n", "X-Pad: more\r\n"), 200, 2, "reset"},
 		{"interim answer first", "topup", func(c *net.TCPConn, r req) bool { io.WriteString(c, "HTTP/1.1 103 x\r\n\r\n"); return ok(c, r) }, 200, 1, "ok"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -119,6 +128,17 @@
 	}
 }
 
+// endless writes a text again and again until the node ends the connection.
+func endless(first, again string) func(*net.TCPConn, req) bool {
+	return func(c *net.TCPConn, _ req) bool {
+		text := strings.Repeat(again, 1000)
+		for _, err := io.WriteString(c, first); err == nil; {
+			_, err = io.WriteString(c, text)
+		}
+		return false
+	}
+}
+
 // TestRefusedConnection: what was never written goes elsewhere, an unsafe req too.
 func TestRefusedConnection(t *testing.T) {
 	b := newBackend(t, ok)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,13 @@
 // MaxBody is the most that a body holds, either way.
 const MaxBody = 64 << 10
 
+// maxHead is the most that an answer's head holds, with the interim answers
+// ahead of it, and that the framing of a chunked body adds.
+const maxHead = 16 << 10
+
+// maxLoad is above any figure of a load report that means something.
+const maxLoad = 1e9
+
 // Call is what goes to a backend, in the bytes that came from the client.
 type Call struct {
 	Method, Target, Host string
@@ -125,20 +132,28 @@
 		}
 		return end, &Error{PartlyWritten, because(ctx, err)}
 	}
+	// An answer without end would be read at the speed of the wire until the time-out: one
+	// such head takes the processor from all other reqs.
+	c.left = maxHead
 	res, err := readHead(c.in)
 	if err != nil {
 		return end, &Error{WrittenWhole, because(ctx, err)}
 	}
+	c.left = maxHead + MaxBody
 	// The body is not closed: that would first read an answer without end to its end. Its
 	// connection is closed where it was not read whole.
 	end.Report = p.report(res.Header.Get("X-Backend-Load"))
+	if res.ContentLength > MaxBody {
+		return end, &Error{AnswerBegun, errTooMuch}
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBody+1))
-	if err != nil {
+	switch {
+	case err != nil:
 		return end, &Error{AnswerBegun, because(ctx, err)}
-	}
-	if len(body) > MaxBody {
-		end.Result = logic.Failed
-		return end, nil
+	case len(body) > MaxBody:
+		return end, &Error{AnswerBegun, errTooMuch}
+	case res.ContentLength < 0 && len(res.TransferEncoding) == 0:
+		return end, &Error{AnswerBegun, errUnframed} // whole or cut off: nobody can tell
 	}
 	// A close that the backend announced, or bytes beyond the answer, end the connection.
 	reusable = !res.Close && c.in.Buffered() == 0
@@ -154,6 +169,12 @@
 	return end, nil
 }
 
+// What spoils an answer that can be read: the req has run, and nobody is served.
+var (
+	errTooMuch  = errors.New("the answer is longer than any may be")
+	errUnframed = errors.New("the answer does not tell its length")
+)
+
 // because names the time-out or the calling off that broke an attempt, where
 // one of them did.
 func because(ctx context.Context, err error) error {
@@ -207,7 +228,7 @@
 	values := map[string]float64{}
 	for part := range strings.SplitSeq(text, ",") {
 		name, v, _ := strings.Cut(part, "=")
-		if n, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
+		if n, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil && n >= 0 && n <= maxLoad {
 			values[strings.TrimSpace(name)] = n
 		}
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -28,6 +28,10 @@
 		{"inflight=7, queue=2", []string{"pending", logic.ReportHeld}, []float64{2, 7}},
 		{"inflight=7", []string{"pending"}, nil},
 		{"queue=many", []string{"pending"}, nil},
+		{"queue=NaN", []string{"pending"}, nil},
+		{"queue=+Inf", []string{"pending"}, nil},
+		{"queue=-1", []string{"pending"}, nil},
+		{"queue=1e300", []string{"pending"}, nil},
 		{"", []string{"pending"}, nil},
 		{"queue=2", nil, nil},
 	} {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -27,10 +27,21 @@
 type conn struct {
 	net.Conn
 	in    *bufio.Reader
+	left  int // bytes that may still be read of the present answer
 	place core.Place
 	since time.Time // idle since
 }
 
+// Read reads what the present answer may still bring.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooMuch
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
 var errNoSockets = errors.New("no socket left for a connection")
 
 // take returns an idle connection to the place, or a new one.
@@ -58,7 +69,9 @@
 		return nil, err
 	}
 	p.count.Add("conn.opened")
-	return &conn{Conn: nc, in: bufio.NewReaderSize(nc, 4096), place: at}, nil
+	c := &conn{Conn: nc, place: at}
+	c.in = bufio.NewReaderSize(c, 4096)
+	return c, nil
 }
 
 func (p *Pool) pop(at core.Place) *conn {
