Send to an idle backend that is set aside rather than refuse a req

Changed: where a req would be refused, up to 16 draws look for one that is set aside, holds nothing of this node's and has the chance that is asked; one req at a time goes there.

The test fails without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -362,10 +362,9 @@
 	at                    time.Duration
 }
 
-// usualTry tells whether the time a client waits is what it mostly is for the
-// class. Else the request is a late try whose time is cut by the client's
-// deadline, so what the deadline lacks has passed since the first try: it was
-// served, at the cost of others, when its answer was worth nothing any more.
+// usualTry tells whether the time a client waits is what it mostly is for the class. Else the request
+// is a late try whose time is cut by the client's deadline, so what the deadline lacks has passed since
+// the first try: it was served, at the cost of others, when its answer was worth nothing any more.
 func (c *class) usualTry(expires time.Duration) bool {
 	switch d := expires - c.usual; {
 	case c.votes > 0 && max(d, -d) <= c.Deadline/50:
@@ -413,8 +412,18 @@
 	}
 	// Sending what will miss its aim keeps a jam alive: the queues serve only the late. A
 	// few go all the same, or a class refused once would be refused for ever.
-	if (bestPay+r.class.v)/(r.class.r+r.class.v) < b.enough(r) && b.rng.Float64() >= trialShare {
-		return nil, 0, nil
+	need := b.enough(r)*(r.class.r+r.class.v) - r.class.v
+	if bestPay < need && b.rng.Float64() >= trialShare {
+		// Rather than refuse, one goes to a server set aside that stands idle and has a chance.
+		for range scanAll {
+			s := b.draw(b.ready)
+			if p := b.plain(r, s, 0); p > bestPay && s.aside(b.now) && s.load(b.now) == 0 && b.maySend(r, s) {
+				pick, best, bestPay = s, s, p
+			}
+		}
+		if bestPay < need {
+			return nil, 0, nil
+		}
 	}
 	theta, alt, pay := b.theta(r, pick, left)
 	if best != pick && bestPay > pay+clearBeat*(r.class.r+r.class.v) {
@@ -431,10 +440,9 @@
 	return pick, theta, alt
 }
 
-// enough is the chance below which a request is refused. In a jam the work that
-// is let in displaces other work, so it has to earn what other work would: a
-// class worth little is refused sooner than one worth much, and altogether where
-// that much worth is missed among what was let in.
+// enough is the chance below which a request is refused. In a jam the work that is let in displaces
+// other work, so it has to earn what other work would: a class worth little is refused sooner than one
+// worth much, and altogether where that much worth is missed among what was let in.
 func (b *Balancer) enough(r *request) float64 {
 	share := b.worth / max(r.worth, 1e-9)
 	return max(min(max(realChance*math.Sqrt(share), chanceLeast), chanceMost), min(b.missed*share, 1))
@@ -452,9 +460,8 @@
 	return best
 }
 
-// cheapest returns a candidate that costs less to send to than the pick, in
-// crossings and new connections, has no more work of this node and whose worse
-// payoff, if any, is outweighed by that.
+// cheapest returns a candidate that costs less to send to than the pick, in crossings and new
+// connections, has no more work of this node and whose worse payoff, if any, is outweighed by that.
 func (b *Balancer) cheapest(r *request, pick *server, cand []*server) *server {
 	price := b.price(pick)
 	if price == 0 {
@@ -614,8 +621,7 @@
 	return b.ready
 }
 
-// alternative returns the server other than s with the best payoff, or one
-// about as good.
+// alternative returns the server other than s with the best payoff, or one about as good.
 func (b *Balancer) alternative(r *request, pool []*server, s *server) *server {
 	half := (r.end - b.now) / 2
 	cand := b.gather(pool, s, r)
@@ -733,10 +739,7 @@
 
 // again sends a request once more after an attempt brought no answer, or ends it.
 func (b *Balancer) again(r *request) {
-	if r.open > 0 {
-		return
-	}
-	if !b.retry(r) {
+	if r.open == 0 && !b.retry(r) {
 		b.finish(r)
 	}
 }
@@ -861,10 +864,9 @@
 	return max(b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(age, 0), 0.01)
 }
 
-// mayTake tells whether a ready server may be sent something now. A cold one
-// is held to this node's share of what the server can do: a warm server of its
-// size gets no more than it serves, so that share, times the warmth, is safe
-// however many nodes there are.
+// mayTake tells whether a ready server may be sent something now. A cold one is held to this node's
+// share of what the server can do: a warm server of its size gets no more than it serves, so that
+// share, times the warmth, is safe however many nodes there are.
 func (b *Balancer) mayTake(s *server) bool {
 	w := b.warmth(s)
 	if w >= 1 {
@@ -884,8 +886,7 @@
 	return s.tokens > 0
 }
 
-// warmCapacity is the capacity of the ready and warm servers, counted anew when
-// it may have grown.
+// warmCapacity is the capacity of the ready and warm servers, counted anew when it may have grown.
 func (b *Balancer) warmCapacity() float64 {
 	if b.now-b.warmAt >= curveLife {
 		b.warmSum, b.warmAt = 0, b.now
@@ -1160,12 +1161,10 @@
 }
 
 func (b *Balancer) kind(name string) *curve {
-	k := b.kinds[name]
-	if k == nil {
-		k = &curve{}
-		b.kinds[name] = k
+	if b.kinds[name] == nil {
+		b.kinds[name] = &curve{}
 	}
-	return k
+	return b.kinds[name]
 }
 
 // Histograms count latencies in units of what is usual, in bins of a quarter
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -639,3 +639,28 @@
 		}
 	}
 }
+
+// A refusal while a capable server stands idle, set aside, serves nobody: one
+// request at a time goes there instead. One that has no chance gets none.
+func TestIdleServerSetAsideBeforeARefusal(t *testing.T) {
+	for _, capable := range []bool{true, false} {
+		cfg := testSettings()
+		b := newNode(t, cfg, Server{ID: "jam", Capacity: 1, Kind: "a"}, Server{ID: "idle", Capacity: 1, Kind: "b"})
+		jam, idle := b.servers["jam"], b.servers["idle"]
+		answers(jam, 20, math.Inf(1))
+		answers(idle, 20, 0.2)
+		if !capable {
+			answers(idle, 20, math.Inf(1))
+		}
+		went := 0
+		for i := range 200 {
+			idle.bad, idle.until = outlierAfter, time.Hour
+			if _, to := send(b, time.Millisecond, fmt.Sprint(i)); to == "idle" {
+				went++
+			}
+		}
+		if want := map[bool]int{true: 1}[capable]; went != want {
+			t.Errorf("capable %v: %d of 200 went to the idle server, want %d", capable, went, want)
+		}
+	}
+}
