Make room among client sessions for those that ask, and limit open reqs

Changed: where half the places are taken an answer ends its session, an answer to anything but a req always; idle sessions end after 2 s; never-used ones are shed before idle ones; the limit for a synthetic answer counts open reqs, not sessions.

--- a/cmd/oakseam/main.go
+++ b/cmd/oakseam/main.go
@@ -29,7 +29,7 @@
 	exitServe  = 1
 
 	// For standard streams, the listener, the director, the poller, the configuration file,
-	// and client sessions over their limit that get a synthetic answer.
+	// and client sessions over their limit while others are shed.
 	spareSockets = 64
 	endSlack     = 500 * time.Millisecond
 )
@@ -73,6 +73,7 @@
 	}
 	front := session.New(session.Options{
 		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter, MaxSessions: usable / 2,
+		MaxReqs: c.Sockets / 3,
 	}, listener, owner, count)
 	d := director.New(c.Director, c.Known.Rev, owner.List)
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -28,17 +28,20 @@
 	bodyWithin   = 2 * time.Second
 	writeWithin  = 15 * time.Second
 	// idleFor is how long a client session may stay open between reqs.
-	idleFor = 5 * time.Second
-	// settled is the least age of an idle or unused session that is shed for a new one: on
-	// a younger one the first req may be on its way.
-	settled = 100 * time.Millisecond
+	idleFor = 2 * time.Second
+	// settled and lingered are the least ages of an unused and of an idle session that is
+	// shed for a new one. On a younger unused one the first req may be on its way. The idle
+	// ones are what clients that ask come back to: shed sooner, a crowd of silent
+	// connections drives those clients out, and each comes back as one connection more.
+	settled  = 100 * time.Millisecond
+	lingered = 500 * time.Millisecond
 	// stayOpen is how long new connections are still taken once the node is told to end:
 	// the front goes on dealing them out for a while, and what is turned away is lost.
 	stayOpen = 500 * time.Millisecond
 	// leaveIdle is how long idle client sessions stay open after that, so that a req on
 	// its way over one of them is not met by a close.
 	leaveIdle = 100 * time.Millisecond
-	// overflow is how many connections beyond the limit are taken for a synthetic answer.
+	// overflow is how many connections beyond the limit are taken while others are shed.
 	overflow = 32
 )
 
@@ -53,7 +56,8 @@
 type Options struct {
 	Classes     []logic.Class
 	RetryAfter  time.Duration // told with a refusal of the front's own, 0: not at all
-	MaxSessions int
+	MaxSessions int           // client sessions; beyond, those without a req are shed
+	MaxReqs     int           // reqs that may be open at once
 }
 
 // Front serves clients.
@@ -65,6 +69,7 @@
 	server   *http.Server
 	listener *limited
 	sessions atomic.Int64
+	open     atomic.Int64 // reqs without an answer yet
 	ending   atomic.Bool
 
 	mu    sync.Mutex
@@ -133,23 +138,29 @@
 	}
 }
 
-// shed ends the client session that has waited longest without a req, so that
-// silent clients by the hundred don't keep out those that ask. One on which a
-// req is coming in stays.
+// shed ends a client session without a req, so that silent clients by the
+// hundred don't keep out those that ask: the longest silent of those that never
+// asked, or else the longest idle. One on which a req is coming in stays.
 func (f *Front) shed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var oldest *counted
-	before := time.Now().Add(-settled)
+	var first *counted
+	var of waiting
+	now := time.Now()
 	for c, w := range f.spare {
-		if w.since.Before(before) && c.between() {
-			oldest, before = c, w.since
+		age, least := now.Sub(w.since), lingered
+		if w.fresh {
+			least = settled
+		}
+		sooner := first == nil || w.fresh && !of.fresh || w.fresh == of.fresh && w.since.Before(of.since)
+		if age >= least && sooner && c.between() {
+			first, of = c, w
 		}
 	}
-	if oldest != nil {
+	if first != nil {
 		f.count.Add("session.shed")
-		delete(f.spare, oldest)
-		oldest.Close()
+		delete(f.spare, first)
+		first.Close()
 	}
 }
 
@@ -174,7 +185,10 @@
 
 // ServeHTTP answers one HTTP request. A panic ends this client session only.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.ending.Load() {
+	// Some clients ask once and keep the session for good. Clients hold only so many in all,
+	// so where half the places are taken an answer ends its session: else those that ask
+	// find every place held by one that does not.
+	if f.ending.Load() || f.sessions.Load() > int64(f.opt.MaxSessions)/2 {
 		w.Header().Set("Connection", "close")
 	}
 	// A body that does not come must not hold its session: neither here nor where net/http
@@ -185,14 +199,21 @@
 		f.malformed(w, errors.New("Content-Length and Transfer-Encoding: it is in doubt where the req ends"))
 		return
 	}
-	switch path := r.URL.Path; {
+	path := r.URL.Path
+	api := path == "/api" || strings.HasPrefix(path, "/api/")
+	if !api {
+		// Who looks whether the node is ready has no further use for the session: kept, such
+		// ones by the hundred fill the places of clients that ask.
+		w.Header().Set("Connection", "close")
+	}
+	switch {
 	case path == "/ready":
 		if f.ending.Load() || !f.owner.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		io.WriteString(w, "ready\n")
-	case path == "/api" || strings.HasPrefix(path, "/api/"):
+	case api:
 		f.api(w, r)
 	default:
 		http.NotFound(w, r)
@@ -226,8 +247,11 @@
 		f.malformed(w, err)
 		return
 	}
-	if f.sessions.Load() > int64(f.opt.MaxSessions) {
-		f.count.Add("answer.session-limit")
+	// Open reqs count here, not sessions: silent ones are shed, and while they stand at the
+	// limit those that ask must not be turned away for them.
+	defer f.open.Add(-1)
+	if f.open.Add(1) > int64(f.opt.MaxReqs) {
+		f.count.Add("answer.req-limit")
 		f.refuse(w, f.opt.RetryAfter)
 		return
 	}
@@ -366,8 +390,8 @@
 }
 
 // limited holds the connections of clients to a limit. For each over MaxSessions
-// one that waits without a req is shed; where there is none, those within the
-// overflow get a synthetic answer and the rest wait unaccepted.
+// one that waits without a req is shed; where there is none, those beyond the
+// overflow wait unaccepted.
 type limited struct {
 	net.Listener
 	front *Front
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,66 @@
+package session
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/counters"
+	"pipitmux/logic"
+)
+
+// owner takes reqs and answers none until it is told to.
+type owner chan core.Req
+
+func (o owner) Submit(r core.Req) error   { o <- r; return nil }
+func (o owner) Gone(string, core.Session) {}
+func (o owner) Ready() bool               { return true }
+
+// Open reqs are held to their limit by a synthetic answer; sessions that ask
+// nothing, at the limit of sessions, turn no req away.
+func TestOpenReqsAreLimitedNotSilentSessions(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	o := make(owner, 10)
+	f := New(Options{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Deadline: time.Minute}},
+		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxReqs: 2}, l, o, counters.New())
+	go f.Serve()
+	defer f.server.Close()
+	for range 4 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	statuses := make(chan *http.Response, 3)
+	ask := func(id string) {
+		r, err := http.NewRequest("POST", "http://"+l.Addr().String()+"/api", strings.NewReader(""))
+		assert.NoError(t, err)
+		r.Header.Set("X-Correlation-Id", id)
+		r.Header.Set("X-Service-Class", "topup")
+		res, err := (&http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}).Do(r)
+		assert.NoError(t, err)
+		statuses <- res
+	}
+	go ask("a")
+	go ask("b")
+	first, second := <-o, <-o // both are open, though five sessions are over the limit of one
+	go ask("c")
+	res := <-statuses
+	require.NotNil(t, res)
+	assert.Equal(t, 503, res.StatusCode)
+	assert.Equal(t, "2.5", res.Header.Get("Retry-After"))
+	for _, r := range []core.Req{first, second} {
+		r.Session.Answer(core.Answer{Kind: core.Failed})
+		res = <-statuses
+		require.NotNil(t, res)
+		assert.Equal(t, 502, res.StatusCode)
+	}
+	go ask("d")
+	assert.Equal(t, "d", (<-o).ID, "answers make room")
+}
