--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -12,10 +14,13 @@
 	"time"
 
 	"pipitmux/internal/backend"
+	"pipitmux/internal/cli"
 	"pipitmux/internal/config"
+	"pipitmux/internal/console"
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
 	"pipitmux/internal/director"
+	"pipitmux/internal/figures"
 	"pipitmux/internal/logging"
 	"pipitmux/internal/session"
 	"pipitmux/logic"
@@ -36,15 +41,29 @@
 
 	count := counters.New()
 	defer count.Print(os.Stderr)
+	var second net.Listener
+	if c.Console != "" {
+		var err error
+		if second, err = net.Listen("tcp", c.Console); err != nil {
+			return cli.Wrong(fmt.Errorf("config: console: %w", err))
+		}
+		defer second.Close()
+	}
 	owner, err := core.New(c.Settings, c.Seed, count, log)
 	if err != nil {
 		return err
 	}
+	var classes []string
+	for _, cl := range c.Settings.Classes {
+		classes = append(classes, cl.Name)
+	}
+	fig := figures.New(classes)
 	usable := float64(c.Sockets - spareSockets)
 	pool := backend.New(backend.Options{
 		ConnectTimeout: c.ConnectTimeout,
 		IdleFor:        time.Duration(float64(c.Settings.ConnIdle) * c.Own.Backend.IdleShare),
 		MaxConns:       int(usable * c.Own.Backend.Share), Fields: c.Settings.ReportFields,
+		Relayed: fig.Relayed,
 	}, count, log)
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -54,6 +73,7 @@
 		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter, MaxSessions: int(usable * c.Own.Session.Share),
 		MaxReqs:    int(float64(c.Sockets) * c.Own.Session.ReqShare),
 		HeadWithin: c.Own.Session.HeadWithin, BodyWithin: c.Own.Session.BodyWithin, IdleFor: c.Own.Session.IdleFor,
+		Figures: fig,
 	}, listener, owner, count)
 	d := director.New(c.Director, c.Known.Rev, owner.List, log)
 
@@ -64,6 +84,10 @@
 	owner.List(logic.ListCached, known)
 	quit := make(chan struct{})
 	defer close(quit)
+	if second != nil {
+		owner.Watch(func(listed, avoided int) { fig.Know(figures.Registry{Listed: listed, Avoided: avoided}) })
+		go console.New(second, operated{front, fig}, log).Serve()
+	}
 	go owner.Run(pool, d)
 	defer owner.Stop()
 	go pool.Reap(quit)
@@ -90,6 +114,15 @@
 	}
 }
 
+// operated is the node as its operators see it.
+type operated struct {
+	*session.Front
+	figures *figures.Set
+}
+
+// Figures writes a line a figure.
+func (o operated) Figures(w io.Writer) { o.figures.Print(w) }
+
 // reload reads the configuration again and takes on the director that it names.
 // One that can't be used changes nothing.
 func reload(d *director.Director, own string, log *slog.Logger) {
--- a/cmd/oakseam/peers_test.go
+++ b/cmd/oakseam/peers_test.go
@@ -85,11 +85,12 @@
 
 // node is the real program, running.
 type node struct {
-	t    *testing.T
-	addr string
-	cmd  *exec.Cmd
-	log  output
-	end  chan error
+	t       *testing.T
+	addr    string
+	console string
+	cmd     *exec.Cmd
+	log     output
+	end     chan error
 }
 
 type output struct {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -133,6 +133,7 @@
 		}
 		return end, &Error{PartlyWritten, because(ctx, err)}
 	}
+	p.relayed()
 	// An answer without end would be read at the speed of the wire until the time-out: one
 	// such head takes the processor from all other reqs.
 	c.left = maxHead
@@ -252,6 +253,7 @@
 	IdleFor        time.Duration // a connection is not kept idle for longer
 	MaxConns       int           // open or opening, over all backends
 	Fields         []string      // of a load report, as the settings name them
+	Relayed        func()        // called for each attempt that is written whole
 }
 
 // dialer sends no keep-alives: an attempt's own time-out is far shorter.
@@ -261,5 +263,9 @@
 
 // New returns a Pool without connections.
 func New(opt Options, count *counters.Set, log *slog.Logger) *Pool {
-	return &Pool{opt: opt, count: count, log: log, idle: map[core.Place][]*conn{}}
+	relayed := opt.Relayed
+	if relayed == nil {
+		relayed = func() {}
+	}
+	return &Pool{opt: opt, relayed: relayed, count: count, log: log, idle: map[core.Place][]*conn{}}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 // Config is what a node is told at its start.
 type Config struct {
 	Name, Listen, Director string
+	Console                string // the operators' address, empty: none
 	Seed                   uint64
 	Cores                  float64
 	MemoryMB, Sockets      int
@@ -51,6 +52,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Console   string `json:"console"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -118,7 +120,7 @@
 		key, name, value string
 		into             *string
 	}{{"name", "PROXY_NAME", getenv("PROXY_NAME"), &f.Name}, {"listen", "PROXY_LISTEN", getenv("PROXY_LISTEN"), &f.Listen},
-		{"discovery", "PROXY_DISCOVERY", discovery, &f.Discovery}} {
+		{"discovery", "PROXY_DISCOVERY", discovery, &f.Discovery}, {"console", "PROXY_CONSOLE", getenv("PROXY_CONSOLE"), &f.Console}} {
 		if v.value != "" {
 			*v.into, src.env[v.key] = v.value, v.name
 		}
@@ -164,6 +166,7 @@
 	put("listen", f.Listen, f.Listen != "")
 	put("discovery", f.Discovery, f.Discovery != "")
 	put("seed", cmp.Or(f.Seed, "drawn at start"), f.Seed != "")
+	put("console", cmp.Or(f.Console, "off"), f.Console != "")
 	put("limits.cores", cmp.Or(f.Limits.Cores, defaultCores), f.Limits.Cores != 0)
 	put("limits.memory_mb", cmp.Or(f.Limits.MemoryMB, defaultMemoryMB), f.Limits.MemoryMB != 0)
 	put("limits.sockets", cmp.Or(f.Limits.Sockets, defaultSockets), f.Limits.Sockets != 0)
@@ -182,16 +185,22 @@
 }
 
 func (f *file) check() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Director: f.Discovery, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Director: f.Discovery, Console: f.Console, Known: f.Known,
 		Cores:    cmp.Or(f.Limits.Cores, defaultCores),
 		MemoryMB: cmp.Or(f.Limits.MemoryMB, defaultMemoryMB),
 		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets),
 	}
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Director}} {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Director}, {"console", c.Console}} {
+		if a.addr == "" && a.key == "console" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return nil, fmt.Errorf("%s: %q is not host:port", a.key, a.addr)
 		}
 	}
+	if c.Console == c.Listen {
+		return nil, fmt.Errorf("console: %q is the address of listen", c.Console)
+	}
 	var err error
 	switch {
 	case f.Seed == "":
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,23 @@
 	urgent chan func() // news of the list: it goes ahead of what waits in queue
 	quit   chan struct{}
 	ready  atomic.Bool
+
+	known  func(listed, avoided int) // told what is known of the list, where not nil
+	toldAt time.Time
+}
+
+// knownEvery is how old what Watch tells may get.
+const knownEvery = 200 * time.Millisecond
+
+// Watch has the owner tell how many backends are listed, and how many of these the
+// module avoids. It belongs before Run; tell must not block.
+func (c *Core) Watch(tell func(listed, avoided int)) { c.known = tell }
+
+func (c *Core) publish() {
+	if now := time.Now(); c.known != nil && now.Sub(c.toldAt) >= knownEvery/2 {
+		c.toldAt = now
+		c.known(c.owner.Known())
+	}
 }
 
 // New returns a Core that Run has yet to start.
@@ -180,6 +197,7 @@
 		c.owner.Settle()
 		c.owner.Wake(c.news)
 		c.owner.Settle()
+		c.publish()
 		alarm.Reset(c.untilNext())
 		select {
 		case ev := <-c.urgent:
@@ -209,10 +227,14 @@
 
 func (c *Core) untilNext() time.Duration {
 	at, any := c.owner.Next()
-	if !any {
-		return time.Hour
+	wait := time.Hour
+	if any {
+		wait = max(time.Until(at), 0)
+	}
+	if c.known != nil {
+		wait = min(wait, knownEvery)
 	}
-	return max(time.Until(at), 0)
+	return wait
 }
 
 // String names a place in logs.
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// Known returns how many backends are listed, and how many of these the module
+// avoids now, where it tells.
+func (o *Owner) Known() (listed, avoided int) {
+	if m, ok := o.module.(interface{ Avoided(time.Duration) int }); ok {
+		avoided = m.Avoided(o.clock(o.world.Now()))
+	}
+	return len(o.states), avoided
+}
+
 // Serves tells whether a backend is known that takes reqs.
 func (o *Owner) Serves() bool { return o.serves }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +19,8 @@
 	"pipitmux/internal/backend"
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
+	"pipitmux/internal/figures"
+	"pipitmux/internal/lifecycle"
 	"pipitmux/logic"
 )
 
@@ -32,9 +36,10 @@
 	// stayOpen is how long new connections are still taken once the node is told to end:
 	// the front goes on dealing them out for a while, and what is turned away is lost.
 	stayOpen = 500 * time.Millisecond
-	// leaveIdle is how long idle client sessions stay open after that, so that a req on
-	// its way over one of them is not met by a close.
-	leaveIdle = 100 * time.Millisecond
+	// leaveStep is how often the life cycle is asked which sessions end while the node
+	// leaves, and leaveIdle how long idle ones stay open at most once it is told to end.
+	leaveStep = 20 * time.Millisecond
+	leaveIdle = 650 * time.Millisecond
 	// overflow is how many connections beyond the limit are taken while others are shed.
 	overflow = 32
 )
@@ -55,6 +60,7 @@
 	HeadWithin  time.Duration // how long a client may take for a head,
 	BodyWithin  time.Duration // and then for a body
 	IdleFor     time.Duration // how long a client session may stay open between reqs
+	Figures     *figures.Set
 }
 
 // Front serves clients.
@@ -66,10 +72,11 @@
 	server   *http.Server
 	listener *limited
 	sessions atomic.Int64
-	open     atomic.Int64 // reqs without an answer yet
-	ending   atomic.Bool
+	leaving  atomic.Bool // answers end their client sessions
 
 	mu    sync.Mutex
+	life  lifecycle.Node
+	gone  bool                 // a goroutine ends idle sessions
 	spare map[*counted]waiting // client sessions without an open req
 }
 
@@ -122,16 +129,65 @@
 	}
 }
 
-// closeUnused ends the client sessions that have brought no req. Shutdown would
-// leave them open for seconds: a req that came then might find the end of the
-// node before its answer, where one that meets a close is sent again.
-func (f *Front) closeUnused() {
+// Drain has clients sent away: /ready says no, answers end their sessions, and idle
+// sessions end as the life cycle says.
+func (f *Front) Drain() error { return f.move(f.life.Drain) }
+
+// Resume has clients taken again.
+func (f *Front) Resume() error { return f.move(f.life.Resume) }
+
+// move takes a step of the life cycle and sees that idle sessions end while it says so.
+func (f *Front) move(step func(time.Time) error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, w := range f.spare {
-		if w.fresh {
-			c.Close()
+	if err := step(time.Now()); err != nil {
+		return err
+	}
+	f.leaving.Store(f.life.Leaving())
+	if f.life.Leaving() && !f.gone {
+		f.gone = true
+		go f.leave()
+	}
+	return nil
+}
+
+// Ready returns nil where the node takes clients, or why it does not.
+func (f *Front) Ready() error {
+	f.mu.Lock()
+	phase := f.life.Phase()
+	f.mu.Unlock()
+	switch {
+	case phase != lifecycle.Serving:
+		return errors.New("not ready: " + phase.String())
+	case !f.owner.Ready():
+		return errors.New("not ready: no backend takes reqs")
+	}
+	return nil
+}
+
+// leave ends idle sessions, the longest idle first, until the node stays.
+func (f *Front) leave() {
+	tick := time.NewTicker(leaveStep)
+	defer tick.Stop()
+	for now := range tick.C {
+		f.mu.Lock()
+		if !f.life.Leaving() {
+			f.gone = false
+			f.mu.Unlock()
+			return
 		}
+		idle := slices.SortedFunc(maps.Keys(f.spare), func(a, b *counted) int {
+			return f.spare[a].since.Compare(f.spare[b].since)
+		})
+		for n := f.life.End(now, len(idle)); n > 0 && len(idle) > 0; idle = idle[1:] {
+			// One on which something has come brings a req: its answer ends it.
+			if idle[0].between() {
+				delete(f.spare, idle[0])
+				idle[0].Close()
+				n--
+			}
+		}
+		f.mu.Unlock()
 	}
 }
 
@@ -163,7 +219,8 @@
 
 // Serve takes client sessions until End. It returns nil then.
 func (f *Front) Serve() error {
-	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.ending.Load() {
+	f.move(func(now time.Time) error { f.life.Begin(now); return nil })
+	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
 		return err
 	}
 	return nil
@@ -172,11 +229,10 @@
 // End takes no more client sessions after a while, and returns when every req
 // that was taken has its answer, or with an error at the end of ctx.
 func (f *Front) End(ctx context.Context) error {
-	f.ending.Store(true) // answers end their client sessions from now on
+	f.move(func(now time.Time) error { f.life.Stop(now); return nil })
 	time.Sleep(stayOpen)
 	f.listener.Close()
-	time.Sleep(leaveIdle)
-	f.closeUnused()
+	time.Sleep(leaveIdle - stayOpen)
 	return f.server.Shutdown(ctx)
 }
 
@@ -185,7 +241,7 @@
 	// Some clients ask once and keep the session for good. Clients hold only so many in all,
 	// so where half the places are taken an answer ends its session: else those that ask
 	// find every place held by one that does not.
-	if f.ending.Load() || f.sessions.Load() > int64(f.opt.MaxSessions)/2 {
+	if f.leaving.Load() || f.sessions.Load() > int64(f.opt.MaxSessions)/2 {
 		w.Header().Set("Connection", "close")
 	}
 	// A body that does not come must not hold its session: neither here nor where net/http
@@ -205,8 +261,8 @@
 	}
 	switch {
 	case path == "/ready":
-		if f.ending.Load() || !f.owner.Ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		if err := f.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		io.WriteString(w, "ready\n")
@@ -246,28 +302,52 @@
 	}
 	// Open reqs count here, not sessions: silent ones are shed, and while they stand at the
 	// limit those that ask must not be turned away for them.
-	defer f.open.Add(-1)
-	if f.open.Add(1) > int64(f.opt.MaxReqs) {
-		f.count.Add("answer.req-limit")
-		f.refuse(w, f.opt.RetryAfter)
+	defer f.opt.Figures.Open(-1)
+	if f.opt.Figures.Open(1) > int64(f.opt.MaxReqs) {
+		f.turnAway(w, req.Class, "answer.req-limit")
+		return
+	}
+	if !f.takes() {
+		f.turnAway(w, req.Class, "answer.draining")
 		return
 	}
 	c := make(client, 1)
 	req.Session = c
 	if err := f.owner.Submit(*req); err != nil {
-		f.count.Add("answer.queue-limit")
-		f.refuse(w, f.opt.RetryAfter)
+		f.turnAway(w, req.Class, "answer.queue-limit")
 		return
 	}
 	select {
 	case a := <-c:
 		f.answer(w, a)
+		f.opt.Figures.Ended(req.Class, ends[a.Kind])
 	case <-r.Context().Done():
 		// The body has been read, so net/http watches the connection: the client has left.
 		f.owner.Gone(req.ID, c)
 	}
 }
 
+// ends are the figures that answers count for.
+var ends = [...]figures.Kind{core.Served: figures.Served, core.Refused: figures.Refused,
+	core.Failed: figures.Failed, core.Duplicate: figures.Failed}
+
+// turnAway gives a synthetic answer of the front's own: nothing has run.
+func (f *Front) turnAway(w http.ResponseWriter, class, why string) {
+	f.count.Add(why)
+	f.refuse(w, f.opt.RetryAfter)
+	f.opt.Figures.Ended(class, figures.Refused)
+}
+
+// takes tells whether a req that has come now is taken.
+func (f *Front) takes() bool {
+	if !f.leaving.Load() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.life.Takes(time.Now())
+}
+
 // client is one client session's wait for its answer.
 type client chan core.Answer
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -12,6 +12,7 @@
 
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
+	"pipitmux/internal/figures"
 	"pipitmux/logic"
 )
 
@@ -29,7 +30,7 @@
 	require.NoError(t, err)
 	o := make(owner, 10)
 	f := New(Options{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Deadline: time.Minute}},
-		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxReqs: 2, BodyWithin: time.Minute}, l, o, counters.New())
+		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxReqs: 2, BodyWithin: time.Minute, Figures: figures.New(nil)}, l, o, counters.New())
 	go f.Serve()
 	defer f.server.Close()
 	for range 4 {
