Pass bodies beyond 64 KiB on as they come, both ways, within a budget of bytes

Change: internal/message (forms of req and reply, budget, streams), backend/stream.go, session/incoming.go; the front follows chunked reqs and keeps their sessions.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -7,7 +7,6 @@
 	"math"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +18,7 @@
 	"pipitmux/internal/director"
 	"pipitmux/internal/figures"
 	"pipitmux/internal/logging"
+	"pipitmux/internal/message"
 	"pipitmux/internal/session"
 	"pipitmux/logic"
 )
@@ -33,7 +33,6 @@
 // run is the node, from its configuration to its end.
 func run(c *config.Config, own string, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
 	log := logging.New(os.Stderr, c.Own.Log.Level, c.Own.Log.Format)
 
 	count := counters.New()
@@ -52,17 +51,18 @@
 		return err
 	}
 	defer place.close()
+	budget := message.NewBudget(0)
 	pool := backend.New(backend.Options{
 		ConnectTimeout: c.ConnectTimeout,
 		IdleFor:        time.Duration(float64(c.Settings.ConnIdle) * c.Own.Backend.IdleShare),
-		Fields:         c.Settings.ReportFields, Relayed: fig.Relayed,
+		Fields:         c.Settings.ReportFields, Relayed: fig.Relayed, Budget: budget,
 	}, count, log)
 	front := session.New(session.Options{
 		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter,
 		HeadWithin: c.Own.Session.HeadWithin, BodyWithin: c.Own.Session.BodyWithin, IdleFor: c.Own.Session.IdleFor,
-		Figures: fig,
+		Figures: fig, Budget: budget,
 	}, place.listener, owner, count)
-	lot := shares{c, pool, front, log}
+	lot := shares{c, pool, front, budget, log}
 	lot.set(place.before != nil)
 	d := director.New(c.Director, place.known.Rev, owner.List, log)
 
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"pipitmux/internal/backend"
@@ -16,11 +17,18 @@
 	"pipitmux/internal/director"
 	"pipitmux/internal/handover"
 	"pipitmux/internal/logging"
+	"pipitmux/internal/message"
 	"pipitmux/internal/session"
 )
 
-// waitAgain is the pause of a process that can't wait for a successor yet.
-const waitAgain = 500 * time.Millisecond
+const (
+	// waitAgain is the pause of a process that can't wait for a successor yet.
+	waitAgain = 500 * time.Millisecond
+	// claimWithin is how long a process that listens is asked for its place before the new
+	// one listens beside it, and claimAgain the pause between. The yes is due after 6 s.
+	claimWithin = 2 * time.Second
+	claimAgain  = 20 * time.Millisecond
+)
 
 // place is where a node listens, and its processes before and after this one.
 type place struct {
@@ -49,7 +57,13 @@
 	if p.console, err = net.Listen("tcp", c.Console); err != nil {
 		return nil, cli.Wrong(fmt.Errorf("config: console: %w", err))
 	}
-	switch p.before, err = handover.Claim(os.TempDir(), c.Listen); {
+	p.before, err = handover.Claim(os.TempDir(), c.Listen)
+	// One that has taken the place over itself offers it again once its predecessor has ended.
+	for until := time.Now().Add(claimWithin); errors.Is(err, handover.ErrNobody) && handover.InUse(c.Listen) && time.Now().Before(until); {
+		time.Sleep(claimAgain)
+		p.before, err = handover.Claim(os.TempDir(), c.Listen)
+	}
+	switch {
 	case err == nil:
 		p.listener = p.before.Listener
 		if err := p.take(p.before.State); err != nil {
@@ -60,13 +74,12 @@
 	case !errors.Is(err, handover.ErrNobody):
 		log.Warn("handover: no place is taken over", logging.Cause, err)
 	}
-	shared := false
-	if p.listener, shared, err = handover.Listen(c.Listen); err != nil {
-		return nil, errors.Join(err, p.console.Close())
-	}
-	if shared {
+	if handover.InUse(c.Listen) {
 		log.Warn("handover: another process listens at the same address, and hands nothing over")
 	}
+	if p.listener, err = handover.Listen(c.Listen); err != nil {
+		return nil, errors.Join(err, p.console.Close())
+	}
 	return p, nil
 }
 
@@ -140,13 +153,20 @@
 	close(p.quit)
 }
 
-// shares holds a process to its part of the node's descriptors: half of them while
-// another process of the node runs.
+const (
+	// restMB is what the program takes beside bodies, and leastMB the least that these get.
+	restMB  = 16
+	leastMB = 2
+)
+
+// shares holds a process to its part of the node's descriptors and memory: half of them
+// while another process of the node runs.
 type shares struct {
-	c     *config.Config
-	pool  *backend.Pool
-	front *session.Front
-	log   *slog.Logger
+	c      *config.Config
+	pool   *backend.Pool
+	front  *session.Front
+	budget *message.Budget
+	log    *slog.Logger
 }
 
 func (s shares) set(halved bool) {
@@ -154,9 +174,14 @@
 	if halved {
 		part = 0.5
 	}
+	// The collector works harder from three quarters of the memory on. Of what these leave
+	// over the program itself, half is for bodies: as much may wait to be collected.
+	memory := part * float64(s.c.MemoryMB) * 3 / 4
+	debug.SetMemoryLimit(int64(memory * (1 << 20)))
+	s.budget.Set(int64(max((memory-restMB)/2, leastMB) * (1 << 20)))
 	usable := part * float64(s.c.Sockets-spareSockets)
 	s.pool.Limit(int(usable * s.c.Own.Backend.Share))
-	s.front.Limit(int(usable*s.c.Own.Session.Share), int(part*float64(s.c.Sockets)*s.c.Own.Session.ReqShare))
+	s.front.Limit(int(usable*s.c.Own.Session.Share), int(part*session.Overflow), int(part*float64(s.c.Sockets)*s.c.Own.Session.ReqShare))
 }
 
 // Began has a successor and this process share.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,12 +20,10 @@
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
 	"pipitmux/internal/logging"
+	"pipitmux/internal/message"
 	"pipitmux/logic"
 )
 
-// MaxBody is the most that a body holds, either way.
-const MaxBody = 64 << 10
-
 // maxHead is the most that an answer's head holds, with the interim answers
 // ahead of it, and that the framing of a chunked body adds.
 const maxHead = 16 << 10
@@ -33,19 +31,6 @@
 // maxLoad is above any figure of a load report that means something.
 const maxLoad = 1e9
 
-// Call is what goes to a backend, in the bytes that came from the client.
-type Call struct {
-	Method, Target, Host string
-	ID, Key, ContentType string
-	Body                 []byte
-}
-
-// Reply is a backend's 200 answer.
-type Reply struct {
-	ContentType string
-	Body        []byte
-}
-
 // Stage is how far an attempt has come.
 type Stage uint8
 
@@ -75,7 +60,7 @@
 // byte: what broke before then never ran, what broke later may have.
 func (e *Error) result() logic.Result {
 	switch {
-	case errors.Is(e.Err, context.Canceled):
+	case errors.Is(e.Err, context.Canceled), errors.Is(e.Err, errClient):
 		return logic.Canceled
 	case e.Stage < WrittenWhole:
 		return logic.ConnectFailed
@@ -87,24 +72,30 @@
 
 // Start begins an attempt in a goroutine of its own. It does not block.
 func (p *Pool) Start(a core.Attempt, done func(core.Ended)) (cancel func()) {
-	ctx, stop := context.WithDeadline(context.Background(), a.Until)
+	ctx, end := context.WithCancelCause(context.Background())
+	left := time.Until(a.Until)
+	if a.Until.IsZero() {
+		left = time.Hour // until the req's last byte, which comes sooner or never
+	}
+	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
 	go func() {
-		defer stop()
-		done(p.carry(ctx, a))
+		defer end(nil)
+		defer timer.Stop()
+		done(p.carry(ctx, a, timer))
 	}()
-	return stop
+	return func() { end(nil) }
 }
 
 // carry makes an attempt and always returns its end: a panic stops here, and is
 // told as a broken connection that may have run.
-func (p *Pool) carry(ctx context.Context, a core.Attempt) (end core.Ended) {
+func (p *Pool) carry(ctx context.Context, a core.Attempt, timer *time.Timer) (end core.Ended) {
 	defer func() {
 		if v := recover(); v != nil {
 			p.log.Error("backend: panic", logging.Backend, a.Place.ID, logging.Cause, v, "stack", string(debug.Stack()))
 			end = core.Ended{Result: logic.Reset, At: time.Now()}
 		}
 	}()
-	end, err := p.exchange(ctx, a)
+	end, err := p.exchange(ctx, a, timer)
 	end.At = time.Now()
 	var broken *Error
 	if errors.As(err, &broken) {
@@ -116,93 +107,105 @@
 
 // exchange writes the req and reads the answer on one connection. Nothing is
 // ever sent a second time here: that is for the module to decide.
-func (p *Pool) exchange(ctx context.Context, a core.Attempt) (end core.Ended, err error) {
+func (p *Pool) exchange(ctx context.Context, a core.Attempt, timer *time.Timer) (end core.Ended, err error) {
+	call := a.Call.(*message.Call)
+	if call.Rest != nil && call.Rest.Used() {
+		end.Result = logic.Moot // what followed the held part has gone to another
+		return end, nil
+	}
 	c, err := p.take(ctx, a.Place)
 	if err != nil {
 		return end, &Error{NotConnected, because(ctx, err)}
 	}
-	reusable := false
+	reusable, passedOn := false, false
 	// The time-out, or being called off, wakes whatever waits on the connection.
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer func() { p.give(c, unhook() && reusable) }()
-
-	out := head(a.Call.(*Call), time.Until(a.Until))
-	if n, err := c.Write(out); err != nil {
-		if n == len(out) {
-			return end, &Error{WrittenWhole, because(ctx, err)}
+	defer func() {
+		if !passedOn {
+			p.give(c, unhook() && reusable)
 		}
-		return end, &Error{PartlyWritten, because(ctx, err)}
-	}
-	p.relayed()
+	}()
 	// An answer without end would be read at the speed of the wire until the time-out: one
 	// such head takes the processor from all other reqs.
 	c.left = maxHead
+	up := &upload{pool: p, c: c, call: call}
+	if call.Rest == nil {
+		if broken := up.plain(time.Until(a.Until)); broken != nil {
+			return end, &Error{broken.Stage, because(ctx, broken.Err)}
+		}
+	} else {
+		go up.long(a.Within, timer)
+	}
 	res, err := readHead(c.in)
 	if err != nil {
-		return end, &Error{WrittenWhole, because(ctx, err)}
+		return end, &Error{up.stage(), because(ctx, up.cause(err))}
 	}
-	c.left = maxHead + MaxBody
+	early := up.stage() != WrittenWhole // the backend did not wait for the whole req
+	c.left = maxHead + message.Held
 	// The body is not closed: that would first read an answer without end to its end. Its
 	// connection is closed where it was not read whole.
 	end.Report = p.report(res.Header.Get("X-Backend-Load"))
-	if res.ContentLength > MaxBody {
-		return end, &Error{AnswerBegun, errTooMuch}
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	again := !early && !res.Close && framed
+	if res.StatusCode == http.StatusOK {
+		var r *message.Reply
+		if r, passedOn, err = p.reply(ctx, c, res, unhook, again); err != nil {
+			return end, &Error{AnswerBegun, because(ctx, err)}
+		}
+		reusable = again && c.in.Buffered() == 0 // where it was read whole
+		r.ContentType = res.Header.Get("Content-Type")
+		end.Result, end.Reply = logic.OK, r
+		return end, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBody+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, message.Held+1))
 	switch {
 	case err != nil:
 		return end, &Error{AnswerBegun, because(ctx, err)}
-	case len(body) > MaxBody:
+	case n > message.Held:
 		return end, &Error{AnswerBegun, errTooMuch}
-	case res.ContentLength < 0 && len(res.TransferEncoding) == 0:
-		return end, &Error{AnswerBegun, errUnframed} // whole or cut off: nobody can tell
 	}
 	// A close that the backend announced, or bytes beyond the answer, end the connection.
-	reusable = !res.Close && c.in.Buffered() == 0
-	switch {
-	case res.StatusCode == http.StatusOK:
-		end.Result, end.Reply = logic.OK, &Reply{ContentType: res.Header.Get("Content-Type"), Body: body}
-	case (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout) &&
-		res.Header.Get("X-Unprocessed") == "1":
+	reusable = again && c.in.Buffered() == 0
+	end.Result = logic.Failed
+	if (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout) &&
+		res.Header.Get("X-Unprocessed") == "1" {
 		end.Result = logic.QueueFull
-	default:
-		end.Result = logic.Failed
 	}
 	return end, nil
 }
 
-// What spoils an answer that can be read: the req has run, and nobody is served.
-var (
-	errTooMuch  = errors.New("the answer is longer than any may be")
-	errUnframed = errors.New("the answer does not tell its length")
-)
+// What spoils an answer: the req has run, and nobody is served.
+var errTooMuch = errors.New("the answer is longer than any may be")
 
 // because names the time-out or the calling off that broke an attempt, where
 // one of them did.
 func because(ctx context.Context, err error) error {
-	if cause := ctx.Err(); cause != nil {
+	if cause := context.Cause(ctx); cause != nil {
 		return fmt.Errorf("%w (%v)", cause, err)
 	}
 	return err
 }
 
-func head(c *Call, left time.Duration) []byte {
-	var b bytes.Buffer
+// head is a req's head, without its framing where that is still to come.
+func head(c *message.Call, left time.Duration) *bytes.Buffer {
+	b := &bytes.Buffer{}
 	b.Grow(512 + len(c.Body))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %du\r\n",
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %du\r\n",
 		c.Method, c.Target, c.Host, c.ID, max(left.Microseconds(), 1))
 	if c.Key != "" {
-		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", c.Key)
+		fmt.Fprintf(b, "Idempotency-Key: %s\r\n", c.Key)
 	}
 	if c.ContentType != "" {
-		fmt.Fprintf(&b, "Content-Type: %s\r\n", c.ContentType)
+		fmt.Fprintf(b, "Content-Type: %s\r\n", c.ContentType)
 	}
-	if len(c.Body) > 0 || c.Method != http.MethodGet {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.Body))
+	switch {
+	case c.Length == message.Unknown:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case c.Length > 0 || c.Method != http.MethodGet:
+		fmt.Fprintf(b, "Content-Length: %d\r\n", c.Length)
 	}
 	b.WriteString("\r\n")
-	b.Write(c.Body)
-	return b.Bytes()
+	return b
 }
 
 // readHead reads the head of the answer and passes over interim ones.
@@ -254,6 +257,7 @@
 	MaxConns       int           // open or opening, over all backends
 	Fields         []string      // of a load report, as the settings name them
 	Relayed        func()        // called for each attempt that is written whole
+	Budget         *message.Budget
 }
 
 // dialer sends no keep-alives: an attempt's own time-out is far shorter.
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -48,7 +48,7 @@
 		Session: Session{
 			// A client that brings no whole req holds a socket that others need. It is owed an
 			// error or a close soon.
-			HeadWithin: 2 * time.Second, BodyWithin: 2 * time.Second, IdleFor: 2 * time.Second,
+			HeadWithin: 2500 * time.Millisecond, BodyWithin: 2 * time.Second, IdleFor: 2 * time.Second,
 			Share: 0.5, ReqShare: 1.0 / 3,
 		},
 		// Clearly before the backends close a connection themselves.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	Arrived   time.Time
 	Wait      time.Duration // how long the client waits, from Arrived; 0: as long as its class lets it
 	Call      any           // handed to the backends unread
+	Open      bool          // its last byte has not come: Whole tells of that. One attempt can be made.
 	Session   Session
 }
 
@@ -61,15 +62,16 @@
 
 // Attempt is one send of a req to a backend.
 type Attempt struct {
-	Call  any
-	Place Place
-	Until time.Time
+	Call   any
+	Place  Place
+	Until  time.Time     // zero for a req whose last byte has not come
+	Within time.Duration // and then it has so long from that byte
 }
 
 // Ended is how an attempt ended.
 type Ended struct {
 	Result logic.Result
-	Reply  any       // of an OK
+	Reply  any       // of an OK; an io.Closer is closed where nobody gets it
 	Report []float64 // nil: none came
 	At     time.Time
 }
@@ -164,6 +166,11 @@
 	c.queue <- func() { c.owner.Gone(logic.RequestID(id), of) }
 }
 
+// Whole tells that the last byte of a req has come.
+func (c *Core) Whole(id string, of Session) {
+	c.queue <- func() { c.owner.Whole(logic.RequestID(id), of) }
+}
+
 // List brings a list of the director. It is told ahead of everything that
 // waits: a drain must not stand behind reqs that would be sent to the drained.
 func (c *Core) List(kind logic.ListKind, entries []Entry) {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"maps"
 	"runtime/debug"
@@ -60,12 +61,14 @@
 	until    time.Time
 	attempts []sent
 	open     int
-	over     bool // answered, or its client has gone
+	over     bool             // answered, or its client has gone
+	timers   []logic.SetTimer // which start with its last byte
 }
 
 type sent struct {
 	at     time.Time
 	until  time.Time
+	within time.Duration // that the module gave it
 	server logic.ServerID
 	cancel func()
 }
@@ -126,6 +129,12 @@
 	}()
 	o.at = o.world.Now()
 	for _, a := range o.module.Handle(o.clock(o.at), ev) {
+		_, first := ev.(logic.Request)
+		t, timer := a.(logic.SetTimer)
+		if r := o.reqs[id]; first && timer && r != nil && r.Open {
+			r.timers = append(r.timers, t)
+			continue
+		}
 		o.act(a)
 	}
 }
@@ -176,10 +185,39 @@
 	}
 	h := &held{Req: r, until: r.Arrived.Add(r.Wait)}
 	o.reqs[id] = h
+	if r.Open {
+		h.Arrived = o.world.Now()
+		h.until = h.Arrived.Add(openMost)
+		o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: r.Wait, Most: 1})
+		return
+	}
 	// What the req waited for its turn is gone from the client's patience.
 	o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: h.until.Sub(o.world.Now())})
 }
 
+// openMost is beyond any time that a front lets a body take.
+const openMost = time.Hour
+
+// Whole starts the time of a req whose last byte has come, and of its attempt.
+func (o *Owner) Whole(id logic.RequestID, of Session) {
+	r := o.reqs[id]
+	if r == nil || r.over || r.Session != of || !r.Open {
+		return
+	}
+	now := o.world.Now()
+	r.Open = false
+	r.until = now.Add(r.Wait)
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		a.at, a.until = now, now.Add(a.within)
+	}
+	o.tell(id, logic.Whole{ID: id, Took: now.Sub(r.Arrived)})
+	for _, t := range r.timers {
+		o.act(t)
+	}
+	r.timers = nil
+}
+
 // Gone drops the req that a session held under the id; an id sent twice must
 // not let the second client take the first one's req along.
 func (o *Owner) Gone(id logic.RequestID, of Session) {
@@ -229,7 +267,7 @@
 		until = r.until
 	}
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, sent{at: now, until: until, server: a.Server, cancel: func() {}})
+	r.attempts = append(r.attempts, sent{at: now, until: until, within: a.Within, server: a.Server, cancel: func() {}})
 	r.open++
 	place, known := o.places[a.Server]
 	if r.over || !known || !until.After(now) || o.settings.MaxAttempts > 0 && n >= o.settings.MaxAttempts {
@@ -237,7 +275,11 @@
 		return
 	}
 	o.world.Count.Add("attempt.sent")
-	r.attempts[n].cancel = o.world.Backends.Start(Attempt{Call: r.Call, Place: place, Until: until}, func(e Ended) {
+	out := Attempt{Call: r.Call, Place: place, Until: until}
+	if r.Open {
+		out.Until, out.Within = time.Time{}, min(a.Within, r.Wait)
+	}
+	r.attempts[n].cancel = o.world.Backends.Start(out, func(e Ended) {
 		o.world.Post(func() { o.ended(a.ID, n, e) })
 	})
 }
@@ -264,14 +306,20 @@
 	}
 	t := r.attempts[n]
 	r.open--
+	if r.Open {
+		t.at = e.At // no backend has begun on it
+	}
 	// Asked first: what a line is made of must not be put together for nothing.
 	if o.world.Log.Enabled(context.Background(), slog.LevelDebug) {
 		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "attempt ended", slog.String(logging.Req, string(id)),
 			slog.String(logging.Backend, string(t.server)), slog.Int(logging.Attempt, n),
 			slog.String(logging.Cause, outcomeCounts[e.Result][len("outcome."):]), slog.Duration("took", e.At.Sub(t.at)))
 	}
-	if e.Result == logic.OK {
+	switch c, ok := e.Reply.(io.Closer); {
+	case e.Result == logic.OK && !r.over:
 		o.answer(id, Answer{Kind: Served, Reply: e.Reply})
+	case ok:
+		c.Close()
 	}
 	o.tell(id, logic.Outcome{
 		ID: id, Attempt: n, Result: e.Result, Final: r.over, Server: t.server,
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -332,18 +332,11 @@
 	return err
 }
 
-// Listen opens the listener for clients, shared with another process that listens at
-// the same address in the same way. It also tells whether there is one.
-func Listen(listen string) (l *net.TCPListener, shared bool, err error) {
-	plain, err := net.Listen("tcp", listen)
-	switch {
-	case err == nil:
-		plain.Close()
-	case errors.Is(err, syscall.EADDRINUSE):
-		shared = true
-	default:
-		return nil, false, err
+// InUse tells whether a process listens at the address.
+func InUse(listen string) bool {
+	l, err := net.Listen("tcp", listen)
+	if err == nil {
+		l.Close()
 	}
-	l, err = listenShared(listen)
-	return l, shared, err
+	return errors.Is(err, syscall.EADDRINUSE)
 }
--- a/internal/handover/listen_linux.go
+++ b/internal/handover/listen_linux.go
@@ -9,8 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// listenShared opens a listener beside those that others opened in the same way.
-func listenShared(listen string) (*net.TCPListener, error) {
+// Listen opens the listener for clients, beside those that other processes opened at the
+// address in the same way.
+func Listen(listen string) (*net.TCPListener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var set error
 		err := c.Control(func(fd uintptr) { set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,156 @@
+// Package message holds the forms of a req and of a reply as front and backends hand
+// them to each other through the core, and the budget of bytes that their bodies take.
+// It must not know who reads or writes them.
+package message
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Held is the longest body that is held whole, and so may be sent again.
+	Held = 64 << 10
+	// Longest is the longest body, either way.
+	Longest = 32 << 20
+	// Unknown is a length that is not stated.
+	Unknown = -1
+)
+
+// Call is a req in the bytes that came from the client.
+type Call struct {
+	Method, Target, Host string
+	ID, Key, ContentType string
+	Body                 []byte  // whole, or where there is a Rest its first part
+	Length               int64   // of the whole body, or Unknown
+	Rest                 *Stream // what follows Body, nil: nothing
+}
+
+// Reply is a backend's 200 answer.
+type Reply struct {
+	ContentType string
+	Body        []byte        // whole, or where there is a Rest its first part
+	Length      int64         // of the whole body, or Unknown
+	Rest        io.ReadCloser // what follows Body, nil: nothing
+	Release     func()        // gives back what Body takes of the budget, nil: nothing
+}
+
+// Close ends the reply. Who gets one closes it once.
+func (r *Reply) Close() error {
+	if r.Release != nil {
+		r.Release()
+	}
+	if r.Rest != nil {
+		return r.Rest.Close()
+	}
+	return nil
+}
+
+// Stream is the part of a req's body that has not come yet. One attempt may read it.
+type Stream struct {
+	src   io.Reader
+	whole func(time.Time) // called with the last byte
+
+	mu   sync.Mutex
+	used bool
+	err  error // why no more comes
+}
+
+// NewStream returns a Stream of what a reader brings. It calls whole once, with the end.
+func NewStream(src io.Reader, whole func(time.Time)) *Stream {
+	return &Stream{src: src, whole: whole}
+}
+
+// Claim gives the stream to an attempt, unless one has read of it.
+func (s *Stream) Claim() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	claimed := !s.used && s.err == nil
+	s.used = s.used || claimed
+	return claimed
+}
+
+// Used tells whether an attempt has read of it: no other can send the body.
+func (s *Stream) Used() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
+
+// Read reads what the client sends.
+func (s *Stream) Read(b []byte) (int, error) {
+	n, err := s.src.Read(b)
+	if err != nil {
+		s.mu.Lock()
+		first := s.err == nil
+		s.err = err
+		s.mu.Unlock()
+		if first && err == io.EOF {
+			s.whole(time.Now())
+		}
+	}
+	return n, err
+}
+
+// Err returns what broke the stream on the client's side, nil where nothing did.
+func (s *Stream) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err == io.EOF {
+		return nil
+	}
+	return s.err
+}
+
+// Budget is how many bytes bodies may take in a process.
+type Budget struct{ left, most atomic.Int64 }
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(most int64) *Budget {
+	b := &Budget{}
+	b.Set(most)
+	return b
+}
+
+// Set changes the budget. What is taken stays taken.
+func (b *Budget) Set(most int64) { b.left.Add(most - b.most.Swap(most)) }
+
+// Take takes bytes, or none and returns false where they don't fit.
+func (b *Budget) Take(n int64) bool {
+	if b.left.Add(-n) < 0 {
+		b.left.Add(n)
+		return false
+	}
+	return true
+}
+
+// Give gives bytes back.
+func (b *Budget) Give(n int64) { b.left.Add(n) }
+
+// bufferSize is what a body passes through.
+const bufferSize = 32 << 10
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// Pass hands each piece of a body to put as it comes, through a buffer of its own. It
+// returns nil at the body's end, and else which side broke.
+func Pass(put func([]byte) error, from io.Reader) (putErr, fromErr error) {
+	buf := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buf)
+	for {
+		n, err := from.Read(buf[:])
+		if n > 0 {
+			if err := put(buf[:n]); err != nil {
+				return err, nil
+			}
+		}
+		if err == io.EOF {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/session/framing.go
+++ b/internal/session/framing.go
@@ -25,6 +25,7 @@
 	length int64  // that it states, -1: none
 	coded  bool   // it states a Transfer-Encoding
 	left   int64  // bytes of a body that are still to come
+	chunks part   // where in a coded body it stands
 	doubt  atomic.Int64
 
 	// Read by whoever looks for a session to shed.
@@ -33,6 +34,15 @@
 	served atomic.Int64 // of these, net/http has handed out
 }
 
+// part is where a coded body stands between its lines and its bytes.
+type part uint8
+
+const (
+	none    part = iota
+	size         // a line that states a chunk's length comes next
+	trailer      // lines after the last chunk come
+)
+
 func newCounted(c net.Conn, l *limited) *counted { return &counted{Conn: c, l: l, length: -1} }
 
 // Close ends the client session and gives its place free, once.
@@ -44,17 +54,26 @@
 	return err
 }
 
+// CloseWrite ends the sending side: net/http waits a little then before it closes, so
+// that bytes which it has not read don't reset the connection before the answer is read.
+func (c *counted) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // Read reads, and follows what came.
 func (c *counted) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	for rest := b[:n]; len(rest) > 0 && c.doubt.Load() == 0; {
 		rest = c.follow(rest)
 	}
-	c.midway.Store(c.begun || len(c.line) > 0 || c.left > 0)
+	c.midway.Store(c.begun || len(c.line) > 0 || c.left > 0 || c.chunks != none)
 	return n, err
 }
 
-// follow takes a body's bytes or one line of a head, and returns what is left.
+// follow takes a body's bytes or one line, and returns what is left.
 func (c *counted) follow(b []byte) []byte {
 	if c.left > 0 {
 		n := min(c.left, int64(len(b)))
@@ -68,7 +87,11 @@
 	}
 	line := bytes.TrimSuffix(c.line, []byte{'\r'})
 	c.line = c.line[:0]
-	if len(line) > 0 {
+	switch {
+	case c.chunks != none:
+		c.chunk(line)
+		return rest
+	case len(line) > 0:
 		c.field(line)
 		return rest
 	}
@@ -77,7 +100,7 @@
 	case c.coded && c.length >= 0:
 		c.doubt.Store(heads)
 	case c.coded:
-		c.doubt.Store(heads + 1) // the req is sound; its session ends with it
+		c.chunks = size
 	default:
 		c.left = max(c.length, 0)
 	}
@@ -85,6 +108,27 @@
 	return rest
 }
 
+// chunk takes a line of a coded body. What can't be read puts what stands behind the req
+// in doubt; net/http turns the req itself down.
+func (c *counted) chunk(line []byte) {
+	if c.chunks == trailer {
+		if len(line) == 0 {
+			c.chunks = none
+		}
+		return
+	}
+	digits, _, _ := bytes.Cut(line, []byte{';'})
+	n, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 32)
+	switch {
+	case err != nil:
+		c.doubt.Store(c.heads.Load() + 1)
+	case n == 0:
+		c.chunks = trailer
+	default:
+		c.left = int64(n) + int64(len("\r\n"))
+	}
+}
+
 // field takes a line of a head. What net/http might read otherwise is in doubt.
 func (c *counted) field(line []byte) {
 	if !c.begun {
--- a/logic/api.go
+++ b/logic/api.go
@@ -170,6 +170,14 @@
 	Expires time.Duration // how long the client still waits for this try
 	Tenant  string        // "" where there are no tenants
 	Hint    time.Duration // expected work on a standard core, 0: not known
+	Most    int           // attempts that can be made of it, 0: as many as the settings allow
+}
+
+// Whole tells that the last byte of a request has come, which was told with its first
+// ones: its time starts only now. The timers set for it until then start now as well.
+type Whole struct {
+	ID   RequestID
+	Took time.Duration // since the Request
 }
 
 // Started tells that the streamed answer of an attempt has begun. From then on
@@ -228,6 +236,7 @@
 func (ServerList) event() {}
 func (Request) event()    {}
 func (Started) event()    {}
+func (Whole) event()      {}
 func (Outcome) event()    {}
 func (ClientGone) event() {}
 func (Wake) event()       {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -182,6 +182,7 @@
 	worth     float64       // what it earns, within its tenant's share or beyond
 	tries     []attempt
 	open      int
+	most      int // attempts allowed, 0: no limit
 	alt       *server
 	retried   bool
 	closed    bool
@@ -243,6 +244,10 @@
 		b.outcome(e)
 	case Started:
 		b.stream(e)
+	case Whole:
+		if r := b.reqs[e.ID]; r != nil {
+			r.aim, r.end = r.aim+e.Took, r.end+e.Took
+		}
 	case ClientGone:
 		if r := b.reqs[e.ID]; r != nil && !r.closed {
 			b.close(r, false)
@@ -262,19 +267,14 @@
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
 func (b *Balancer) wake(token uint64) {
-	if token == tokenAsk {
+	switch r := b.bySeq[token/2]; {
+	case token == tokenAsk:
 		b.askDue()
-		return
-	}
-	r := b.bySeq[token/2]
-	switch {
 	case r == nil || r.closed || r.streaming:
-	case token%2 == 1: // the first attempt is overdue: the retry goes out beside it
-		if r.open == 1 && len(r.tries) == 1 && !r.retried {
-			b.retry(r)
-		}
-	default: // guards every final answer: whatever outcome is missing, the answer goes out
+	case token%2 == 0: // guards every final answer: whatever outcome is missing, the answer goes out
 		b.finish(r)
+	case r.open == 1 && len(r.tries) == 1 && !r.retried: // overdue: the retry goes out beside it
+		b.retry(r)
 	}
 }
 
@@ -303,6 +303,7 @@
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
 	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1}
+	r.most = cmp.Or(q.Most, b.cfg.MaxAttempts)
 	aim := c.Aim + time.Duration(c.AimStretch*float64(q.Hint))
 	if h := q.Hint.Seconds(); h > 0 {
 		if c.hint == 0 {
@@ -640,8 +641,8 @@
 
 // mayRetry tells whether the class lets a request go again that may have run.
 func (b *Balancer) mayRetry(r *request) bool {
-	return r.class.Effect != Unsafe && !r.retried && !r.class.Stream && (b.cfg.MaxAttempts == 0 ||
-		len(r.tries)+1 < b.cfg.MaxAttempts)
+	return r.class.Effect != Unsafe && !r.retried && !r.class.Stream &&
+		(r.most == 0 || len(r.tries)+1 < r.most)
 }
 
 // maySend tells whether no rule forbids a send to the server now.
@@ -651,7 +652,7 @@
 
 // mayRepeat tells whether a further attempt to s can double no effect.
 func (b *Balancer) mayRepeat(r *request, s *server) bool {
-	if b.cfg.MaxAttempts > 0 && len(r.tries) >= b.cfg.MaxAttempts {
+	if r.most > 0 && len(r.tries) >= r.most {
 		return false
 	}
 	if !b.cfg.SecondCopies && r.open > 0 {
