--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -188,7 +188,7 @@
 	if r.Open {
 		h.Arrived = o.world.Now()
 		h.until = h.Arrived.Add(openMost)
-		o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: r.Wait, Most: 1})
+		o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: r.Wait, Coming: true})
 		return
 	}
 	// What the req waited for its turn is gone from the client's patience.
--- a/logic/api.go
+++ b/logic/api.go
@@ -170,11 +170,11 @@
 	Expires time.Duration // how long the client still waits for this try
 	Tenant  string        // "" where there are no tenants
 	Hint    time.Duration // expected work on a standard core, 0: not known
-	Most    int           // attempts that can be made of it, 0: as many as the settings allow
+	Coming  bool          // its last byte has not come: one attempt can be made, which is no load yet
 }
 
-// Whole tells that the last byte of a request has come, which was told with its first
-// ones: its time starts only now. The timers set for it until then start now as well.
+// Whole tells that the last byte has come of a request that was told as Coming: its time
+// starts only now. The timers set for it until then start now as well.
 type Whole struct {
 	ID   RequestID
 	Took time.Duration // since the Request
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -183,6 +184,7 @@
 	tries     []attempt
 	open      int
 	most      int // attempts allowed, 0: no limit
+	work      int // an attempt's load on its server: none while the request still comes
 	alt       *server
 	retried   bool
 	closed    bool
@@ -245,8 +247,11 @@
 	case Started:
 		b.stream(e)
 	case Whole:
-		if r := b.reqs[e.ID]; r != nil {
-			r.aim, r.end = r.aim+e.Took, r.end+e.Took
+		if r := b.reqs[e.ID]; r != nil && r.work == 0 { // what was no load so far is now
+			r.aim, r.end, r.work = r.aim+e.Took, r.end+e.Took, 1
+			for i := range r.tries {
+				r.tries[i].s.inflight += r.open
+			}
 		}
 	case ClientGone:
 		if r := b.reqs[e.ID]; r != nil && !r.closed {
@@ -303,7 +308,9 @@
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
 	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1}
-	r.most = cmp.Or(q.Most, b.cfg.MaxAttempts)
+	if r.most, r.work = b.cfg.MaxAttempts, 1; q.Coming {
+		r.most, r.work = 1, 0
+	}
 	aim := c.Aim + time.Duration(c.AimStretch*float64(q.Hint))
 	if h := q.Hint.Seconds(); h > 0 {
 		if c.hint == 0 {
@@ -677,7 +684,7 @@
 
 // send starts an attempt.
 func (b *Balancer) send(r *request, s *server, within time.Duration) {
-	s.inflight++
+	s.inflight += r.work
 	if b.outlier(s) {
 		s.until = b.now + outlierPause(s.bad) // one trial at a time
 	}
@@ -704,7 +711,7 @@
 	}
 	t := &r.tries[o.Attempt]
 	t.open, t.mayRun = false, !o.Result.neverRan()
-	t.s.inflight--
+	t.s.inflight -= r.work
 	r.open--
 	if o.Result == TimedOut || o.Result == Canceled {
 		// Guards against taking a server for idle whose work a cut does not stop: the
@@ -765,13 +772,11 @@
 
 // finish gives the final answer of a request that was not served.
 func (b *Balancer) finish(r *request) {
-	switch {
-	case !b.mayRefuse(r):
+	// Too late to be worth anything: a refusal would only ask the client for more of it.
+	late := r.aim-b.now < minWithin && r.class.LateWorth == 0 && r.class.Effect != Safe
+	if late || !b.mayRefuse(r) {
 		b.do(Fail{ID: r.id})
-	case r.aim-b.now < minWithin && r.class.LateWorth == 0 && r.class.Effect != Safe:
-		// Too late to be worth anything: a refusal would only ask the client for more of it.
-		b.do(Fail{ID: r.id})
-	default:
+	} else {
 		b.do(Refuse{ID: r.id, RetryAfter: b.cfg.MaxRetryAfter})
 	}
 	b.close(r, false)
@@ -827,7 +832,7 @@
 		for i := range r.tries {
 			if t := &r.tries[i]; t.open {
 				t.open = false
-				t.s.inflight--
+				t.s.inflight -= r.work
 			}
 		}
 		r.open = 0
@@ -881,13 +886,7 @@
 	for _, e := range l.Servers {
 		b.entry(e)
 	}
-	if l.Kind != ListChanges {
-		for id, s := range b.servers {
-			if !s.listed {
-				delete(b.servers, id)
-			}
-		}
-	}
+	maps.DeleteFunc(b.servers, func(_ ServerID, s *server) bool { return !s.listed })
 	b.index(l.Servers)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // The auditor's limits on the decision module.
@@ -791,3 +792,28 @@
 		}
 	}
 }
+
+// A request whose body still comes is sent once, is no load on its server, and its time
+// starts with its last byte.
+func TestRequestsThatStillCome(t *testing.T) {
+	b, err := New(Settings{Classes: []Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second, Effect: Keyed, Window: time.Minute, LateWorth: 0.5}},
+		MaxAttempts: 5, SecondCopies: true, Nodes: 1}, 1)
+	require.NoError(t, err)
+	now := time.Hour
+	b.Handle(now, ServerList{Kind: ListFull, Servers: []Server{{ID: "a", Capacity: 1}, {ID: "b", Capacity: 1}}})
+	var to ServerID
+	for _, a := range b.Handle(now, Request{ID: "r", Class: "c", Expires: 2 * time.Second, Coming: true}) {
+		if s, ok := a.(Send); ok {
+			to = s.Server
+		}
+	}
+	require.NotEmpty(t, to)
+	assert.Zero(t, b.servers[to].load(now))
+	now += 10 * time.Second // its body takes as long as it takes
+	b.Handle(now, Whole{ID: "r", Took: 10 * time.Second})
+	assert.EqualValues(t, 1, b.servers[to].load(now))
+	assert.Equal(t, now+2*time.Second, b.reqs["r"].end)
+	out := b.Handle(now, Outcome{ID: "r", Result: ConnectFailed, Server: to})
+	assert.Contains(t, out, Action(Refuse{ID: "r"}), "no second attempt, and nothing has run")
+	assert.Zero(t, b.servers[to].load(now))
+}
