Hand what the module learned over to the successor of a process

Need: a new process began with nothing learned.

Change: logic/state.go hands on medians, curves, rates and what is set aside, checked before any of it is taken; not for a backend that has started anew. It decides nothing.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -71,6 +71,9 @@
 		return err
 	}
 	owner.List(logic.ListCached, known)
+	if len(place.learned) > 0 {
+		owner.Learn(place.learned)
+	}
 	quit := make(chan struct{})
 	defer close(quit)
 	if place.console != nil {
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -37,6 +37,7 @@
 	console  net.Listener // nil: none
 	listener *net.TCPListener
 	known    director.List
+	learned  []byte          // by the predecessor's module
 	before   *handover.Taken // nil: nobody handed this process its place
 	quit     chan struct{}
 }
@@ -83,17 +84,24 @@
 	return p, nil
 }
 
-// take reads what the predecessor knew: the list in the director's form.
+// handed is what a successor is handed: the list in the director's form, and what the
+// module learned.
+type handed struct {
+	List    director.List   `json:"list"`
+	Learned json.RawMessage `json:"learned,omitempty"`
+}
+
+// take reads what the predecessor knew.
 func (p *place) take(state []byte) error {
-	var l director.List
-	if err := json.Unmarshal(state, &l); err != nil {
+	var h handed
+	if err := json.Unmarshal(state, &h); err != nil {
 		return err
 	}
-	if _, err := l.Entries(); err != nil {
+	if _, err := h.List.Entries(); err != nil {
 		return err
 	}
-	if len(l.Targets) > 0 {
-		p.known = l
+	if len(h.List.Targets) > 0 {
+		p.known, p.learned = h.List, h.Learned
 	}
 	return nil
 }
@@ -102,11 +110,11 @@
 // does no harm, what is missed does.
 func state(owner *core.Core, d *director.Director) ([]byte, error) {
 	rev := d.Rev()
-	entries, ok := owner.Entries(time.Second)
+	known, ok := owner.Known(time.Second)
 	if !ok {
 		return nil, errors.New("the owner did not tell its list in time")
 	}
-	return json.Marshal(director.ListOf(rev, true, entries))
+	return json.Marshal(handed{director.ListOf(rev, true, known.Entries), known.Learned})
 }
 
 // offer tells the predecessor that this process serves, and waits for a successor once
--- a/cmd/oakseam/upgrade_test.go
+++ b/cmd/oakseam/upgrade_test.go
@@ -102,6 +102,7 @@
 		before := next.figure("relayed")
 		next.until("the new process serves on", func() bool { now := next.figure("relayed"); return now != "" && now != before })
 		assert.Equal(t, "1", next.figure("registry_entries"))
+		assert.NotContains(t, next.log.String(), "not taken", "the list and what was learned are taken on")
 		n = next
 	}
 	close(quit)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -180,25 +180,36 @@
 	}
 }
 
-// Entries returns the list of backends as it was last told, or false where the owner
-// does not get to it in time.
-func (c *Core) Entries(within time.Duration) ([]Entry, bool) {
-	got := make(chan []Entry, 1)
+// Known is what a node's successor takes on.
+type Known struct {
+	Entries []Entry
+	Learned []byte // by the module, empty where it does not tell
+}
+
+// Known returns the list of backends as it was last told, and what the module learned,
+// or false where the owner does not get to it in time.
+func (c *Core) Known(within time.Duration) (Known, bool) {
+	got := make(chan Known, 1)
 	t := time.NewTimer(within)
 	defer t.Stop()
 	select {
-	case c.urgent <- func() { got <- c.owner.Entries() }:
+	case c.urgent <- func() { got <- Known{c.owner.Entries(), c.owner.Learned()} }:
 	case <-t.C:
-		return nil, false
+		return Known{}, false
 	}
 	select {
-	case entries := <-got:
-		return entries, true
+	case k := <-got:
+		return k, true
 	case <-t.C:
-		return nil, false
+		return Known{}, false
 	}
 }
 
+// Learn has the module take on what another learned. It belongs after the first list.
+func (c *Core) Learn(text []byte) {
+	c.urgent <- func() { c.owner.Learn(text) }
+}
+
 // Ready tells whether the node knows a backend that takes reqs.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -92,6 +92,34 @@
 	return len(o.listed), avoided
 }
 
+// pupil is a module that hands on what it learned.
+type pupil interface {
+	Learned() ([]byte, error)
+	Learn([]byte) error
+}
+
+// Learned returns what the module learned, empty where it does not tell.
+func (o *Owner) Learned() []byte {
+	m, ok := o.module.(pupil)
+	if !ok {
+		return nil
+	}
+	text, err := m.Learned()
+	if err != nil {
+		o.world.Log.Warn("module: what it learned can't be told", logging.Cause, err)
+	}
+	return text
+}
+
+// Learn has the module take on what another learned.
+func (o *Owner) Learn(text []byte) {
+	if m, ok := o.module.(pupil); ok {
+		if err := m.Learn(text); err != nil {
+			o.world.Log.Warn("module: what another learned is not taken on", logging.Cause, err)
+		}
+	}
+}
+
 // Entries returns the list of backends, by their names.
 func (o *Owner) Entries() []Entry {
 	return slices.SortedFunc(maps.Values(o.listed), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
--- /dev/null
+++ b/logic/state_test.go
@@ -0,0 +1,49 @@
+package logic
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A Balancer that takes on what another learned holds the same of classes and servers,
+// but not of a server that has started anew; what can't be is turned down whole.
+func TestLearnedIsTakenOn(t *testing.T) {
+	settings := Settings{Classes: []Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Effect: Unsafe}}, Nodes: 1}
+	servers := []Server{{ID: "a", Capacity: 1, Kind: "k"}, {ID: "b", Capacity: 1, Kind: "k", Born: 1}}
+	old, err := New(settings, 1)
+	require.NoError(t, err)
+	now := time.Hour
+	old.Handle(now, ServerList{Kind: ListFull, Servers: servers})
+	for i := range 50 {
+		id := RequestID(strings.Repeat("i", i+1))
+		for _, a := range old.Handle(now, Request{ID: id, Class: "c", Expires: time.Second}) {
+			if s, ok := a.(Send); ok {
+				now += 20 * time.Millisecond
+				old.Handle(now, Outcome{ID: id, Result: OK, Server: s.Server, Latency: 20 * time.Millisecond, Final: true})
+			}
+		}
+	}
+	text, err := old.Learned()
+	require.NoError(t, err)
+	next, err := New(settings, 2)
+	require.NoError(t, err)
+	servers[1].Born = 2
+	next.Handle(now, ServerList{Kind: ListFull, Servers: servers})
+	for _, bad := range []string{"{", "{}", strings.Replace(string(text), `"Usual":1`, `"Usual":7`, 1), strings.Replace(string(text), `"Done":[`, `"Done":[-1,`, 1)} {
+		assert.Error(t, next.Learn([]byte(bad)), "%.40q", bad)
+		assert.Zero(t, next.classes["c"].seen)
+	}
+	require.NoError(t, next.Learn(text))
+	assert.Equal(t, old.classes["c"].scale, next.classes["c"].scale)
+	assert.Equal(t, old.served, next.served)
+	assert.Equal(t, old.servers["a"].stats.done, next.servers["a"].stats.done)
+	assert.NotZero(t, old.servers["b"].stats.done)
+	assert.Zero(t, next.servers["b"].stats.done, "another process")
+	again, err := next.Learned()
+	require.NoError(t, err)
+	assert.NoError(t, next.Learn(again))
+}
