--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,31 @@
+package console
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// FuzzReadCall: a call is the same however its bytes come, and never over its bound.
+func FuzzReadCall(f *testing.F) {
+	for _, s := range []string{"ready\n", "ready", "show-stat\r\nready\n", "\n", "", strings.Repeat("x", maxCall), strings.Repeat("x", maxCall-1) + "\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		atOnce, err := readCall(bytes.NewReader(text))
+		singly, err2 := readCall(iotest.OneByteReader(bytes.NewReader(text)))
+		assert.Equal(t, atOnce, singly)
+		assert.Equal(t, err, err2)
+		assert.Less(t, len(atOnce), maxCall+1)
+		if err == nil && len(text) == 0 {
+			t.Fatal("no call, and no error")
+		}
+		if err != nil && err != errLong {
+			assert.ErrorIs(t, err, io.EOF)
+		}
+	})
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -128,3 +128,19 @@
 	assert.NoError(t, err)
 	assert.Equal(t, "state", string(state))
 }
+
+// FuzzReadState: whatever a link brings, a state is read whole or not at all.
+func FuzzReadState(f *testing.F) {
+	whole, _ := frame([]byte("state"))
+	f.Add(whole)
+	f.Add(whole[:headerSize])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if len(text) < headerSize {
+			return
+		}
+		state, err := readState(text[:headerSize], bytes.NewReader(text[headerSize:]))
+		if again, _ := frame(state); err == nil && !bytes.HasPrefix(text, again) {
+			t.Fatalf("%q was read from %q", state, text)
+		}
+	})
+}
