--- a/cmd/oakseam/bulk_test.go
+++ b/cmd/oakseam/bulk_test.go
@@ -204,7 +204,9 @@
 			kb, err := strconv.Atoi(strings.Fields(v)[0])
 			require.NoError(t, err)
 			t.Log("peak RSS in kB: ", kb)
-			assert.Less(t, kb, 32<<10)
+			if os.Getenv("OAKSEAM_TEST_BUILD") == "" { // the race detector takes several times as much
+				assert.Less(t, kb, 32<<10)
+			}
 		}
 	}
 }
