--- a/logic/state_test.go
+++ b/logic/state_test.go
@@ -47,3 +47,21 @@
 	require.NoError(t, err)
 	assert.NoError(t, next.Learn(again))
 }
+
+// Only servers that get nothing are told as avoided: not one that has a trial, nor one
+// that was set aside just now.
+func TestAvoided(t *testing.T) {
+	b, err := New(Settings{Classes: []Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}, Nodes: 1}, 1)
+	require.NoError(t, err)
+	now := time.Hour
+	b.Handle(now, ServerList{Kind: ListFull, Servers: []Server{{ID: "a", Capacity: 1}, {ID: "b", Capacity: 1}, {ID: "d", Capacity: 1, State: Draining}}})
+	assert.Equal(t, 1, b.Avoided(now), "the one that drains")
+	a := b.servers["a"]
+	a.bad, a.until, a.judged = outlierAfter, now+time.Minute, now
+	assert.Equal(t, 1, b.Avoided(now), "just now")
+	assert.Equal(t, 2, b.Avoided(now+time.Second))
+	a.inflight = 1
+	assert.Equal(t, 1, b.Avoided(now+time.Second), "on trial")
+	a.inflight = 0
+	assert.Equal(t, 1, b.Avoided(now+time.Hour), "its time is over")
+}
