--- a/cmd/oakseam/upgrade_test.go
+++ b/cmd/oakseam/upgrade_test.go
@@ -149,3 +149,39 @@
 	assert.NoError(t, receive(t, second.end, "its exit"))
 	assert.Equal(t, 200, third.ask("topup").status, fmt.Sprint("after leavings: ", entries))
 }
+
+// TestUpgradeUnderALongAnswer: what a backend still gives goes on through the old
+// process, also where the node was told to drain before.
+func TestUpgradeUnderALongAnswer(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n%s", strings.Repeat("a", 100000))
+		<-release
+		io.WriteString(c, strings.Repeat("b", 100000))
+		return true
+	})
+	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
+	config["tmp"] = t.TempDir()
+	config["console"] = freeAddr(t)
+	n := start(t, config)
+	n.console = config["console"].(string)
+	c, err := net.Dial("tcp", n.addr)
+	require.NoError(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, hidden)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	_, err = io.ReadFull(res.Body, make([]byte, 100000))
+	require.NoError(t, err)
+	n.until("it drains", func() bool { return n.call("drain\n") == "OK draining\n" })
+	next := n.succeed(config)
+	require.NoError(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	next.until("the old one's listener is closed", func() bool { return strings.HasPrefix(n.call("ready\n"), "ERR not ready: stopping") })
+	close(release)
+	rest, err := io.ReadAll(res.Body)
+	assert.NoError(t, err)
+	assert.Equal(t, strings.Repeat("b", 100000), string(rest))
+	assert.NoError(t, receive(t, n.end, "the old process's exit"))
+	assert.Equal(t, 200, next.try("GET", "/ready", "", nil).status, "the successor takes clients")
+}
