Let one piece say what two did: a body's end, a stream's use, the wait for a place

Read again as a whole. message.Stream kept a lock, an error and a time that nobody read, beside what the front's incoming body knows: an atomic is left. incoming said twice what the end of a body does. Pool kept Relayed beside its Options. A chunk's buffer was made anew for each piece, and the head of a long req took room for a body that is written behind it: neither is now. Claim and Wait stood before their loops and in them. The tests of console and upgrades set up nodes as serve() does: knowing() serves both, and a started node knows its own console. No assertion has changed.

Behaviour stays.

--- a/cmd/oakseam/console_test.go
+++ b/cmd/oakseam/console_test.go
@@ -19,15 +19,9 @@
 
 // operate starts a node with a console, which knows the backends.
 func operate(t *testing.T, addrs ...string) *node {
-	var targets []object
-	for i, a := range addrs {
-		targets = append(targets, target(fmt.Sprint("s-", i), a, "in_service", 0))
-	}
-	c := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, targets...), settings())
+	c := knowing(t, newDirector(t), addrs...)
 	c["console"] = freeAddr(t)
-	n := start(t, c)
-	n.console = c["console"].(string)
-	return n
+	return start(t, c)
 }
 
 // call makes a call at the console and returns the answer.
--- a/cmd/oakseam/peers_test.go
+++ b/cmd/oakseam/peers_test.go
@@ -161,6 +161,7 @@
 
 func startWith(t *testing.T, config object, args ...string) *node {
 	n := &node{t: t, addr: config["listen"].(string), cmd: command(t, config), end: make(chan error, 1)}
+	n.console, _ = config["console"].(string)
 	n.cmd.Args = append(n.cmd.Args, args...)
 	n.cmd.Stdout, n.cmd.Stderr = &n.log, &n.log
 	require.NoError(t, n.cmd.Start())
@@ -181,11 +182,16 @@
 // serve starts a node that knows backends of the given addresses.
 func serve(t *testing.T, addrs ...string) (*node, *standin.ScriptedDirector) {
 	d := newDirector(t)
+	return start(t, knowing(t, d, addrs...)), d
+}
+
+// knowing configures a node that knows backends of the given addresses.
+func knowing(t *testing.T, d *standin.ScriptedDirector, addrs ...string) object {
 	var targets []object
 	for i, a := range addrs {
 		targets = append(targets, target(fmt.Sprint("s-", i), a, "in_service", 0))
 	}
-	return start(t, configure(t, freeAddr(t), d.Addr, list(7, true, targets...), settings())), d
+	return configure(t, freeAddr(t), d.Addr, list(7, true, targets...), settings())
 }
 
 func (n *node) until(what string, ok func() bool) {
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -58,11 +58,12 @@
 	if p.console, err = net.Listen("tcp", c.Console); err != nil {
 		return nil, cli.Wrong(fmt.Errorf("config: console: %w", err))
 	}
-	p.before, err = handover.Claim(os.TempDir(), c.Listen)
 	// One that has taken the place over itself offers it again once its predecessor has ended.
-	for until := time.Now().Add(claimWithin); errors.Is(err, handover.ErrNobody) && handover.InUse(c.Listen) && time.Now().Before(until); {
-		time.Sleep(claimAgain)
+	for until := time.Now().Add(claimWithin); ; time.Sleep(claimAgain) {
 		p.before, err = handover.Claim(os.TempDir(), c.Listen)
+		if !errors.Is(err, handover.ErrNobody) || !handover.InUse(c.Listen) || time.Now().After(until) {
+			break
+		}
 	}
 	switch {
 	case err == nil:
@@ -136,21 +137,23 @@
 			lot.set(false)
 			p.log.Info("handover: the predecessor has ended")
 		}
-		o, err := handover.Wait(os.TempDir(), p.c.Listen, p.listener, state, lot, p.log)
-		for errors.Is(err, handover.ErrTaken) { // by one that hands nothing over, and will end
-			select {
+		for {
+			o, err := handover.Wait(os.TempDir(), p.c.Listen, p.listener, state, lot, p.log)
+			switch {
+			case err == nil:
+				<-p.quit
+				o.Close()
+				return
+			case !errors.Is(err, handover.ErrTaken):
+				p.log.Warn("handover: no successor can be handed this place", logging.Cause, err)
+				return
+			}
+			select { // taken by one that hands nothing over, and will end
 			case <-time.After(waitAgain):
 			case <-p.quit:
 				return
 			}
-			o, err = handover.Wait(os.TempDir(), p.c.Listen, p.listener, state, lot, p.log)
-		}
-		if err != nil {
-			p.log.Warn("handover: no successor can be handed this place", logging.Cause, err)
-			return
 		}
-		<-p.quit
-		o.Close()
 	}()
 }
 
--- a/cmd/oakseam/upgrade_test.go
+++ b/cmd/oakseam/upgrade_test.go
@@ -19,6 +19,14 @@
 	"pipitmux/internal/handover"
 )
 
+// replaceable starts a node that a further process can take over from.
+func replaceable(t *testing.T, addr string) (*node, object) {
+	c := knowing(t, newDirector(t), addr)
+	c["tmp"] = t.TempDir()
+	c["console"] = freeAddr(t)
+	return start(t, c), c
+}
+
 // succeed starts the node anew beside the running process, with another console, and
 // waits until it says yes.
 func (n *node) succeed(config object) *node {
@@ -28,8 +36,7 @@
 	}
 	c["console"] = freeAddr(n.t)
 	c["known"] = list(1, true) // the list comes with the place
-	next := startWith(n.t, c)
-	next.console = c["console"].(string)
+	next := start(n.t, c)
 	next.until("the new process says yes", func() bool { return strings.HasPrefix(next.call("ready\n"), "OK") })
 	return next
 }
@@ -42,11 +49,7 @@
 		time.Sleep(time.Millisecond)
 		return ok(c, r)
 	})
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
-	config["tmp"] = t.TempDir()
-	config["console"] = freeAddr(t)
-	n := start(t, config)
-	n.console = config["console"].(string)
+	n, config := replaceable(t, b.Addr)
 
 	addr, quit := n.addr, make(chan struct{})
 	var clients sync.WaitGroup
@@ -119,11 +122,7 @@
 // its socket left over, change nothing for clients.
 func TestUpgradesThatFail(t *testing.T) {
 	b := newBackend(t, ok)
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
-	config["tmp"] = t.TempDir()
-	config["console"] = freeAddr(t)
-	n := start(t, config)
-	n.console = config["console"].(string)
+	n, config := replaceable(t, b.Addr)
 	var taken *handover.Taken
 	n.until("it offers its place", func() (ok bool) {
 		var err error
@@ -142,7 +141,6 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, entries, "its leavings")
 	second := start(t, config)
-	second.console = n.console
 	assert.Equal(t, 200, second.ask("topup").status)
 	third := second.succeed(config)
 	require.NoError(t, second.cmd.Process.Signal(syscall.SIGTERM))
@@ -160,11 +158,7 @@
 		io.WriteString(c, strings.Repeat("b", 100000))
 		return true
 	})
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
-	config["tmp"] = t.TempDir()
-	config["console"] = freeAddr(t)
-	n := start(t, config)
-	n.console = config["console"].(string)
+	n, config := replaceable(t, b.Addr)
 	c, err := net.Dial("tcp", n.addr)
 	require.NoError(t, err)
 	defer c.Close()
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -186,10 +186,14 @@
 	return err
 }
 
-// head is a req's head, without its framing where that is still to come.
+// head is a req's head, with room for the body behind it where that is held whole.
 func head(c *message.Call, left time.Duration) *bytes.Buffer {
 	b := &bytes.Buffer{}
-	b.Grow(512 + len(c.Body))
+	room := 512
+	if c.Rest == nil {
+		room += len(c.Body)
+	}
+	b.Grow(room)
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %du\r\n",
 		c.Method, c.Target, c.Host, c.ID, max(left.Microseconds(), 1))
 	if c.Key != "" {
@@ -267,9 +271,8 @@
 
 // New returns a Pool without connections.
 func New(opt Options, count *counters.Set, log *slog.Logger) *Pool {
-	relayed := opt.Relayed
-	if relayed == nil {
-		relayed = func() {}
+	if opt.Relayed == nil {
+		opt.Relayed = func() {}
 	}
-	return &Pool{opt: opt, relayed: relayed, count: count, log: log, idle: map[core.Place][]*conn{}}
+	return &Pool{opt: opt, count: count, log: log, idle: map[core.Place][]*conn{}}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,10 +17,9 @@
 // Pool holds the connections to all backends. Idle ones are kept by place, so
 // that none to an earlier process of a backend is used for its successor.
 type Pool struct {
-	opt     Options
-	relayed func()
-	count   *counters.Set
-	log     *slog.Logger
+	opt   Options
+	count *counters.Set
+	log   *slog.Logger
 
 	mu   sync.Mutex
 	open int                    // connections open or opening
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return &Error{u.stage(), err}
 	}
-	u.pool.relayed()
+	u.pool.opt.Relayed()
 	return nil
 }
 
@@ -81,13 +81,14 @@
 		return // else the backend's answer or its close is read
 	}
 	timer.Reset(within)
-	u.pool.relayed()
+	u.pool.opt.Relayed()
 }
 
 func (u *upload) pass(within time.Duration) error {
 	u.at.Store(uint32(PartlyWritten))
 	written := int64(0)
 	chunked := u.call.Length == message.Unknown
+	var chunk bytes.Buffer
 	put := func(b []byte) error {
 		if written += int64(len(b)); written == u.call.Length {
 			u.at.Store(uint32(WrittenWhole)) // with these bytes the backend may begin
@@ -97,8 +98,7 @@
 			_, err := u.c.Write(b)
 			return err
 		}
-		var chunk bytes.Buffer
-		chunk.Grow(len(b) + 16)
+		chunk.Reset()
 		fmt.Fprintf(&chunk, "%x\r\n", len(b))
 		chunk.Write(b)
 		chunk.WriteString("\r\n")
@@ -114,12 +114,12 @@
 	if !u.call.Rest.Claim() {
 		return fmt.Errorf("%w: another attempt has it", errClient)
 	}
-	put2, from := message.Pass(put, u.call.Rest)
+	toBackend, fromClient := message.Pass(put, u.call.Rest)
 	switch {
-	case from != nil:
-		return fmt.Errorf("%w: %w", errClient, from)
-	case put2 != nil:
-		return put2
+	case fromClient != nil:
+		return fmt.Errorf("%w: %w", errClient, fromClient)
+	case toBackend != nil:
+		return toBackend
 	case !chunked:
 		if written != u.call.Length {
 			return fmt.Errorf("%w: %d bytes of %d", errClient, written, u.call.Length)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -7,7 +7,6 @@
 	"io"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 const (
@@ -51,59 +50,28 @@
 // Stream is the part of a req's body that has not come yet. One attempt may read it.
 type Stream struct {
 	src   io.Reader
-	whole func(time.Time) // called with the last byte
-
-	mu   sync.Mutex
-	used bool
-	err  error // why no more comes
+	whole func() // called with the last byte
+	used  atomic.Bool
 }
 
-// NewStream returns a Stream of what a reader brings. It calls whole once, with the end.
-func NewStream(src io.Reader, whole func(time.Time)) *Stream {
-	return &Stream{src: src, whole: whole}
-}
+// NewStream returns a Stream of what a reader brings. It calls whole with the end.
+func NewStream(src io.Reader, whole func()) *Stream { return &Stream{src: src, whole: whole} }
 
-// Claim gives the stream to an attempt, unless one has read of it.
-func (s *Stream) Claim() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	claimed := !s.used && s.err == nil
-	s.used = s.used || claimed
-	return claimed
-}
+// Claim gives the stream to an attempt, unless another has it.
+func (s *Stream) Claim() bool { return s.used.CompareAndSwap(false, true) }
 
-// Used tells whether an attempt has read of it: no other can send the body.
-func (s *Stream) Used() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.used
-}
+// Used tells whether an attempt has it: no other can send the body.
+func (s *Stream) Used() bool { return s.used.Load() }
 
-// Read reads what the client sends.
+// Read reads what the client sends. Who has claimed the stream reads it to its first error.
 func (s *Stream) Read(b []byte) (int, error) {
 	n, err := s.src.Read(b)
-	if err != nil {
-		s.mu.Lock()
-		first := s.err == nil
-		s.err = err
-		s.mu.Unlock()
-		if first && err == io.EOF {
-			s.whole(time.Now())
-		}
+	if err == io.EOF {
+		s.whole()
 	}
 	return n, err
 }
 
-// Err returns what broke the stream on the client's side, nil where nothing did.
-func (s *Stream) Err() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.err == io.EOF {
-		return nil
-	}
-	return s.err
-}
-
 // Budget is how many bytes bodies may take in a process.
 type Budget struct{ left, most atomic.Int64 }
 
--- a/internal/session/incoming.go
+++ b/internal/session/incoming.go
@@ -36,7 +36,7 @@
 		size = min(length, size)
 	}
 	if size == 0 {
-		in.end()
+		in.settle()
 		return nil, false, nil
 	}
 	if length > message.Longest {
@@ -52,7 +52,7 @@
 			return nil, false, err
 		}
 		if length == size {
-			in.end()
+			in.settle()
 		}
 		return body, length > size, nil
 	}
@@ -75,10 +75,15 @@
 	}
 }
 
-// end notes that the body is whole. A req that has come may wait long for its answer.
-func (in *incoming) end() {
+// settle notes that the body is whole.
+func (in *incoming) settle() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.end()
+}
+
+// end is settle with in.mu held. A req that has come may wait long for its answer.
+func (in *incoming) end() {
 	in.whole, in.over = true, true
 	in.control.SetReadDeadline(time.Time{})
 }
@@ -102,8 +107,7 @@
 	switch {
 	case in.over:
 	case err == io.EOF:
-		in.whole, in.over = true, true
-		in.control.SetReadDeadline(time.Time{})
+		in.end()
 	case err != nil:
 		in.over = true
 		close(in.broke)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -586,7 +586,7 @@
 	if long {
 		in.control.EnableFullDuplex()
 		req.Open, call.Length = true, r.ContentLength
-		call.Rest = message.NewStream(in, func(time.Time) {
+		call.Rest = message.NewStream(in, func() {
 			c.take(f.opt.Figures)
 			f.owner.Whole(id, c)
 		})
