Limit reqs out to a backend where answers take twice their hinted work

Cause: on the enrolment site the one-core backends choke under queues that the module takes for short: chance() counts half a unit for each req out and the unit follows the class's median latency, which grows with the queues.

Change: where reqs carry a work hint, each backend gets a limit of reqs out from this node, halved by each answer while latency against the hinted work stands above twice, grown by 1/limit an answer where it was reached; a backend at its limit is no candidate.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,5 @@
-// Every decision of the balancer is in this file, its interface in api.go. Order: constants, state,
-// events, first pick, time-out, retry, final answers, cold and drain guards, discovery, learning.
+// Every decision of the balancer is in this file, its interface in api.go. Order: constants, state, events,
+// first pick, time-out, retry, final answers, cold and drain guards, discovery, learning.
 
 package logic
 
@@ -15,8 +15,8 @@
 )
 
 const (
-	// The paper's example figures for reward, penalty and the price of a retry.
-	// Where a class states its worth, V and c2 keep their ratio to R.
+	// The paper's example figures for reward, penalty and the price of a retry. Where a class states its
+	// worth, V and c2 keep their ratio to R.
 	exampleR, exampleV, exampleC2 = 20.0, 50.0, 10.0
 	retryPrice                    = 3.0 // but c2 this many times: a copy also delays all who wait behind it
 
@@ -77,6 +77,9 @@
 	askPatience = 15 * time.Second       // a call without an answer for this long is made again
 	lingerFor   = time.Minute            // an outcome that has not come by then never will
 	minWithin   = 100 * time.Microsecond // no attempt is sent with less time than this
+
+	// Sends out to a server at first and at most, the cut of a slow answer, how fast latency is followed.
+	limitFirst, limitMost, limitCut, paceStep = 2.0, 64.0, 0.5, 0.2
 )
 
 // Tokens of the module's own timers; those of requests come after.
@@ -87,46 +90,45 @@
 
 // Balancer makes the decisions of one node. It is not safe for concurrent use.
 type Balancer struct {
-	cfg     Settings
-	rng     *rand.Rand
-	started bool
-	now     time.Duration
-	out     []Action
-	classes map[string]*class
-	tenants map[string]*quota
-	servers map[ServerID]*server
-	kinds   map[string]*curve
-	ready   []*server     // servers that take requests, in the order they were listed
-	ring    []*server     // the same in the order of their hashes, alike at all nodes
-	near    []*server     // the part of the ring that this node sends to
-	nearAt  time.Duration // when that was drawn
-	nearSum float64       // the capacity of those near
-	warmSum float64       // and of the warm ones among them
-	top     float64       // largest capacity among the ready ones
-	reqs    map[RequestID]*request
-	bySeq   map[uint64]*request
-	linger  []*request // ended, with outcomes still to come, oldest first
-	seq     uint64
-	cand    []*server // scratch
-	stamp   uint64
-	usual   float64       // part of the requests let in that is served in time, in the long run
-	room    float64       // sends that may be made
-	roomAt  time.Duration // when that was brought up to date
-	budget  float64       // retries that may be sent
-	served  rate          // what the near and warm servers answered,
-	span    rate          // seconds of their capacity that this took,
-	peak    float64       // and the most per second and capacity that was seen
-	full    float64       // the most capacity of the ready servers, slowly forgotten
-	left    float64       // the part of that which is left
-	asked   rate
-	missed  float64 // part of the worth let in lately that was not served in time
-	worth   float64 // mean worth of the requests lately
-	field   int     // which value of a load report tells of the requests a server has, -1: none
-	held    float64 // mean of that value lately
-	trust   trust
-	common  float64       // part of answers that were bad lately at the middle one of the servers
-	drawn   time.Duration // when that was counted
-	ask     asking
+	cfg        Settings
+	rng        *rand.Rand
+	started    bool
+	now        time.Duration
+	seq, stamp uint64
+	out        []Action
+	classes    map[string]*class
+	tenants    map[string]*quota
+	servers    map[ServerID]*server
+	kinds      map[string]*curve
+	ready      []*server     // servers that take requests, in the order they were listed
+	ring       []*server     // the same in the order of their hashes, alike at all nodes
+	near       []*server     // the part of the ring that this node sends to
+	nearAt     time.Duration // when that was drawn
+	nearSum    float64       // the capacity of those near
+	warmSum    float64       // and of the warm ones among them
+	top        float64       // largest capacity among the ready ones
+	reqs       map[RequestID]*request
+	bySeq      map[uint64]*request
+	linger     []*request    // ended, with outcomes still to come, oldest first
+	cand       []*server     // scratch
+	usual      float64       // part of the requests let in that is served in time, in the long run
+	room       float64       // sends that may be made
+	roomAt     time.Duration // when that was brought up to date
+	budget     float64       // retries that may be sent
+	served     rate          // what the near and warm servers answered,
+	span       rate          // seconds of their capacity that this took,
+	peak       float64       // and the most per second and capacity that was seen
+	full       float64       // the most capacity of the ready servers, slowly forgotten
+	left       float64       // the part of that which is left
+	asked      rate          // what was asked, by work
+	missed     float64       // part of the worth let in lately that was not served in time
+	worth      float64       // mean worth of the requests lately
+	field      int           // which value of a load report tells of the requests a server has, -1: none
+	held       float64       // mean of that value lately
+	trust      trust
+	common     float64       // part of answers that were bad lately at the middle one of the servers
+	drawn      time.Duration // when that was counted
+	ask        asking
 }
 
 // class is a class of requests and what was learned of it.
@@ -158,38 +160,38 @@
 	filled   time.Duration // when tokens was brought up to date
 	mark     uint64
 	place    uint64 // on the ring
+	// Where requests tell their work, what this node may have out to it (0: none learned): less while
+	// it takes twice that or more, as with two requests a core, which soon slows it further; else more.
+	limit, slow float64 // and the logarithm of its latency against that work lately
 }
 
 // attempt is one send of a request.
 type attempt struct {
-	s      *server
-	zone   string
-	cell   int
-	queue  float64 // logarithm of the reported queue against the mean one
-	sent   time.Duration
-	open   bool
-	mayRun bool
+	s            *server
+	zone         string
+	cell         int
+	queue        float64 // logarithm of the reported queue against the mean one
+	sent         time.Duration
+	open, mayRun bool
 }
 
 // request is a client's request that is owed an answer or an outcome.
 type request struct {
-	id        RequestID
-	seq       uint64
-	class     *class
-	end       time.Duration // the final answer is given by then
-	aim       time.Duration // an answer by then earns the full worth
-	unit      float64       // seconds that this request is expected to take, usually
-	cost      float64       // its work against a usual one's
-	worth     float64       // what it earns, within its tenant's share or beyond
-	tries     []attempt
-	open      int
-	most      int // attempts allowed, 0: no limit
-	work      int // an attempt's load on its server: none while the request still comes
-	alt       *server
-	retried   bool
-	closed    bool
-	streaming bool
-	closedAt  time.Duration
+	id                         RequestID
+	seq                        uint64
+	class                      *class
+	end                        time.Duration // the final answer is given by then
+	aim                        time.Duration // an answer by then earns the full worth
+	unit                       float64       // seconds that this request is expected to take, usually
+	cost                       float64       // its work against a usual one's
+	worth                      float64       // what it earns, within its tenant's share or beyond
+	tries                      []attempt
+	open                       int
+	most                       int // attempts allowed, 0: no limit
+	work                       int // an attempt's load on its server: none while the request still comes
+	alt                        *server
+	retried, closed, streaming bool
+	closedAt                   time.Duration
 }
 
 // New returns a Balancer for one node. Equal seeds and events give equal actions.
@@ -228,8 +230,8 @@
 	return n
 }
 
-// Handle takes an event at a time and returns the actions it calls for, valid
-// until the next call. A time before the last one counts as the last one.
+// Handle takes an event at a time and returns the actions it calls for, valid until the next call. A time
+// before the last one counts as the last one.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
 	b.out = b.out[:0]
 	if !b.started {
@@ -260,9 +262,7 @@
 	case Wake:
 		b.wake(e.Token)
 	case Probed:
-		if s := b.servers[e.Server]; s != nil {
-			b.reported(s, e.Report)
-		}
+		b.reported(b.servers[e.Server], e.Report)
 	case ServerList:
 		b.list(e)
 	}
@@ -313,9 +313,7 @@
 	}
 	aim := c.Aim + time.Duration(c.AimStretch*float64(q.Hint))
 	if h := q.Hint.Seconds(); h > 0 {
-		if c.hint == 0 {
-			c.hint = h
-		}
+		c.hint = cmp.Or(c.hint, h)
 		c.hint += (h - c.hint) * scaleStep
 		r.cost = h / c.hint
 		// Half of a usual latency is the request's own work, half is waiting for others'.
@@ -330,9 +328,7 @@
 	if r.worth = c.r; b.overShare(q.Tenant) {
 		r.worth *= b.cfg.OverShareWorth
 	}
-	if b.worth == 0 {
-		b.worth = c.r
-	}
+	b.worth = cmp.Or(b.worth, c.r)
 	b.worth += (r.worth - b.worth) * scaleStep
 	r.aim, r.end = b.now+aimLeft, b.now+expires
 	if c.LateWorth == 0 {
@@ -342,9 +338,9 @@
 	return r
 }
 
-// overShare tells whether a request is beyond what this node takes for its part
-// of the tenant's share, and counts it. Guards the tenants that keep to their
-// shares when one does not: what is beyond is worth little and is refused first.
+// overShare tells whether a request is beyond what this node takes for its part of the tenant's share, and
+// counts it. Guards the tenants that keep to their shares when one does not: what is beyond is worth little
+// and is refused first.
 func (b *Balancer) overShare(tenant string) bool {
 	t := b.tenants[tenant]
 	if t == nil {
@@ -365,9 +361,9 @@
 	at                    time.Duration
 }
 
-// usualTry tells whether the time a client waits is what it mostly is for the class. Else the request
-// is a late try whose time is cut by the client's deadline, so what the deadline lacks has passed since
-// the first try: it was served, at the cost of others, when its answer was worth nothing any more.
+// usualTry tells whether the time a client waits is what it mostly is for the class. Else the request is a
+// late try whose time is cut by the client's deadline, so what the deadline lacks has passed since the first
+// try: it was served, at the cost of others, when its answer was worth nothing any more.
 func (c *class) usualTry(expires time.Duration) bool {
 	switch d := expires - c.usual; {
 	case c.votes > 0 && max(d, -d) <= c.Deadline/50:
@@ -390,16 +386,16 @@
 	}
 	r.alt = alt
 	if b.cfg.SecondCopies && alt != nil {
-		// The first attempt is not cut at θ: where a cut stops no work it would only throw
-		// away the answer, and a cut says less of the server than its answer.
+		// The first attempt is not cut at θ: where a cut stops no work it would only throw away the answer,
+		// and a cut says less of the server than its answer.
 		b.do(SetTimer{Token: 2*r.seq + 1, After: theta})
 		theta = r.end - b.now
 	}
 	b.send(r, pick, theta)
 }
 
-// choose returns the server of the first send, its time-out and the
-// alternative; no server where there is no real chance.
+// choose returns the server of the first send, its time-out and the alternative; no server where there is no
+// real chance.
 func (b *Balancer) choose(r *request) (*server, time.Duration, *server) {
 	left := r.end - b.now
 	cand := b.gather(nil, r)
@@ -417,8 +413,8 @@
 	// same, or a class refused once would be refused for ever; fewer the more was sent in vain.
 	need := b.enough(r)*(r.class.r+r.class.v) - r.class.v
 	b.room, b.roomAt = min(b.room+roomLeast*(b.now-b.roomAt).Seconds(), roomMost), b.now
-	// Where capacity has gone and this node's part of the load is thin, what is left is not known to bear
-	// the load, and crowded it stays slow: less is let in at once, least of what is worth much, then more.
+	// Where capacity has gone and this node's part of the load is thin, what is left is not known to bear the
+	// load, and crowded it stays slow: less is let in at once, least of what is worth much, then more.
 	if b.rng.Float64()*max(r.worth, 1e-9) < (1-b.left)*b.worth {
 		return nil, 0, nil
 	}
@@ -455,16 +451,15 @@
 	return pick, theta, alt
 }
 
-// enough is the chance below which a request is refused. In a jam the work that is let in displaces
-// other work, so it has to earn what other work would: a class worth little is refused sooner than one
-// worth much, and altogether where that much worth is missed among what was let in.
+// enough is the chance below which a request is refused. In a jam the work that is let in displaces other
+// work, so it has to earn what other work would: a class worth little is refused sooner than one worth much,
+// and altogether where that much worth is missed among what was let in.
 func (b *Balancer) enough(r *request) float64 {
 	share := b.worth / max(r.worth, 1e-9)
 	return max(min(max(realChance*math.Sqrt(share), chanceLeast), chanceMost), min(b.missed*share, 1))
 }
 
-// idlest returns the first candidate without work of this node, else the one
-// with the least for its capacity.
+// idlest returns the first candidate without work of this node, else the one with the least for its capacity.
 func (b *Balancer) idlest(cand []*server) *server {
 	best := cand[0]
 	for _, s := range cand {
@@ -475,8 +470,8 @@
 	return best
 }
 
-// cheapest returns a candidate that costs less to send to than the pick, in crossings and new
-// connections, has no more work of this node and whose worse payoff, if any, is outweighed by that.
+// cheapest returns a candidate that costs less to send to than the pick, in crossings and new connections,
+// has no more work of this node and whose worse payoff, if any, is outweighed by that.
 func (b *Balancer) cheapest(r *request, pick *server, cand []*server) *server {
 	price := b.price(pick)
 	if price == 0 {
@@ -505,10 +500,9 @@
 	return p
 }
 
-// gather draws candidates in random order by capacity: all of a small subset, a
-// sample of a large one, or where nobody of it may be sent to, all there are. It
-// leaves out servers that may not be sent to now; those set aside only come where
-// there is no other. With first, a server, it gathers for a retry after that one.
+// gather draws candidates in random order by capacity: all of a small subset, a sample of a large one, or
+// where nobody of it may be sent to, all there are. It leaves out servers that may not be sent to now; those
+// set aside only come where there is no other. With first, a server, it gathers for a retry after that one.
 func (b *Balancer) gather(first *server, r *request) []*server {
 	pool := b.subset()
 	b.cand, b.stamp = b.cand[:0], b.stamp+1
@@ -538,7 +532,7 @@
 }
 
 func (b *Balancer) consider(s, first *server, r *request) {
-	if s.mark == b.stamp || s == first || !b.maySend(r, s) ||
+	if s.mark == b.stamp || s == first || !b.maySend(r, s) || s.limit > 0 && s.load(b.now) >= s.limit ||
 		first != nil && r.class.Effect == Keyed && !r.class.sees(first.Zone, first.Cell, s) {
 		return
 	}
@@ -575,8 +569,8 @@
 // aside tells whether the server is set aside as an outlier.
 func (s *server) aside(now time.Duration) bool { return s.bad >= outlierAfter && now < s.until }
 
-// gain is the part of the worth to be expected from a server that is sent a
-// request after a pause and given until the end.
+// gain is the part of the worth to be expected from a server that is sent a request after a pause and given
+// until the end.
 func (b *Balancer) gain(r *request, s *server, pause time.Duration) float64 {
 	at := b.now + pause
 	g := b.chance(r, s, min(r.aim, r.end)-at)
@@ -714,14 +708,14 @@
 	t.s.inflight -= r.work
 	r.open--
 	if o.Result == TimedOut || o.Result == Canceled {
-		// Guards against taking a server for idle whose work a cut does not stop: the
-		// longer an attempt took, the longer it may still take.
+		// Guards against taking a server for idle whose work a cut does not stop: the longer an attempt took,
+		// the longer it may still take.
 		t.s.ghosts = append(t.s.ghosts, b.now+o.Latency)
 	}
 	b.learn(r, t, o)
 	if b.cfg.ConnectCharge == 0 && t.s.inflight == 0 {
-		// Many nodes' idle connections fill a server's table: it slows down, then turns
-		// others away. Opening one anew is dearer only where it has a price.
+		// Many nodes' idle connections fill a server's table: it slows down, then turns others away. Opening
+		// one anew is dearer only where it has a price.
 		b.do(CloseIdle{Server: t.s.ID})
 	}
 	switch {
@@ -852,10 +846,10 @@
 	return max(b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(age, 0), 0.01)
 }
 
-// mayTake tells whether a ready server may be sent something now. A cold one is held to this node's
-// share of what the server can do: a warm server of its size was seen to serve so much of this node,
-// and that, times the warmth, is safe however many nodes there are. What is served in a jam tells
-// nothing of that: by it, cold servers would stand idle while the warm ones are overrun.
+// mayTake tells whether a ready server may be sent something now. A cold one is held to this node's share of
+// what the server can do: a warm server of its size was seen to serve so much of this node, and that, times
+// the warmth, is safe however many nodes there are. What is served in a jam tells nothing of that: by it,
+// cold servers would stand idle while the warm ones are overrun.
 func (b *Balancer) mayTake(s *server) bool {
 	w := b.warmth(s)
 	if w >= 1 {
@@ -901,8 +895,8 @@
 		return
 	}
 	if s == nil || s.Born != e.Born {
-		// New, or another process under the same id: nothing learned holds for it.
-		// The budget starts at a random point so that nodes do not open together.
+		// New, or another process under the same id: nothing learned holds for it. The budget starts at a
+		// random point so that nodes do not open together.
 		if s != nil {
 			s.listed, s.State = false, Gone
 		}
@@ -917,8 +911,8 @@
 	s.Server, s.listed = e, true
 }
 
-// index lists the servers that take requests, old ones in their old order and
-// new ones in the order of the news.
+// index lists the servers that take requests, old ones in their old order and new ones in the order of the
+// news.
 func (b *Balancer) index(news []Server) {
 	old := b.ready
 	b.ready, b.stamp = make([]*server, 0, len(b.servers)), b.stamp+1
@@ -937,9 +931,9 @@
 	})
 }
 
-// subset returns the servers that this node sends to. In a large fleet they are a part of all: each gets
-// more of the node's requests, so it is known better and its connections stay in use. The servers stand on
-// a ring by hash, the nodes at even distances, so each server has about equally many nodes.
+// subset returns the servers that this node sends to. In a large fleet they are a part of all: each gets more
+// of the node's requests, so it is known better and its connections stay in use. The servers stand on a ring
+// by hash, the nodes at even distances, so each server has about equally many nodes.
 func (b *Balancer) subset() []*server {
 	if b.now-b.nearAt < curveLife && len(b.near) > 0 {
 		return b.near
@@ -988,14 +982,13 @@
 
 // asking is the state of this node's calls to discovery.
 type asking struct {
-	subscribed bool
-	pending    bool
-	since      time.Duration // of the call that is out
-	failures   int
+	subscribed, pending bool
+	since               time.Duration // of the call that is out
+	failures            int
 }
 
-// firstAsk sets the time of the first call, spread by the number of nodes:
-// discovery's capacity is shared and all nodes may start together.
+// firstAsk sets the time of the first call, spread by the number of nodes: discovery's capacity is shared and
+// all nodes may start together.
 func (b *Balancer) firstAsk() {
 	if !b.cfg.MustSubscribe {
 		return
@@ -1042,15 +1035,15 @@
 
 // reported takes a load report.
 func (b *Balancer) reported(s *server, report []float64) {
-	if b.field < 0 || b.field >= len(report) || !(report[b.field] >= 0) {
+	if s == nil || b.field < 0 || b.field >= len(report) || !(report[b.field] >= 0) {
 		return
 	}
 	s.report, s.reported = report[b.field], b.now
 	b.held += (s.report - b.held) * trustStep
 }
 
-// queue is the logarithm of what the server holds by its last report against
-// what servers hold on average; the older the report the less it tells.
+// queue is the logarithm of what the server holds by its last report against what servers hold on average;
+// the older the report the less it tells.
 func (b *Balancer) queue(s *server) float64 {
 	if s.reported == 0 {
 		return 0
@@ -1085,6 +1078,14 @@
 			b.trust.learn(t.queue, math.Log(max(x, 1e-3)))
 		}
 		s.stats.add(b.now, halfLife, x, !done)
+		if h := r.class.hint; h > 0 {
+			s.limit = cmp.Or(s.limit, limitFirst)
+			if s.slow += (math.Log(o.Latency.Seconds()/(r.cost*h)) - s.slow) * paceStep; s.slow > math.Ln2 {
+				s.limit = max(s.limit*limitCut, 1)
+			} else if s.load(b.now)+1 >= s.limit { // the limit was reached
+				s.limit = min(s.limit+1/s.limit, limitMost)
+			}
+		}
 		k.add(b.now, kindLife, x, !done)
 		r.class.follow(o.Latency.Seconds()/(0.5+0.5*r.cost), done)
 		if done {
@@ -1105,8 +1106,8 @@
 	}
 }
 
-// blame counts a bad answer; an outlier is set aside, longer each time. What
-// was out then and goes bad as well, a jam's worth at once, says nothing new.
+// blame counts a bad answer; an outlier is set aside, longer each time. What was out then and goes bad as
+// well, a jam's worth at once, says nothing new.
 func (b *Balancer) blame(s *server, t *attempt) {
 	if t.mayRun {
 		s.badPart += (1 - s.badPart) * badStep
@@ -1119,9 +1120,9 @@
 	}
 }
 
-// outlier tells whether a server has had more bad answers in a row than what
-// befalls all servers alike would bring. Where connections break at every one,
-// or all are jammed, setting aside one after the other jams the rest.
+// outlier tells whether a server has had more bad answers in a row than what befalls all servers alike would
+// bring. Where connections break at every one, or all are jammed, setting aside one after the other jams the
+// rest.
 func (b *Balancer) outlier(s *server) bool {
 	if b.now-b.drawn >= curveLife && len(b.ready) > 0 {
 		parts := make([]float64, len(b.ready))
@@ -1149,8 +1150,8 @@
 	c.scale = min(max(c.scale, c.Aim.Seconds()/200), c.Deadline.Seconds()*4)
 }
 
-// chance is F(t): how likely the server answers the request within t. Its own
-// work for this node, and what it lacks in warmth, stretch the time it needs.
+// chance is F(t): how likely the server answers the request within t. Its own work for this node, and what it
+// lacks in warmth, stretch the time it needs.
 func (b *Balancer) chance(r *request, s *server, t time.Duration) float64 {
 	if t <= 0 {
 		return 0
@@ -1175,12 +1176,11 @@
 
 // curve is an ageing histogram of latencies and the survival curve drawn from it.
 type curve struct {
-	done  [bins + 1]float64 // answered; the last bin holds what came past any deadline
-	cut   [bins + 1]float64 // censored: cut off in this bin
-	aged  time.Duration
-	surv  [bins]float64 // chance to take longer than the upper edge of each bin
-	drawn time.Duration
-	valid bool
+	done        [bins + 1]float64 // answered; the last bin holds what came past any deadline
+	cut         [bins + 1]float64 // censored: cut off in this bin
+	surv        [bins]float64     // chance to take longer than the upper edge of each bin
+	aged, drawn time.Duration
+	valid       bool
 }
 
 func position(x float64) float64 { return (math.Log2(x) + lowestOctave) * binsPerOctave }
@@ -1192,11 +1192,11 @@
 	if p := position(max(x, 1e-9)); p > 0 {
 		i = int(min(p, bins))
 	}
+	to := &c.done
 	if censored {
-		c.cut[i]++
-	} else {
-		c.done[i]++
+		to = &c.cut
 	}
+	to[i]++
 	c.valid = false
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -817,3 +817,43 @@
 	assert.Contains(t, out, Action(Refuse{ID: "r"}), "no second attempt, and nothing has run")
 	assert.Zero(t, b.servers[to].load(now))
 }
+
+// outMost plays requests of 50 ms hinted work, one every gap, to a node of one server that answers each
+// after took, and returns the most that the node had out to it at once in the second half.
+func outMost(t *testing.T, gap, took time.Duration) int {
+	cfg := testSettings()
+	cfg.SecondCopies = false
+	cfg.Classes = []Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second, Worth: 5, Effect: Safe}}
+	b := newNode(t, cfg, Server{ID: "a", Capacity: 1})
+	due := map[RequestID]time.Duration{} // when the answer of what is out comes
+	most, n := 0, 400
+	for i := range n {
+		now := time.Duration(i) * gap
+		for id, at := range due {
+			if at <= now {
+				delete(due, id)
+				b.Handle(at, Outcome{ID: id, Result: OK, Final: true, Server: "a", Latency: took})
+			}
+		}
+		id := RequestID(fmt.Sprint(i))
+		for _, s := range of[Send](b.Handle(now, Request{ID: id, Class: "c", Expires: 2 * time.Second, Hint: 50 * ms})) {
+			due[s.ID] = now + took
+		}
+		if i > n/2 {
+			most = max(most, len(due))
+		}
+	}
+	return most
+}
+
+// Where answers take four times the work that requests tell, every core of the server has a queue, which
+// makes it slower still: the node keeps one out and turns the rest away. Where they take about the work,
+// it sends as many as come, past its first limit.
+func TestAnswersSlowerThanTheirWorkLimitWhatIsOut(t *testing.T) {
+	if got := outMost(t, 10*ms, 200*ms); got > 2 {
+		t.Errorf("%d out at once to a server that takes four times the work", got)
+	}
+	if got := outMost(t, 5*ms, 60*ms); got < 8 {
+		t.Errorf("only %d out at once to a server that answers in the time of the work", got)
+	}
+}
