Keep the limit per backend in maySend, so a retry to its alternative keeps it too

Reading the change again: the limit was checked in consider(), beside maySend, its twin. retry() sends to the alternative chosen at the first send after asking maySend alone, so a retry could go to a backend at its limit. The check now stands in maySend, the one rule on who may be sent to now; consider() asks only that.

No new test covers the retry path.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -532,7 +532,7 @@
 }
 
 func (b *Balancer) consider(s, first *server, r *request) {
-	if s.mark == b.stamp || s == first || !b.maySend(r, s) || s.limit > 0 && s.load(b.now) >= s.limit ||
+	if s.mark == b.stamp || s == first || !b.maySend(r, s) ||
 		first != nil && r.class.Effect == Keyed && !r.class.sees(first.Zone, first.Cell, s) {
 		return
 	}
@@ -648,7 +648,7 @@
 
 // maySend tells whether no rule forbids a send to the server now.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	return s.serves() && b.mayTake(s) && b.mayRepeat(r, s)
+	return s.serves() && (s.limit == 0 || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
 }
 
 // mayRepeat tells whether a further attempt to s can double no effect.
