Tell the module a req's work hint and account, which the front left unread

Checked: the adapter hands on hint and tenant (wire.go, knock); session.read took neither X-Weight-Hint nor X-Account out of a req and Owner.Request had no place for them, so no limit was learned and nobody was over a share on any real node.

Change: core.Req carries Tenant and Hint, the front reads them, the owner tells them. An odd hint counts as not told; two accounts are malformed.

The test fails without the hint (the third req waits at the backend instead of being refused).

--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -625,3 +625,45 @@
 	assert.Equal(t, 200, n.ask("topup").status)
 	n.until("the attempt is logged", func() bool { return strings.Contains(n.log.String(), `"cause":"ok"`) })
 }
+
+// TestHintIsHeeded: where a req hints its work, the node learns how many reqs a backend
+// bears, two at first, and refuses what would be a third there at once.
+func TestHintIsHeeded(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+		if r.Header.Get("X-Correlation-Id") != "first" {
+			<-release
+		}
+		return ok(c, r)
+	})
+	n, _ := serve(t, b.Addr)
+	ask := func(id, hint string) <-chan *answer {
+		h := headers("topup")
+		h["X-Correlation-Id"], h["X-Weight-Hint"] = id, hint
+		got := make(chan *answer, 1)
+		go func() { got <- n.try("POST", "/api", "", h) }()
+		return got
+	}
+	status := func(c <-chan *answer) int {
+		a := receive(t, c, "an answer")
+		require.NotNil(t, a)
+		return a.status
+	}
+	require.Equal(t, 200, status(ask("first", "900000")))
+	receive(t, b.Seen, "the first req")
+	var held []<-chan *answer
+	for _, id := range []string{"second", "third"} {
+		held = append(held, ask(id, "9e5"))
+		receive(t, b.Seen, id)
+	}
+	for _, odd := range []string{"900000", "-1", "NaN", "1e300", "soon"} { // a guess, however odd, turns nobody away
+		assert.Equal(t, 503, status(ask("odd"+odd, odd)))
+	}
+	close(release)
+	for _, c := range held {
+		assert.Equal(t, 200, status(c))
+	}
+	two := n.raw("POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: two\r\nX-Service-Class: topup\r\n" +
+		"X-Account: a\r\nX-Account: b\r\nContent-Length: 0\r\n\r\n")
+	assert.Contains(t, two, "400 Bad Request")
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -216,11 +216,13 @@
 	if r.Open {
 		h.Arrived = o.world.Now()
 		h.until = h.Arrived.Add(openMost)
-		o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: r.Wait, Coming: true})
-		return
 	}
-	// What the req waited for its turn is gone from the client's patience.
-	o.tell(id, logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Expires: h.until.Sub(o.world.Now())})
+	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open}
+	if !r.Open {
+		// What the req waited for its turn is gone from the client's patience.
+		q.Expires = h.until.Sub(o.world.Now())
+	}
+	o.tell(id, q)
 }
 
 // openMost is beyond any time that a front lets a body take.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -527,7 +527,7 @@
 // read takes a req and takes out what the decisions need. All else stays the bytes that
 // came. A body up to what is held is read whole; a longer one goes on as it comes.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, c *client) (*core.Req, *incoming, error) {
-	for _, h := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key", "X-Repeat"} {
+	for _, h := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key", "X-Repeat", "X-Account"} {
 		if len(r.Header[h]) > 1 {
 			return nil, nil, errors.New(h + ": given more than once") // which one would be meant?
 		}
@@ -558,7 +558,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	req := &core.Req{ID: id, Class: name, Retry: r.Header.Get("X-Repeat") == "1", Wait: wait}
+	req := &core.Req{ID: id, Class: name, Retry: r.Header.Get("X-Repeat") == "1", Wait: wait,
+		Tenant: r.Header.Get("X-Account"), Hint: hint(r.Header.Get("X-Weight-Hint"))}
 	in := &incoming{src: http.MaxBytesReader(w, r.Body, message.Longest), control: http.NewResponseController(w),
 		began: time.Now(), within: f.opt.BodyWithin, broke: make(chan struct{}), budget: f.opt.Budget}
 	in.read.L = &in.mu
@@ -619,6 +620,16 @@
 	return time.Duration(n) * unit, nil
 }
 
+// hint reads a guess at a req's work, in microseconds. What is no time above 0 counts as
+// not told: nobody is turned away for a guess.
+func hint(text string) time.Duration {
+	us, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(us > 0 && us <= float64(time.Hour/time.Microsecond)) {
+		return 0
+	}
+	return time.Duration(us * float64(time.Microsecond))
+}
+
 // limited holds the connections of clients to a limit. For each over MaxSessions
 // one that waits without a req is shed; where there is none, those beyond the
 // overflow wait unaccepted.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -46,6 +46,7 @@
 		assert.NoError(t, err)
 		r.Header.Set("X-Correlation-Id", id)
 		r.Header.Set("X-Service-Class", "topup")
+		r.Header.Set("X-Account", "of "+id)
 		res, err := (&http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}).Do(r)
 		assert.NoError(t, err)
 		statuses <- res
@@ -59,6 +60,7 @@
 	assert.Equal(t, 503, res.StatusCode)
 	assert.Equal(t, "2.5", res.Header.Get("Retry-After"))
 	for _, r := range []core.Req{first, second} {
+		assert.Equal(t, "of "+r.ID, r.Tenant)
 		r.Session.Answer(core.Answer{Kind: core.Failed})
 		res = <-statuses
 		require.NotNil(t, res)
