--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,8 +78,9 @@
 	lingerFor   = time.Minute            // an outcome that has not come by then never will
 	minWithin   = 100 * time.Microsecond // no attempt is sent with less time than this
 
-	// Sends out to a server at first and at most, the cut of a slow answer, how fast latency is followed.
-	limitFirst, limitMost, limitCut, paceStep = 2.0, 64.0, 0.5, 0.2
+	// Sends out to a server at first and at most, the cut of a slow answer, how fast latency is followed, the
+	// doublings one answer counts at most (none alone cuts), latencies until what is out may be lost.
+	limitFirst, limitMost, limitCut, paceStep, slowMost, silentAfter = 2.0, 64.0, 0.5, 0.2, 4.0, 16.0
 )
 
 // Tokens of the module's own timers; those of requests come after.
@@ -145,24 +146,25 @@
 // server is a listed server and what this node knows of it.
 type server struct {
 	Server
-	listed   bool
-	inflight int
-	used     time.Duration   // when it last answered, and left an idle connection
-	ghosts   []time.Duration // until when cut attempts count as work it still has
-	stats    curve
-	bad      int           // bad answers in a row
-	badPart  float64       // part of its answers that were bad lately
-	judged   time.Duration // when it was last set aside
-	until    time.Duration // set aside till then
-	report   float64       // requests held by the last load report, and this node's sends since
-	reported time.Duration // when that came
-	tokens   float64       // cold budget left
-	filled   time.Duration // when tokens was brought up to date
-	mark     uint64
-	place    uint64 // on the ring
+	listed     bool
+	inflight   int
+	used, sent time.Duration   // when it last answered, which left an idle connection, and was last sent to
+	ghosts     []time.Duration // until when cut attempts count as work it still has
+	stats      curve
+	bad        int           // bad answers in a row
+	badPart    float64       // part of its answers that were bad lately
+	judged     time.Duration // when it was last set aside
+	until      time.Duration // set aside till then
+	report     float64       // requests held by the last load report, and this node's sends since
+	reported   time.Duration // when that came
+	tokens     float64       // cold budget left
+	filled     time.Duration // when tokens was brought up to date
+	mark       uint64
+	place      uint64 // on the ring
 	// Where requests tell their work, what this node may have out to it (0: none learned): less while
 	// it takes twice that or more, as with two requests a core, which soon slows it further; else more.
 	limit, slow float64 // and the logarithm of its latency against that work lately
+	base        float64 // the least that an answer took, most of it the way
 }
 
 // attempt is one send of a request.
@@ -320,8 +322,7 @@
 		r.unit = c.scale * (0.5 + 0.5*r.cost)
 	}
 	expires := min(q.Expires, c.Deadline)
-	// An answer still has to travel to the client and is seen a tick late.
-	aimLeft := aim - 2*b.cfg.Tick
+	aimLeft := aim - 2*b.cfg.Tick // an answer still has to travel to the client and is seen a tick late
 	if !c.usualTry(expires) {
 		aimLeft -= c.Deadline - expires
 	}
@@ -648,7 +649,8 @@
 
 // maySend tells whether no rule forbids a send to the server now.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	return s.serves() && (s.limit == 0 || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
+	free := s.limit == 0 || (b.now-s.sent).Seconds() > silentAfter*(s.base+r.cost*r.class.hint) // all may be lost
+	return s.serves() && (free || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
 }
 
 // mayRepeat tells whether a further attempt to s can double no effect.
@@ -686,7 +688,7 @@
 		s.tokens -= r.cost
 	}
 	t := attempt{s: s, zone: s.Zone, cell: s.Cell, queue: b.queue(s), sent: b.now, open: true, mayRun: true}
-	s.report++
+	s.report, s.sent = s.report+1, b.now
 	b.room--
 	r.tries = append(r.tries, t)
 	r.open++
@@ -942,8 +944,7 @@
 	b.span.add(b.now, b.warmSum*(b.now-b.nearAt).Seconds())
 	b.served.age(b.now)
 	gap := float64(b.now - b.nearAt)
-	fade := math.Exp2(-gap / float64(peakLife))
-	b.peak = max(b.served.sum/max(b.span.sum, b.warmSum, 1e-9), b.peak*fade) // a second's worth at least
+	b.peak = max(b.served.sum/max(b.span.sum, b.warmSum, 1e-9), b.peak*math.Exp2(-gap/float64(peakLife)))
 	b.near, b.nearAt, b.nearSum, b.warmSum = b.near[:0], b.now, 0, 0
 	want := min(max(subsetLeast, (n*coverLeast+nodes-1)/nodes), n)
 	need := 0.0 // capacity still to be found: cold servers and those set aside count for what they can do
@@ -1071,7 +1072,6 @@
 	s := t.s
 	b.reported(s, o.Report)
 	x := o.Latency.Seconds() / r.unit
-	k := b.kind(s.Kind)
 	switch done := o.Result == OK; o.Result {
 	case OK, TimedOut, Canceled:
 		if done || x > 1 {
@@ -1080,19 +1080,21 @@
 		s.stats.add(b.now, halfLife, x, !done)
 		if h := r.class.hint; h > 0 {
 			s.limit = cmp.Or(s.limit, limitFirst)
-			if s.slow += (math.Log(o.Latency.Seconds()/(r.cost*h)) - s.slow) * paceStep; s.slow > math.Ln2 {
+			x := math.Log(o.Latency.Seconds() / (s.base/2 + r.cost*h)) // twice the work, and the way once
+			if s.slow += (min(x, slowMost*math.Ln2) - s.slow) * paceStep; s.slow > math.Ln2 {
 				s.limit = max(s.limit*limitCut, 1)
 			} else if s.load(b.now)+1 >= s.limit { // the limit was reached
 				s.limit = min(s.limit+1/s.limit, limitMost)
 			}
 		}
-		k.add(b.now, kindLife, x, !done)
+		b.kind(s.Kind).add(b.now, kindLife, x, !done)
 		r.class.follow(o.Latency.Seconds()/(0.5+0.5*r.cost), done)
 		if done {
 			if b.warmth(s) >= 1 {
 				b.served.add(b.now, r.cost)
 			}
 			s.bad, s.used, s.badPart = 0, b.now, s.badPart*(1-badStep)
+			s.base = min(cmp.Or(s.base, o.Latency.Seconds()), o.Latency.Seconds())
 		} else if o.Result == TimedOut && b.now >= r.aim {
 			b.blame(s, t)
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -818,42 +818,58 @@
 	assert.Zero(t, b.servers[to].load(now))
 }
 
-// outMost plays requests of 50 ms hinted work, one every gap, to a node of one server that answers each
-// after took, and returns the most that the node had out to it at once in the second half.
-func outMost(t *testing.T, gap, took time.Duration) int {
+// outMost plays requests of uneven work, by its mean, one every gap, to a node of one server that answers
+// each after the way and so many times its work, and returns the most that the node had out to it at once in
+// the second half, and how many were answered then. Those sent in a while before it get no answer.
+func outMost(t *testing.T, gap, way, work time.Duration, times float64, silent int) (most, answered int) {
 	cfg := testSettings()
 	cfg.SecondCopies = false
 	cfg.Classes = []Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second, Worth: 5, Effect: Safe}}
 	b := newNode(t, cfg, Server{ID: "a", Capacity: 1})
-	due := map[RequestID]time.Duration{} // when the answer of what is out comes
-	most, n := 0, 400
+	due := map[RequestID]Outcome{}
+	end := map[RequestID]time.Duration{} // when the answer of what is out comes
+	const n = 400
 	for i := range n {
 		now := time.Duration(i) * gap
-		for id, at := range due {
+		for id, at := range end {
 			if at <= now {
-				delete(due, id)
-				b.Handle(at, Outcome{ID: id, Result: OK, Final: true, Server: "a", Latency: took})
+				delete(end, id)
+				b.Handle(at, due[id])
+				if answered++; i <= n/2 {
+					answered = 0
+				}
 			}
 		}
-		id := RequestID(fmt.Sprint(i))
-		for _, s := range of[Send](b.Handle(now, Request{ID: id, Class: "c", Expires: 2 * time.Second, Hint: 50 * ms})) {
-			due[s.ID] = now + took
+		id, hint := RequestID(fmt.Sprint(i)), work*time.Duration(2+i*7%16)/10
+		for _, s := range of[Send](b.Handle(now, Request{ID: id, Class: "c", Expires: 2 * time.Second, Hint: hint})) {
+			took := way + time.Duration(times*float64(hint))
+			if due[s.ID] = (Outcome{ID: id, Result: OK, Final: true, Server: "a", Latency: took}); i > n/4 && i <= n/4+silent {
+				took = time.Hour
+			}
+			end[s.ID] = now + took
 		}
 		if i > n/2 {
-			most = max(most, len(due))
+			most = max(most, len(end))
 		}
 	}
-	return most
+	return most, answered
 }
 
 // Where answers take four times the work that requests tell, every core of the server has a queue, which
 // makes it slower still: the node keeps one out and turns the rest away. Where they take about the work,
-// it sends as many as come, past its first limit.
+// it sends as many as come, past its first limit, also where most of the time goes on the way. Sends that
+// have gone silent don't hold its places for as long as they last.
 func TestAnswersSlowerThanTheirWorkLimitWhatIsOut(t *testing.T) {
-	if got := outMost(t, 10*ms, 200*ms); got > 2 {
+	if got, _ := outMost(t, 10*ms, 0, 50*ms, 4, 0); got > 2 {
 		t.Errorf("%d out at once to a server that takes four times the work", got)
 	}
-	if got := outMost(t, 5*ms, 60*ms); got < 8 {
+	if got, _ := outMost(t, 5*ms, 0, 50*ms, 1.2, 0); got < 8 {
 		t.Errorf("only %d out at once to a server that answers in the time of the work", got)
 	}
+	if got, _ := outMost(t, ms, 10*ms, 3*ms, 1.2, 0); got < 8 {
+		t.Errorf("only %d out at once to a server that is a long way off", got)
+	}
+	if _, got := outMost(t, 4*ms, 0, 3*ms, 1.2, 50); got < 20 {
+		t.Errorf("only %d answers of a server that has been silent for a while", got)
+	}
 }
