--- a/logic/logic.go
+++ b/logic/logic.go
@@ -647,9 +647,9 @@
 		(r.most == 0 || len(r.tries)+1 < r.most)
 }
 
-// maySend tells whether no rule forbids a send to the server now.
+// maySend tells whether no rule forbids a send to the server now. All that is out for long may be lost.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	free := s.limit == 0 || (b.now-s.sent).Seconds() > silentAfter*(s.base+r.cost*r.class.hint) // all may be lost
+	free := s.limit == 0 || (b.now-s.sent).Seconds() > silentAfter*(s.base+r.cost*r.class.hint)
 	return s.serves() && (free || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
 }
 
