Rig for the loss of a site: oaklab fault site-loss, one-way cuts, an ideal by capacity

The rig plays a scenario with real nodes killed -9, silent backends, a cold return with old lists and cuts in one direction, on loopback or in virtual time, through the same models and the auditor.

The test starts four real nodes and loses a site and a way.

--- /dev/null
+++ b/cmd/oaklab/fault_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/cli"
+	"pipitmux/internal/fault"
+	"pipitmux/internal/fleet"
+
+	"pipitmux/internal/emulator"
+)
+
+// Troubles of a short day in two sites: one is lost with its nodes and comes back cold
+// while the other is overloaded; then what one sends the other is lost, as reqs and answers.
+const siteTroubles = `
+troubles:
+  - {kind: zone_loss, at_s: 2, for_s: 2, size: 1, zone: a}
+  - {kind: shared_slow, at_s: 3, for_s: 2, size: 2}
+  - {kind: cut, at_s: 6, for_s: 1.5, zone: a, to: b}
+`
+
+// A site with two of four real nodes is killed with -9, its backends fall silent, and it
+// comes back with old lists; then a cut in one direction. No rule is broken, reqs and
+// answers were lost in the cut, and the fleet serves again after it all.
+func TestSiteLossOfRealNodes(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "oakseam")
+	out, err := exec.Command("go", "build", "-o", program, "../oakseam").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	day, _, _ := strings.Cut(onSockets, "troubles:")
+	day = strings.NewReplacer("seconds: 5", "seconds: 10", "count: 2", "count: 4", "per_second: 30", "per_second: 120").Replace(day)
+	sc, err := emulator.Parse("site.yaml", []byte(day+siteTroubles))
+	require.NoError(t, err)
+	sc.Nodes.Zones = []string{"a", "b", "a", "b"}
+	r, err := fleet.Run(t.Context(), sc, 1, fleet.Options{Program: program, Sockets: 512, MemoryMB: 64, LogDir: dir, Progress: func(_, _ time.Duration) {}})
+	require.NoError(t, err)
+	assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
+	assert.Positive(t, r.CutOff)
+	s, err := fault.Sum(sc, r, "processes")
+	require.NoError(t, err)
+	assert.Less(t, s.ReturnOvershoot, s.OvershootLimit)
+	assert.Less(t, s.During.Won, s.Before.Won, "half of the fleet was gone")
+	assert.Greater(t, s.After.Won, s.Before.Won/2, "and came back")
+	for _, h := range []string{"zone_loss", "zone_loss over", "cut", "cut over"} {
+		assert.Contains(t, happened(r), h)
+	}
+}
+
+func happened(r *emulator.Result) (what []string) {
+	for _, h := range r.Happened {
+		what = append(what, h.What)
+	}
+	return what
+}
+
+// The report's keys are there, the same day gives the same bytes, and a scenario without
+// a loss is turned down by name.
+func TestSiteLossEmulated(t *testing.T) {
+	args := []string{"fault", "site-loss", "../../deploy/lab/site-loss.yaml", "--emulated", "--json", "--seed", "3"}
+	code, first, errs := lab(args...)
+	require.Equal(t, cli.OK, code, errs)
+	_, second, _ := lab(args...)
+	assert.Equal(t, first, second)
+	var s map[string]any
+	require.NoError(t, json.Unmarshal([]byte(first), &s))
+	for _, k := range []string{"unanswered", "double_effects", "late_drain_sends", "felled_backends", "refused_by_worth", "return_overshoot",
+		"before", "during", "after", "steady_after_s"} {
+		assert.Contains(t, s, k)
+	}
+	bad := filepath.Join(t.TempDir(), "calm.yaml")
+	day, _, _ := strings.Cut(onSockets, "troubles:")
+	require.NoError(t, os.WriteFile(bad, []byte(day), 0o600))
+	code, _, errs = lab("fault", "site-loss", bad)
+	assert.Equal(t, cli.Misuse, code)
+	assert.Contains(t, errs, "a zone_loss or a cut at a stated time is wanted")
+	code, _, errs = lab("emulate", "../../deploy/lab/site-loss.yaml", "--set", "troubles.0.kind=cut")
+	assert.Equal(t, cli.Misuse, code)
+	assert.Contains(t, errs, "troubles.0.to")
+}
--- a/cmd/oaklab/fleet.go
+++ b/cmd/oaklab/fleet.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"pipitmux/internal/cli"
 	"pipitmux/internal/fleet"
@@ -31,19 +30,7 @@
 			if err != nil {
 				return cli.Wrong(err)
 			}
-			if opt.Program == "" {
-				if opt.Program, err = beside("oakseam"); err != nil {
-					return cli.Wrong(fmt.Errorf("--node: %w", err))
-				}
-			}
-			if opt.LogDir != "" {
-				if err := os.MkdirAll(opt.LogDir, 0o755); err != nil {
-					return cli.Wrong(err)
-				}
-			}
-			p := cli.NewProgress(c.ErrOrStderr())
-			opt.Progress = func(at, of time.Duration) { p.Say("%.0f of %.0f s played", at.Seconds(), of.Seconds()) }
-			r, err := fleet.Run(c.Context(), sc, seed, opt)
+			r, err := onLoopback(c.Context(), sc, seed, opt, c.ErrOrStderr())
 			if err != nil {
 				return err
 			}
@@ -54,11 +41,16 @@
 	f.Uint64Var(&seed, "seed", 1, "which day is drawn")
 	f.StringArrayVar(&sets, "set", nil, "KEY=VALUE in place of the scenario's, such as nodes.count=4")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
+	fleetFlags(f, &opt)
+	return c
+}
+
+// fleetFlags are those of the commands that start real nodes.
+func fleetFlags(f *pflag.FlagSet, opt *fleet.Options) {
 	f.StringVar(&opt.Program, "node", "", "the node's program (default: oakseam beside this program)")
 	f.StringVar(&opt.LogDir, "logs", "", "keep the nodes' logs in this folder")
 	f.IntVar(&opt.Sockets, "sockets", 1024, "descriptors that a node is told to keep to")
 	f.IntVar(&opt.MemoryMB, "memory-mb", 192, "memory that a node is told to keep to")
-	return c
 }
 
 // beside returns the path of a program in the folder of this one.
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -71,8 +71,9 @@
 	DoubleEffects  int      `json:"double_effects"`
 	LateDrainSends int      `json:"late_drain_sends"`
 	FelledBackends int      `json:"felled_backends"`
-	Taken          int      `json:"-"` // reqs that were judged
-	Broken         []Broken `json:"-"` // the first detailMost of each rule
+	Overshoot      float64  `json:"overshoot"` // the most that a cold backend was sent within a window, as a multiple of its capacity
+	Taken          int      `json:"-"`         // reqs that were judged
+	Broken         []Broken `json:"-"`         // the first detailMost of each rule
 }
 
 // Clean tells that no rule was broken.
@@ -421,7 +422,11 @@
 	if p.felled {
 		return true
 	}
-	if p.Add(at, work, capacity, a.rules) {
+	felled := p.Add(at, work, capacity, a.rules)
+	if w := a.rules.FallAfter.Seconds(); w > 0 && capacity > 0 {
+		a.report.Overshoot = max(a.report.Overshoot, p.sum/(capacity*w))
+	}
+	if felled {
 		p.felled = true
 		a.breach(Felled, at, -1, "", server, fmt.Sprintf("%.2f s of work within %.1f s at a capacity of %.2f a second",
 			p.sum, a.rules.FallAfter.Seconds(), capacity), []note{{at, "felled", "", server, -1}})
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -235,7 +235,7 @@
 		wait = max(wait, min(pause, w.sc.Clients.MaxRetryAfterMS.ms()))
 	}
 	if !harmless || o.tries > int(w.sc.Clients.Retries.From) || w.now+wait >= o.began+o.class.DeadlineMS.ms() {
-		w.tally.lost(o)
+		w.tally.lost(o, v)
 		return
 	}
 	w.after(wait, o.try)
--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -44,6 +44,9 @@
 	Kill(node int)
 	// Backend tells how a backend's machine is from now on. The first call makes it.
 	Backend(no int, how Machine)
+	// Cut tells whether new connections of a node to a backend come up from now on. What
+	// is open stays open; where the cut heals, it is reset.
+	Cut(node, backend int, cut bool)
 	// Send sends a client's req to a node and calls Live.Sending, then Live.Done once.
 	Send(Try)
 }
@@ -267,6 +270,9 @@
 			opening = w.sc.Conns.WorkUS.From / 1e6
 			w.handshakes++
 		}
+		if w.loses(n.zone, b.zone) {
+			return
+		}
 		w.after(w.delay(n.zone, b.zone), func() { a.reach(opening) })
 	})
 	return func() {
@@ -283,6 +289,9 @@
 // live has the reply to an attempt go out over its socket.
 func (a *attempt) live(r logic.Result, report []float64, more time.Duration) {
 	w := a.b.w
+	if w.loses(a.b.zone, a.n.zone) {
+		return // its node waits in vain
+	}
 	w.after(more+w.delay(a.b.zone, a.n.zone), func() {
 		if a.over {
 			return
@@ -293,6 +302,9 @@
 	})
 }
 
+// Serves tells whether a backend's process is up. It belongs to the calls of an Outside.
+func (l *Live) Serves(backend int) bool { return l.w.backends[backend].state == Up }
+
 // Conns tells that a node opened (1) or closed (-1) a connection to a backend.
 func (l *Live) Conns(backend, by int) {
 	l.post(func() {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -191,7 +191,9 @@
 	}
 	if att.conn {
 		att.begun = true // its bytes leave at once
-		w.after(way, func() { att.reach(0) })
+		if !w.loses(n.zone, b.zone) {
+			w.after(way, func() { att.reach(0) })
+		}
 		return
 	}
 	if most := w.sc.Nodes.Connections; most > 0 && n.open >= most {
@@ -201,7 +203,7 @@
 	n.open++
 	att.conn = true
 	w.handshakes++
-	if b.state == Silent {
+	if b.state == Silent || w.lost(n.zone, b.zone) || w.lost(b.zone, n.zone) {
 		w.after(w.sc.Conns.TimeoutMS.ms(), func() { att.endNow(logic.ConnectFailed, nil) })
 		return
 	}
@@ -258,6 +260,9 @@
 		a.live(r, report, more)
 		return
 	}
+	if a.begun && a.n.w.loses(a.b.zone, a.n.zone) {
+		return // the answer is lost on its way: the attempt times out
+	}
 	a.n.w.after(more+a.n.w.delay(a.b.zone, a.n.zone), func() { a.endNow(r, report) })
 }
 
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -13,16 +15,19 @@
 
 // ClassResult is what became of one class.
 type ClassResult struct {
-	Asked  int     `json:"asked"`
-	Served int     `json:"served"`
-	InAim  int     `json:"in_aim"`
-	G      float64 `json:"g"`
+	Asked  int `json:"asked"`
+	Served int `json:"served"`
+	InAim  int `json:"in_aim"`
+	// Refused counts operations whose last try was refused, by which the client gave up.
+	Refused int     `json:"refused"`
+	G       float64 `json:"g"`
 }
 
 // Second is one second of the day, by the operations that began in it.
 type Second struct {
 	Asked float64 `json:"asked"` // worth
 	Won   float64 `json:"won"`
+	Ideal float64 `json:"ideal"` // worth that the capacity of the backends that were up allows
 }
 
 // Result is what a day came to. It holds no figure of the machine it ran on:
@@ -44,7 +49,8 @@
 	Retries   int                          `json:"retries"` // attempts beyond the first of a req
 	ToCold    int                          `json:"sends_to_cold"`
 	Opened    int                          `json:"connections_opened"`
-	Crowded   int                          `json:"crowded"` // times that a backend became so
+	Crowded   int                          `json:"crowded"`      // times that a backend became so
+	CutOff    int                          `json:"lost_in_cuts"` // reqs and answers
 	Rules     *audit.Report                `json:"rules"`
 	Broken    []audit.Broken               `json:"broken,omitempty"`
 	Events    int                          `json:"events"` // emulated
@@ -61,6 +67,49 @@
 	lateEnd float64 // worth of what ended unserved after its aim
 	worth   float64
 	start   time.Duration
+	able    []float64       // by second: seconds of work that the backends could do
+	came    [][]classDemand // by second and class
+}
+
+// classDemand is what came of one class within a second.
+type classDemand struct{ worth, work float64 }
+
+// lookEvery is how often the backends' capacity is looked at.
+const lookEvery = 100 * time.Millisecond
+
+// look adds up what the backends that are up can do, until the clients have gone. What a
+// policy has crowded counts as if it had not.
+func (t *tally) look() {
+	if t.w.now >= t.w.traffic.until {
+		return
+	}
+	sum := 0.0
+	for _, b := range t.w.backends {
+		if b.state == Up && !b.draining && b.hanging == 0 && !b.paused {
+			sum += b.bearable() / b.slow * (1 - b.failing)
+		}
+	}
+	if i := int((t.w.now - t.start) / time.Second); t.w.now >= t.start {
+		for len(t.able) <= i {
+			t.able = append(t.able, 0)
+		}
+		t.able[i] += sum * lookEvery.Seconds()
+	}
+	t.w.after(lookEvery, t.look)
+}
+
+// ideal is the worth of a second's reqs that its capacity allows, the most worth for
+// its work first.
+func ideal(came []classDemand, able float64) (worth float64) {
+	came = slices.Clone(came)
+	slices.SortFunc(came, func(a, b classDemand) int { return cmp.Compare(b.worth*a.work, a.worth*b.work) })
+	for _, c := range came {
+		if c.work > 0 {
+			part := min(able/c.work, 1)
+			worth, able = worth+part*c.worth, able-part*c.work
+		}
+	}
+	return worth
 }
 
 type classTally struct {
@@ -101,6 +150,16 @@
 	c.worth += o.class.Worth.From
 	t.worth += o.class.Worth.From
 	t.second(o).Asked += o.class.Worth.From
+	i := len(t.seconds) - 1
+	for len(t.came) <= i {
+		t.came = append(t.came, make([]classDemand, len(t.w.sc.Classes)))
+	}
+	for k := range t.w.sc.Classes {
+		if &t.w.sc.Classes[k] == o.class {
+			t.came[i][k].worth += o.class.Worth.From
+			t.came[i][k].work += o.work
+		}
+	}
 }
 
 func (t *tally) answered(k core.Kind) { t.answers[k]++ }
@@ -124,7 +183,10 @@
 	t.second(o).Won += won
 }
 
-func (t *tally) lost(o *op) {
+func (t *tally) lost(o *op, v verdict) {
+	if t.counts(o) && v == refused {
+		t.asks[o.class].Refused++
+	}
 	if t.counts(o) && t.w.now-o.began > o.class.AimMS.ms() {
 		t.lateEnd += o.class.Worth.From
 	}
@@ -136,7 +198,7 @@
 	t, sc := w.tally, w.sc
 	r := &Result{Scenario: sc.Name, Policy: policy, Seed: seed, Nodes: len(w.nodes), Reqs: int(w.traffic.ops), Tries: int(w.traffic.tries),
 		LatencyMS: map[string]latency.Quantiles{}, Classes: map[string]ClassResult{}, Answers: map[string]int{}, Parts: map[string]float64{},
-		Attempts: w.sends, Retries: w.resent, ToCold: w.toCold, Opened: w.handshakes, Crowded: w.crowdings, Events: w.events, Happened: w.happenings}
+		Attempts: w.sends, Retries: w.resent, ToCold: w.toCold, Opened: w.handshakes, Crowded: w.crowdings, CutOff: w.lostInCuts, Events: w.events, Happened: w.happenings}
 	for _, b := range w.backends {
 		if !b.retired {
 			r.Backends++
@@ -173,8 +235,11 @@
 		r.G = round6(sc.Goal.Whole.From*whole + sc.Goal.WorstWindow.From*window + sc.Goal.WorstClass.From*worstClass - prices)
 		r.Parts = map[string]float64{"whole": round6(whole), "worst_window": round6(window), "worst_class": round6(worstClass), "prices": round6(prices)}
 	}
-	for _, s := range t.seconds {
-		r.Seconds = append(r.Seconds, Second{round6(s.Asked), round6(s.Won)})
+	for i, s := range t.seconds {
+		if i < len(t.able) && i < len(t.came) {
+			s.Ideal = ideal(t.came[i], t.able[i])
+		}
+		r.Seconds = append(r.Seconds, Second{round6(s.Asked), round6(s.Won), round6(s.Ideal)})
 	}
 	r.Rules = w.audit.Finish(w.now)
 	r.Broken = r.Rules.Broken
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -260,7 +260,8 @@
 	ForS Span   `yaml:"for_s"`
 	Part Span   `yaml:"part"` // of the fleet
 	Size Span   `yaml:"size"` // how much slower, or what share fails, or over 0.5: with its nodes
-	Zone string `yaml:"zone"` // of a zone_loss; drawn where empty
+	Zone string `yaml:"zone"` // of a zone_loss; drawn where empty. From it nothing comes through a cut
+	To   string `yaml:"to"`   // a cut's other end
 	On   []int  `yaml:"on"`   // stated backends, in place of part
 }
 
@@ -272,7 +273,7 @@
 
 // TroubleKinds lists what can go wrong.
 var TroubleKinds = []string{"vanish", "slow", "hang", "fast_errors", "zone_loss", "shared_slow",
-	"replace", "restart_nodes", "discovery_down", "discovery_slow"}
+	"replace", "restart_nodes", "discovery_down", "discovery_slow", "cut"}
 
 var (
 	cancelModes = []string{"none", "waiting", "all"}
@@ -573,6 +574,15 @@
 	if t.Zone != "" {
 		c.oneOf(k+".zone", t.Zone, zones)
 	}
+	if t.Kind == "cut" {
+		c.oneOf(k+".zone", t.Zone, zones)
+		c.oneOf(k+".to", t.To, zones)
+		if t.Zone == t.To {
+			c.bad(k+".to", "must be another zone than the one it cuts off")
+		}
+	} else if t.To != "" {
+		c.bad(k+".to", "belongs to a cut alone")
+	}
 	for _, n := range t.On {
 		if size := max(len(s.Fleet.Backends), int(s.Fleet.Size.From)); n < 0 || n >= size {
 			c.bad(k+".on", "%d is no backend of the fleet", n)
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -87,6 +87,8 @@
 				w.restart(n, time.Duration(w.rng.Float64()*float64(last)))
 			}
 		}, nil)
+	case "cut":
+		run(func() { w.cutOff(zone, w.sc.zone(t.To), 1) }, func() { w.cutOff(zone, w.sc.zone(t.To), -1) })
 	case "discovery_down":
 		run(func() { w.disc.down++; w.disc.breakWatches() }, func() { w.disc.down-- })
 	case "discovery_slow":
@@ -98,6 +100,8 @@
 	switch kind {
 	case "zone_loss":
 		return w.sc.Zones[zone].Name
+	case "cut":
+		return "from " + w.sc.Zones[zone].Name
 	case "shared_slow", "restart_nodes", "discovery_down", "discovery_slow":
 		return ""
 	}
@@ -171,6 +175,35 @@
 	})
 }
 
+// cutOff begins or heals a cut: what nodes and backends of a zone send to those of
+// another is lost. The two halves of a handshake need both ways, so no connection comes
+// up between them whichever way is cut.
+func (w *world) cutOff(from, to, by int) {
+	w.cuts[[2]int{from, to}] += by
+	if w.live == nil || w.live.out == nil {
+		return
+	}
+	for _, n := range w.nodes {
+		for _, b := range w.backends {
+			if n.zone != b.zone && (n.zone == from && b.zone == to || n.zone == to && b.zone == from) {
+				w.live.out.Cut(n.no, b.no, w.lost(n.zone, b.zone) || w.lost(b.zone, n.zone))
+			}
+		}
+	}
+}
+
+// lost tells whether what is sent from one zone to another now is lost.
+func (w *world) lost(from, to int) bool { return w.cuts[[2]int{from, to}] > 0 }
+
+// loses is lost for a req or an answer that sets out, and counts it.
+func (w *world) loses(from, to int) bool {
+	if !w.lost(from, to) {
+		return false
+	}
+	w.lostInCuts++
+	return true
+}
+
 // restart kills a node after a time and starts it from nothing soon after.
 func (w *world) restart(n *node, after time.Duration) {
 	w.after(after, func() {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -59,6 +59,7 @@
 	err      error
 
 	backends   []*backend
+	cuts       map[[2]int]int // from zone to zone: how many troubles cut that way
 	byEndpoint map[string]*backend
 	nodes      []*node
 	disc       *discovery
@@ -68,6 +69,7 @@
 	tally      *tally
 
 	sends, resent, toCold, crossings, handshakes, crowdings int
+	lostInCuts                                              int
 	workAsked, workWasted                                   float64
 	happenings                                              []Happening
 	live                                                    *Live // nil in virtual time
@@ -186,7 +188,7 @@
 
 // newWorld sets a day up; nothing happens in it yet.
 func newWorld(sc *Scenario, seed uint64) *world {
-	w := &world{byEndpoint: map[string]*backend{}, base: virtualBase}
+	w := &world{byEndpoint: map[string]*backend{}, cuts: map[[2]int]int{}, base: virtualBase}
 	w.rng = rand.New(rand.NewPCG(seed, 1))
 	w.clientsR = rand.New(rand.NewPCG(seed, 2))
 	w.netR = rand.New(rand.NewPCG(seed, 3))
@@ -208,6 +210,7 @@
 	// Troubles have a source of their own: each policy meets the same ones.
 	w.trouble(sc, w.now, rand.New(rand.NewPCG(seed, 5)))
 	w.traffic.begin()
+	w.tally.look()
 }
 
 func (w *world) fail(err error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,7 +55,7 @@
 	slower.Rules.AnswerSlackMS.From += float64(onSockets / time.Millisecond)
 	slower.Rules.AnswerSlackMS.To += float64(onSockets / time.Millisecond)
 	slower.TickMS = emulator.Span{} // nodes on sockets handle what comes at once
-	f := &fleet{opt: opt, dir: dir, day: emulator.NewLive(&slower, seed), quit: make(chan struct{})}
+	f := &fleet{opt: opt, dir: dir, day: emulator.NewLive(&slower, seed), cuts: map[[2]int]bool{}, quit: make(chan struct{})}
 	if f.front, err = standin.NewFront("127.0.0.1"); err != nil {
 		return nil, err
 	}
@@ -90,6 +90,7 @@
 
 	mu       sync.Mutex
 	machines [][]*standin.Machine // of each backend, by the node that reaches it there
+	cuts     map[[2]int]bool      // by node and backend: no connection comes up
 	jobs     sync.WaitGroup
 }
 
@@ -223,12 +224,15 @@
 		}
 		f.machines = append(f.machines, ms)
 	}
-	for _, m := range f.machines[no] {
+	for i, m := range f.machines[no] {
 		switch how {
 		case emulator.Up:
 			if err := m.Up(); err != nil {
 				f.day.Fail(fmt.Errorf("backend %d comes back: %w", no, err))
 			}
+			if f.cuts[[2]int{i, no}] {
+				f.jobs.Go(m.Vanish)
+			}
 		case emulator.Down:
 			m.Down()
 		case emulator.Silent:
@@ -237,6 +241,24 @@
 	}
 }
 
+// Cut is emulator.Outside.
+func (f *fleet) Cut(node, backend int, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := [2]int{node, backend}
+	if f.cuts[at] == cut || backend >= len(f.machines) {
+		return
+	}
+	m := f.machines[backend][node]
+	if f.cuts[at] = cut; cut {
+		f.jobs.Go(m.Vanish)
+	} else if f.day.Serves(backend) {
+		if err := m.Up(); err != nil {
+			f.day.Fail(fmt.Errorf("backend %d can be reached again: %w", backend, err))
+		}
+	}
+}
+
 // serve is a backend's side of one connection.
 func (f *fleet) serve(c net.Conn, backend, node int) {
 	f.day.Conns(backend, 1)
