--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -119,10 +119,11 @@
 		}, Report{}},
 		{"another node was told", func(a *Auditor) { a.Told(0, 2, "x", false); a.Sent(2*time.Second, 1, "", "x", "a", 0) }, Report{}},
 
-		{"cold, as much as it bears", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1499*ms, "x", .07, .5) }, Report{}},
-		{"cold, more", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1499*ms, "x", .08, .5); a.Work(1499*ms, "x", 9, .5) }, Report{FelledBackends: 1}},
-		{"cold, in the next window", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1500*ms, "x", 1.9, .5) }, Report{}},
-		{"started anew", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Started("x"); a.Work(1, "x", 1.9, .5) }, Report{}},
+		{"cold, as much as it bears", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1499*ms, "x", .07, .5) }, Report{Overshoot: 1.97 / .75}},
+		{"cold, more", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1499*ms, "x", .08, .5); a.Work(1499*ms, "x", 9, .5) },
+			Report{FelledBackends: 1, Overshoot: 1.98 / .75}},
+		{"cold, in the next window", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Work(1500*ms, "x", 1.9, .5) }, Report{Overshoot: 1.9 / .75}},
+		{"started anew", func(a *Auditor) { a.Work(0, "x", 1.9, .5); a.Started("x"); a.Work(1, "x", 1.9, .5) }, Report{Overshoot: 1.9 / .75}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			a := New(rules)
@@ -134,6 +135,8 @@
 				assert.NotEmpty(t, got.Broken[0].Why)
 			}
 			got.Broken, got.Taken = nil, 0
+			assert.InDelta(t, tt.want.Overshoot, got.Overshoot, 1e-9)
+			got.Overshoot = tt.want.Overshoot
 			assert.Equal(t, tt.want, got)
 		})
 	}
