Refuse what is worth little first where what is worth most is turned away

Change: the part lately turned away of the reqs worth the mean or more raises what a req worth less must bring, by how much less it is worth. Nothing changes where all are worth the same.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,10 +84,7 @@
 )
 
 // Tokens of the module's own timers; those of requests come after.
-const (
-	tokenAsk uint64 = iota + 1
-	firstRequestToken
-)
+const tokenAsk, firstRequestToken uint64 = 1, 2
 
 // Balancer makes the decisions of one node. It is not safe for concurrent use.
 type Balancer struct {
@@ -123,6 +120,7 @@
 	left       float64       // the part of that which is left
 	asked      rate          // what was asked, by work
 	missed     float64       // part of the worth let in lately that was not served in time
+	turned     float64       // part lately refused at once of the requests that are worth most
 	worth      float64       // mean worth of the requests lately
 	field      int           // which value of a load report tells of the requests a server has, -1: none
 	held       float64       // mean of that value lately
@@ -381,6 +379,13 @@
 // first makes the first send of a request, or refuses it.
 func (b *Balancer) first(r *request) {
 	pick, theta, alt := b.choose(r)
+	turned := 0.0
+	if pick == nil {
+		turned = 1
+	}
+	if r.worth >= b.worth {
+		b.turned += (turned - b.turned) * missStep
+	}
 	if pick == nil {
 		b.finish(r)
 		return
@@ -457,7 +462,8 @@
 // and altogether where that much worth is missed among what was let in.
 func (b *Balancer) enough(r *request) float64 {
 	share := b.worth / max(r.worth, 1e-9)
-	return max(min(max(realChance*math.Sqrt(share), chanceLeast), chanceMost), min(b.missed*share, 1))
+	return max(min(max(realChance*math.Sqrt(share), chanceLeast), chanceMost),
+		min(b.missed*share+b.turned*max(share-1, 0), 1))
 }
 
 // idlest returns the first candidate without work of this node, else the one with the least for its capacity.
@@ -548,14 +554,12 @@
 
 // draw returns a random server, likelier the more capacity it has now.
 func (b *Balancer) draw(pool []*server) *server {
-	s := pool[b.rng.IntN(len(pool))]
-	for range drawTries {
-		if b.rng.Float64()*b.top <= s.Capacity*b.warmth(s) {
+	for i := 0; ; i++ {
+		s := pool[b.rng.IntN(len(pool))]
+		if i == drawTries || b.rng.Float64()*b.top <= s.Capacity*b.warmth(s) {
 			return s
 		}
-		s = pool[b.rng.IntN(len(pool))]
 	}
-	return s
 }
 
 // serves tells whether the server was not said to drain or be gone.
@@ -725,11 +729,8 @@
 		b.forget(r)
 	case o.Final:
 		b.close(r, o.Result == OK)
-	case r.streaming:
-	default:
-		if r.open == 0 && !b.retry(r) {
-			b.finish(r)
-		}
+	case !r.streaming && r.open == 0 && !b.retry(r):
+		b.finish(r)
 	}
 }
 
@@ -1029,9 +1030,8 @@
 	if a.failures&(a.failures-1) == 0 { // ever fewer lines of a trouble that goes on
 		b.do(Log{Text: fmt.Sprintf("discovery call failed %d times in a row", a.failures)})
 	}
-	pause := min(askFirst<<min(a.failures-1, 5), b.askLimit())
-	pause = time.Duration(float64(pause) * (0.5 + 0.5*b.rng.Float64()))
-	b.do(SetTimer{Token: tokenAsk, After: pause})
+	pause := float64(min(askFirst<<min(a.failures-1, 5), b.askLimit())) * (0.5 + 0.5*b.rng.Float64())
+	b.do(SetTimer{Token: tokenAsk, After: time.Duration(pause)})
 }
 
 // reported takes a load report.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math"
 	"os"
@@ -905,3 +906,48 @@
 	}
 	t.Error("nothing is sent a minute after the burst")
 }
+
+// Where twice as much is asked as the servers can do, what is worth least for its work is refused first,
+// though its longer aim would let it wait where the other can't.
+func TestInAnOverloadWhatIsWorthLeastIsRefusedFirst(t *testing.T) {
+	cfg := testSettings()
+	cfg.SecondCopies = false
+	cfg.Classes = []Class{{Name: "much", Aim: 200 * ms, Deadline: 2 * time.Second, Worth: 8, Effect: Unsafe},
+		{Name: "little", Aim: 800 * ms, Deadline: 3 * time.Second, Worth: 2, Effect: Unsafe}}
+	var servers []Server
+	free := map[ServerID]time.Duration{} // when it has done what it was sent, 100 ms a request
+	for i := range 4 {
+		servers = append(servers, Server{ID: ServerID(fmt.Sprint(i)), Capacity: 1})
+	}
+	b := newNode(t, cfg, servers...)
+	type due struct {
+		at time.Duration
+		o  Outcome
+	}
+	var coming []due
+	refused := [2]int{}
+	for i := range 4000 {
+		now := time.Duration(i) * 12500 * time.Microsecond
+		slices.SortFunc(coming, func(a, b due) int { return cmp.Compare(a.at, b.at) })
+		for len(coming) > 0 && coming[0].at <= now {
+			b.Handle(coming[0].at, coming[0].o)
+			coming = coming[1:]
+		}
+		class := cfg.Classes[i%2]
+		sent := of[Send](b.Handle(now, Request{ID: RequestID(fmt.Sprint(i)), Class: class.Name, Expires: class.Deadline / 2}))
+		if len(sent) == 0 && i > 1000 {
+			refused[i%2]++
+		}
+		for _, s := range sent {
+			free[s.Server] = max(free[s.Server], now) + 100*ms
+			o := Outcome{ID: s.ID, Result: OK, Final: true, Server: s.Server, Latency: free[s.Server] - now}
+			if o.Latency > s.Within {
+				o.Result, o.Latency, o.Final = TimedOut, s.Within, false
+			}
+			coming = append(coming, due{now + o.Latency, o})
+		}
+	}
+	if refused[0] == 0 || refused[1] < 2*refused[0] {
+		t.Errorf("refused %d worth much and %d worth little", refused[0], refused[1])
+	}
+}
