--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -23,13 +23,13 @@
 // while the other is overloaded; then what one sends the other is lost, as reqs and answers.
 const siteTroubles = `
 troubles:
-  - {kind: zone_loss, at_s: 2, for_s: 2, size: 1, zone: a}
+  - {kind: zone_loss, at_s: 2, for_s: 2, size: 1, zone: a, lag_s: 0.5}
   - {kind: shared_slow, at_s: 3, for_s: 2, size: 2}
   - {kind: cut, at_s: 6, for_s: 1.5, zone: a, to: b}
 `
 
 // A site with two of four real nodes is killed with -9, its backends fall silent, and it
-// comes back with old lists; then a cut in one direction. No rule is broken, reqs and
+// comes back with old lists, the nodes before their backends; then a cut in one direction. No rule is broken, reqs and
 // answers were lost in the cut, and the fleet serves again after it all.
 func TestSiteLossOfRealNodes(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -258,11 +258,12 @@
 	Kind string `yaml:"kind"`
 	AtS  Span   `yaml:"at_s"`
 	ForS Span   `yaml:"for_s"`
-	Part Span   `yaml:"part"` // of the fleet
-	Size Span   `yaml:"size"` // how much slower, or what share fails, or over 0.5: with its nodes
-	Zone string `yaml:"zone"` // of a zone_loss; drawn where empty. From it nothing comes through a cut
-	To   string `yaml:"to"`   // a cut's other end
-	On   []int  `yaml:"on"`   // stated backends, in place of part
+	Part Span   `yaml:"part"`  // of the fleet
+	Size Span   `yaml:"size"`  // how much slower, or what share fails, or over 0.5: with its nodes
+	Zone string `yaml:"zone"`  // of a zone_loss; drawn where empty. From it nothing comes through a cut
+	To   string `yaml:"to"`    // a cut's other end
+	LagS Span   `yaml:"lag_s"` // how much later than its nodes a lost zone's backends come back
+	On   []int  `yaml:"on"`    // stated backends, in place of part
 }
 
 // Incidental are troubles that each day draws.
@@ -565,6 +566,7 @@
 	c.span(k+".at_s", t.AtS, 0, 1e6)
 	c.span(k+".for_s", t.ForS, 0, 1e6)
 	c.span(k+".part", t.Part, 0, 1)
+	c.span(k+".lag_s", t.LagS, 0, 1e6)
 	switch t.Kind {
 	case "slow", "shared_slow", "discovery_slow":
 		c.span(k+".size", t.Size, 1, 1e4)
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -78,7 +78,7 @@
 	case "fast_errors":
 		run(each(func(b *backend) { b.failing = size }), each(func(b *backend) { b.failing = 0 }))
 	case "zone_loss":
-		w.zoneLoss(run, zone, size > .5)
+		w.zoneLoss(run, zone, size > .5, t.LagS.sec())
 	case "replace":
 		w.replace(hit, at, last)
 	case "restart_nodes":
@@ -135,8 +135,8 @@
 }
 
 // zoneLoss cuts a data centre off: its processes die, or, with its nodes, all of
-// it goes silent. It comes back cold.
-func (w *world) zoneLoss(run func(begin, end func()), zone int, whole bool) {
+// it goes silent. It comes back cold, its backends by a lag later than its nodes.
+func (w *world) zoneLoss(run func(begin, end func()), zone int, whole bool, lag time.Duration) {
 	run(func() {
 		for _, b := range w.backends {
 			if b.zone != zone || b.state != Up || b.retired {
@@ -160,11 +160,13 @@
 			}
 		}
 	}, func() {
-		for _, b := range w.backends {
-			if b.zone == zone && b.state != Up && !b.retired {
-				b.rise()
+		w.after(lag, func() {
+			for _, b := range w.backends {
+				if b.zone == zone && b.state != Up && !b.retired {
+					b.rise()
+				}
 			}
-		}
+		})
 		for _, n := range w.nodes {
 			if n.zone == zone && n.cutOff {
 				n.cutOff = false
