--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -135,8 +135,10 @@
 func (n *node) heardOf(no int, e core.Entry) {
 	if e.State == logic.Gone {
 		delete(n.view, no)
+		n.gone[e.ID] = true
 	} else {
 		n.view[no] = e.State
+		delete(n.gone, e.ID)
 	}
 	n.w.audit.Told(n.w.now, n.no, string(e.ID), e.State == logic.Serving)
 }
--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -232,7 +232,9 @@
 		died := !t.n.alive || t.n.epoch != t.epoch
 		switch {
 		case v.Answer != audit.None:
-			w.audit.Answered(w.now, id, v.Answer)
+			if !died { // else it was on its way when its node was killed: nothing was owed any more
+				w.audit.Answered(w.now, id, v.Answer)
+			}
 			w.tally.answered([...]core.Kind{audit.Served: core.Served, audit.Refused: core.Refused, audit.Failed: core.Failed}[v.Answer])
 			t.answered = true
 			t.settle([...]verdict{audit.Served: served, audit.Refused: refused, audit.Failed: failed}[v.Answer], v.RetryAfter)
@@ -264,7 +266,9 @@
 			return
 		}
 		a = &attempt{n: n, b: b, epoch: n.epoch, process: b.epoch, try: t, begun: true, reply: reply}
-		a.sent()
+		if n.alive && t.epoch == n.epoch { // else its node was killed while it was on its way
+			a.sent()
+		}
 		opening := 0.0
 		if fresh {
 			opening = w.sc.Conns.WorkUS.From / 1e6
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -30,6 +30,8 @@
 	inbox []func() // events of the present instant
 	out   []func() // what it does to the world, while nodes decide at once
 
+	gone map[logic.ServerID]bool // whom it was told to be gone, in any of its lives
+
 	inFront, cutOff bool // the front deals it clients; nothing reaches it
 }
 
@@ -233,6 +235,9 @@
 	if b.warmth() < 1 {
 		w.toCold++
 	}
+	if n.gone[b.id] {
+		w.stale++
+	}
 	if b.zone != n.zone {
 		w.crossings++
 	}
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -51,6 +51,7 @@
 	Opened    int                          `json:"connections_opened"`
 	Crowded   int                          `json:"crowded"`      // times that a backend became so
 	CutOff    int                          `json:"lost_in_cuts"` // reqs and answers
+	Stale     int                          `json:"stale_sends"`  // to a backend that its node had once been told was gone
 	Rules     *audit.Report                `json:"rules"`
 	Broken    []audit.Broken               `json:"broken,omitempty"`
 	Events    int                          `json:"events"` // emulated
@@ -198,7 +199,7 @@
 	t, sc := w.tally, w.sc
 	r := &Result{Scenario: sc.Name, Policy: policy, Seed: seed, Nodes: len(w.nodes), Reqs: int(w.traffic.ops), Tries: int(w.traffic.tries),
 		LatencyMS: map[string]latency.Quantiles{}, Classes: map[string]ClassResult{}, Answers: map[string]int{}, Parts: map[string]float64{},
-		Attempts: w.sends, Retries: w.resent, ToCold: w.toCold, Opened: w.handshakes, Crowded: w.crowdings, CutOff: w.lostInCuts, Events: w.events, Happened: w.happenings}
+		Attempts: w.sends, Retries: w.resent, ToCold: w.toCold, Opened: w.handshakes, Crowded: w.crowdings, CutOff: w.lostInCuts, Stale: w.stale, Events: w.events, Happened: w.happenings}
 	for _, b := range w.backends {
 		if !b.retired {
 			r.Backends++
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -262,8 +262,11 @@
 	Size Span   `yaml:"size"`  // how much slower, or what share fails, or over 0.5: with its nodes
 	Zone string `yaml:"zone"`  // of a zone_loss; drawn where empty. From it nothing comes through a cut
 	To   string `yaml:"to"`    // a cut's other end
-	LagS Span   `yaml:"lag_s"` // how much later than its nodes a lost zone's backends come back
-	On   []int  `yaml:"on"`    // stated backends, in place of part
+	LagS Span   `yaml:"lag_s"` // how much later than its nodes a lost zone's backends come back, or the director after a power loss
+	// SpreadS is the time over which nodes and backends start in a random order after a
+	// power loss; 0: all in the same instant.
+	SpreadS Span  `yaml:"spread_s"`
+	On      []int `yaml:"on"` // stated backends, in place of part
 }
 
 // Incidental are troubles that each day draws.
@@ -274,7 +277,7 @@
 
 // TroubleKinds lists what can go wrong.
 var TroubleKinds = []string{"vanish", "slow", "hang", "fast_errors", "zone_loss", "shared_slow",
-	"replace", "restart_nodes", "discovery_down", "discovery_slow", "cut"}
+	"replace", "restart_nodes", "discovery_down", "discovery_slow", "cut", "power_loss"}
 
 var (
 	cancelModes = []string{"none", "waiting", "all"}
@@ -567,6 +570,7 @@
 	c.span(k+".for_s", t.ForS, 0, 1e6)
 	c.span(k+".part", t.Part, 0, 1)
 	c.span(k+".lag_s", t.LagS, 0, 1e6)
+	c.span(k+".spread_s", t.SpreadS, 0, 1e6)
 	switch t.Kind {
 	case "slow", "shared_slow", "discovery_slow":
 		c.span(k+".size", t.Size, 1, 1e4)
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -87,6 +87,8 @@
 				w.restart(n, time.Duration(w.rng.Float64()*float64(last)))
 			}
 		}, nil)
+	case "power_loss":
+		w.powerLoss(run, t, r)
 	case "cut":
 		run(func() { w.cutOff(zone, w.sc.zone(t.To), 1) }, func() { w.cutOff(zone, w.sc.zone(t.To), -1) })
 	case "discovery_down":
@@ -102,7 +104,7 @@
 		return w.sc.Zones[zone].Name
 	case "cut":
 		return "from " + w.sc.Zones[zone].Name
-	case "shared_slow", "restart_nodes", "discovery_down", "discovery_slow":
+	case "power_loss", "shared_slow", "restart_nodes", "discovery_down", "discovery_slow":
 		return ""
 	}
 	s := ""
@@ -177,6 +179,48 @@
 	})
 }
 
+// powerLoss has every machine go silent at once: nodes, backends and the director. They
+// start cold, in one instant or in a random order, the nodes with the list as last held.
+func (w *world) powerLoss(run func(begin, end func()), t Trouble, r *rand.Rand) {
+	spread := t.SpreadS.sec()
+	starts := make([]time.Duration, len(w.nodes)+len(w.backends))
+	for i := range starts {
+		starts[i] = time.Duration(r.Float64() * float64(spread))
+	}
+	var lost []*backend
+	run(func() {
+		w.disc.down++
+		w.disc.breakWatches()
+		for _, b := range w.backends {
+			if b.state == Up && !b.retired {
+				b.stop(Silent)
+				lost = append(lost, b)
+			}
+		}
+		for _, n := range w.nodes {
+			if n.alive {
+				n.cutOff = true
+				n.kill()
+				w.front.notice(n)
+			}
+		}
+	}, func() {
+		w.after(t.LagS.sec(), func() { w.disc.down-- })
+		for _, b := range lost {
+			w.after(starts[(len(w.nodes)+b.no)%len(starts)], b.rise)
+		}
+		for _, n := range w.nodes {
+			if n.cutOff {
+				w.after(starts[n.no], func() {
+					n.cutOff = false
+					n.start()
+					w.front.notice(n)
+				})
+			}
+		}
+	})
+}
+
 // cutOff begins or heals a cut: what nodes and backends of a zone send to those of
 // another is lost. The two halves of a handshake need both ways, so no connection comes
 // up between them whichever way is cut.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -69,7 +69,7 @@
 	tally      *tally
 
 	sends, resent, toCold, crossings, handshakes, crowdings int
-	lostInCuts                                              int
+	lostInCuts, stale                                       int
 	workAsked, workWasted                                   float64
 	happenings                                              []Happening
 	live                                                    *Live // nil in virtual time
@@ -283,7 +283,7 @@
 		nodes = int(sc.Nodes.Count.From)
 	}
 	for i := range nodes {
-		n := &node{w: w, no: i, zone: i % len(sc.Zones), view: map[int]logic.ServerState{}}
+		n := &node{w: w, no: i, zone: i % len(sc.Zones), view: map[int]logic.ServerState{}, gone: map[logic.ServerID]bool{}}
 		if len(sc.Nodes.Zones) > 0 {
 			n.zone = sc.zone(sc.Nodes.Zones[i])
 		}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -8,19 +8,14 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"pipitmux/internal/emulator"
 )
 
-// Share is what was won of what was asked in a part of the day, and what an estimate from
-// capacity alone would have won (see emulator.Second). Each lies from 0 to 1.
-type Share struct {
-	Won   float64 `json:"g"`
-	Ideal float64 `json:"ideal"`
-}
-
 // Refusal is what was refused of one class.
 type Refusal struct {
 	Class   string  `json:"class"`
@@ -31,7 +26,9 @@
 	Part    float64 `json:"part"`
 }
 
-// SiteLoss is the report of a day with the loss of a site.
+// SiteLoss is the report of a day with the loss of a site. A G is the part won of the worth
+// asked in its part of the day, an ideal what an estimate from capacity alone would have won
+// (see emulator.Second).
 type SiteLoss struct {
 	Scenario       string    `json:"scenario"`
 	Seed           uint64    `json:"seed"`
@@ -48,9 +45,12 @@
 	// fall-over window, as a multiple of what it could do; OvershootLimit fells it.
 	ReturnOvershoot float64 `json:"return_overshoot"`
 	OvershootLimit  float64 `json:"overshoot_limit"`
-	Before          Share   `json:"before"`
-	During          Share   `json:"during"`
-	After           Share   `json:"after"`
+	GBefore         float64 `json:"g_before"`
+	GDuring         float64 `json:"g_during"`
+	GAfter          float64 `json:"g_after"`
+	IdealBefore     float64 `json:"ideal_before"`
+	IdealDuring     float64 `json:"ideal_during"`
+	IdealAfter      float64 `json:"ideal_after"`
 	// SteadyAfterS is how long after the return the share won in steadyFor was back at
 	// steadyPart of that before; -1: not on this day.
 	SteadyAfterS float64 `json:"steady_after_s"`
@@ -69,15 +69,52 @@
 	return s.Unanswered+s.DoubleEffects+s.LateDrainSends+s.FelledBackends == 0
 }
 
-// ErrNoLoss tells that a scenario states no loss of a site.
-var ErrNoLoss = errors.New("troubles: a zone_loss or a cut at a stated time is wanted")
+// PowerLoss is the report of a day on which all machines lost their power.
+type PowerLoss struct {
+	Scenario       string  `json:"scenario"`
+	Seed           uint64  `json:"seed"`
+	Played         string  `json:"played"`
+	Nodes          int     `json:"nodes"`
+	Backends       int     `json:"backends"`
+	Reqs           int     `json:"reqs"`
+	Unanswered     int     `json:"unanswered"`
+	DoubleEffects  int     `json:"double_effects"`
+	LateDrainSends int     `json:"late_drain_sends"`
+	FelledBackends int     `json:"felled_backends"`
+	StaleSends     int     `json:"stale_sends"` // to a backend that its node had once been told was gone
+	Overshoot      float64 `json:"overshoot"`   // see SiteLoss.ReturnOvershoot
+	OvershootLimit float64 `json:"overshoot_limit"`
+	GBefore        float64 `json:"g_before"`
+	GFirst60S      float64 `json:"g_first_60s"` // after the power is back
+	IdealFirst60S  float64 `json:"ideal_first_60s"`
+	// SecondsToService is how long after the power is back the share won in steadyFor was
+	// at steadyPart of that before; -1: not on this day.
+	SecondsToService float64 `json:"seconds_to_service"`
+
+	Happened []emulator.Happening `json:"happened"`
+	Seconds  []emulator.Second    `json:"seconds"`
+}
+
+// Clean tells that no rule was broken.
+func (p *PowerLoss) Clean() bool {
+	return p.Unanswered+p.DoubleEffects+p.LateDrainSends+p.FelledBackends+p.StaleSends == 0
+}
+
+// ErrNoLoss tells that a scenario states no loss of the kind that is to be played.
+var ErrNoLoss = errors.New("no such loss at a stated time")
+
+// The kinds of trouble that a report is of.
+var (
+	SiteKinds  = []string{"zone_loss", "cut"}
+	PowerKinds = []string{"power_loss"}
+)
 
-// Window returns the second at which the first loss of a site begins and the one at which
-// the last is over, counted from the beginning of the clients.
-func Window(sc *emulator.Scenario) (from, to time.Duration, err error) {
+// Window returns when the first loss of one of the kinds begins and when the last is over,
+// counted from the beginning of the clients.
+func Window(sc *emulator.Scenario, kinds []string) (from, to time.Duration, err error) {
 	for i := range sc.Troubles {
 		t := &sc.Troubles[i]
-		if t.Kind != "zone_loss" && t.Kind != "cut" || t.AtS.From != t.AtS.To || t.ForS.From != t.ForS.To {
+		if !slices.Contains(kinds, t.Kind) || t.AtS.From != t.AtS.To || t.ForS.From != t.ForS.To {
 			continue
 		}
 		begin := time.Duration(t.AtS.From * float64(time.Second))
@@ -88,14 +125,41 @@
 		to = max(to, end)
 	}
 	if to == 0 {
-		return 0, 0, ErrNoLoss
+		return 0, 0, fmt.Errorf("troubles: %w: %s", ErrNoLoss, strings.Join(kinds, " or "))
 	}
 	return from, to, nil
 }
 
-// Sum sums up a day of the scenario.
+// Power sums up a day of the scenario on which the power was lost.
+func Power(sc *emulator.Scenario, r *emulator.Result, played string) (*PowerLoss, error) {
+	from, to, err := Window(sc, PowerKinds)
+	if err != nil {
+		return nil, err
+	}
+	p := &PowerLoss{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Reqs: r.Reqs,
+		Unanswered: r.Rules.Unanswered, DoubleEffects: r.Rules.DoubleEffects, LateDrainSends: r.Rules.LateDrainSends,
+		FelledBackends: r.Rules.FelledBackends, StaleSends: r.Stale, Overshoot: r.Rules.Overshoot,
+		OvershootLimit: sc.Rules.FallMultiple.From, Happened: r.Happened, Seconds: r.Seconds}
+	back := int(to.Seconds())
+	p.GBefore, _ = share(r.Seconds, 0, int(from.Seconds())-1)
+	p.GFirst60S, p.IdealFirst60S = share(r.Seconds, back, back+60)
+	p.SecondsToService = steady(r.Seconds, back, p.GBefore)
+	return p, nil
+}
+
+// steady is how many seconds after one the share won is steadyPart of a former one again.
+func steady(of []emulator.Second, back int, before float64) float64 {
+	for i := back; i+steadyFor <= len(of); i++ {
+		if won, _ := share(of, i, i+steadyFor); won >= steadyPart*before {
+			return float64(i - back)
+		}
+	}
+	return -1
+}
+
+// Sum sums up a day of the scenario on which a site was lost or cut off.
 func Sum(sc *emulator.Scenario, r *emulator.Result, played string) (*SiteLoss, error) {
-	from, to, err := Window(sc)
+	from, to, err := Window(sc, SiteKinds)
 	if err != nil {
 		return nil, err
 	}
@@ -116,26 +180,20 @@
 	// The figures leave the first second out; a second in which something begins or ends
 	// counts to neither side whole, so it goes to the loss.
 	lost, back := int(from.Seconds())-1, int(to.Seconds())
-	s.Before, s.During, s.After = share(r.Seconds, 0, lost), share(r.Seconds, lost, back), share(r.Seconds, back, len(r.Seconds))
-	s.SteadyAfterS = -1
-	for i := back; i+steadyFor <= len(r.Seconds); i++ {
-		if share(r.Seconds, i, i+steadyFor).Won >= steadyPart*s.Before.Won {
-			s.SteadyAfterS = float64(i - back)
-			break
-		}
-	}
+	s.GBefore, s.IdealBefore = share(r.Seconds, 0, lost)
+	s.GDuring, s.IdealDuring = share(r.Seconds, lost, back)
+	s.GAfter, s.IdealAfter = share(r.Seconds, back, len(r.Seconds))
+	s.SteadyAfterS = steady(r.Seconds, back, s.GBefore)
 	return s, nil
 }
 
-func share(of []emulator.Second, from, to int) (s Share) {
+func share(of []emulator.Second, from, to int) (won, ideal float64) {
 	asked := 0.0
 	for _, x := range of[min(max(from, 0), len(of)):min(max(to, 0), len(of))] {
-		asked += x.Asked
-		s.Won += x.Won
-		s.Ideal += x.Ideal
+		asked, won, ideal = asked+x.Asked, won+x.Won, ideal+x.Ideal
 	}
-	if asked > 0 {
-		s.Won, s.Ideal = s.Won/asked, s.Ideal/asked
+	if asked == 0 {
+		return 0, 0
 	}
-	return s
+	return won / asked, ideal / asked
 }
