Share what is asked among cold backends from the first second of a common start

The budget follows the rate asked, which perSecond lets rise from 0 over seven seconds (mayTake). Also seen: the most that warm backends were seen to serve stood at 8e12 once they all got warm between two looks (subset: divided by no warm capacity at all), so a cold backend that came later had no budget to keep to. No felled backend was seen from that.

Change: the rate is taken for the part of it that can be known by now, a tenth at least; where nothing was warm yet, what is served counts against the capacity there.

The test finds 29 early sends where over 60 are wanted, and the 1e10, without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -91,7 +91,7 @@
 	cfg        Settings
 	rng        *rand.Rand
 	started    bool
-	now        time.Duration
+	now, birth time.Duration // and its first event's
 	seq, stamp uint64
 	out        []Action
 	classes    map[string]*class
@@ -235,7 +235,7 @@
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
 	b.out = b.out[:0]
 	if !b.started {
-		b.started, b.now = true, now
+		b.started, b.now, b.birth = true, now, now
 		b.served.at, b.asked.at = now, now
 		b.firstAsk()
 	}
@@ -621,8 +621,7 @@
 	c := r.class
 	done := b.chance(r, s, theta)
 	full := b.chance(r, s, min(theta, r.aim-b.now))
-	worth := c.r * (full + c.LateWorth*(done-full))
-	return worth + (1-done)*(-c.c2+b.plain(r, alt, theta))
+	return c.r*(full+c.LateWorth*(done-full)) + (1-done)*(-c.c2+b.plain(r, alt, theta))
 }
 
 // alternative returns the server other than s with the best payoff, or one about as good.
@@ -861,11 +860,12 @@
 	b.subset()
 	per := b.peak
 	if b.warmSum == 0 { // no warm server to go by: all are cold, what is asked is shared among them
-		per = b.asked.perSecond(b.now) / max(b.nearSum, 1e-9)
+		known := max(1-math.Exp2(-float64(b.now-b.birth)/float64(rateLife)), 0.1) // of a rate by now
+		per = b.asked.perSecond(b.now) / known / max(b.nearSum, 1e-9)
 	}
 	flow := coldShare * w * per * s.Capacity
-	s.tokens = min(s.tokens+flow*(b.now-s.filled).Seconds(), flow*coldBurst*b.cfg.FallAfter.Seconds())
-	s.filled = b.now
+	most := flow * coldBurst * b.cfg.FallAfter.Seconds()
+	s.tokens, s.filled = min(s.tokens+flow*(b.now-s.filled).Seconds(), most), b.now
 	return s.tokens > 0
 }
 
@@ -945,11 +945,11 @@
 	b.span.add(b.now, b.warmSum*(b.now-b.nearAt).Seconds())
 	b.served.age(b.now)
 	gap := float64(b.now - b.nearAt)
-	b.peak = max(b.served.sum/max(b.span.sum, b.warmSum, 1e-9), b.peak*math.Exp2(-gap/float64(peakLife)))
+	fade := math.Exp2(-gap / float64(peakLife))
+	b.peak = max(b.served.sum/max(b.span.sum, cmp.Or(b.warmSum, b.nearSum), 1e-9), b.peak*fade)
 	b.near, b.nearAt, b.nearSum, b.warmSum = b.near[:0], b.now, 0, 0
 	want := min(max(subsetLeast, (n*coverLeast+nodes-1)/nodes), n)
-	need := 0.0 // capacity still to be found: cold servers and those set aside count for what they can do
-	able, fit := 0.0, 0.0
+	need, able, fit := 0.0, 0.0, 0.0 // needed yet: cold ones and those set aside count for what they can do
 	for _, s := range b.ring {
 		need += s.Capacity * float64(want) / float64(n)
 		able += s.Capacity * b.warmth(s)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -951,3 +951,40 @@
 		t.Errorf("refused %d worth much and %d worth little", refused[0], refused[1])
 	}
 }
+
+// Where all servers start cold at once, as after a power loss, what is asked is shared among them from the
+// first second on; and once they are warm, a further cold one is held to what warm ones were seen to serve.
+func TestAFleetThatStartsColdAtOnce(t *testing.T) {
+	cfg := testSettings()
+	cfg.ColdFrom, cfg.WarmWithin, cfg.FallMultiple, cfg.FallAfter = 0.2, 10100*ms, 2.5, 1500*ms
+	cfg.Classes = []Class{{Name: "c", Aim: 400 * ms, Deadline: 800 * ms, Worth: 5, Effect: Unsafe}}
+	born := time.Hour
+	var servers []Server
+	for i := range 8 {
+		servers = append(servers, Server{ID: ServerID(fmt.Sprint(i)), Capacity: 1, Born: born})
+	}
+	b, err := New(cfg, 7)
+	require.NoError(t, err)
+	b.Handle(born, ServerList{Kind: ListFull, Servers: servers})
+	early, fresh := 0, 0
+	for i := range 13 * 100 { // a hundred a second, each done in 20 ms
+		now := born + time.Duration(i)*10*ms
+		if i == 1200 {
+			b.Handle(now, ServerList{Kind: ListChanges, Servers: []Server{{ID: "new", Capacity: 1, Born: now}}})
+		}
+		for _, s := range of[Send](b.Handle(now, Request{ID: RequestID(fmt.Sprint(i)), Class: "c", Expires: 800 * ms})) {
+			b.Handle(now, Outcome{ID: s.ID, Result: OK, Final: true, Server: s.Server, Latency: 20 * ms})
+			if i >= 100 && i < 300 {
+				early++
+			}
+			if s.Server == "new" {
+				fresh++
+			}
+		}
+	}
+	// A fifth warm and rising, they are let have half as much again of 200 as that: some 100.
+	assert.Greater(t, early, 60)
+	// A ninth of a hundred a second is its even part, a fifth of that what it can bear at first.
+	assert.Less(t, fresh, 10)
+	assert.Less(t, b.peak, 50.0, "a second's requests for each server's capacity is the most that can have been seen")
+}
