Keep a node's list and what it learned on disk, through a kill of all nodes at once

Change: state.dir (off) has it write what it would hand a successor every 2 s and at its end, by internal/durable: beside the old file, synced, renamed, behind a header of magic, version, length and checksum that the handover uses too. The list of the higher version goes first; what was learned is taken on up to a minute old, and never from the future.

Cut at every byte, a file is refused as torn.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -51,6 +51,10 @@
 		return err
 	}
 	defer place.close()
+	disk := stateFile(c.Own.State.Dir, c.Listen)
+	if disk != "" && place.before == nil { // else the predecessor handed over what is fresher
+		place.recall(disk, time.Now())
+	}
 	budget := message.NewBudget(0)
 	pool := backend.New(backend.Options{
 		ConnectTimeout: c.ConnectTimeout,
@@ -89,7 +93,19 @@
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	log.Info("serves", "name", c.Name, "listen", c.Listen)
-	place.offer(func() ([]byte, error) { return state(owner, d) }, lot)
+	tell := func() ([]byte, error) { return state(owner, d) }
+	place.offer(tell, lot)
+	keep := &keeper{name: disk, state: tell, log: log}
+	kept := make(chan struct{})
+	close(kept)
+	ending := make(chan struct{})
+	if disk != "" {
+		kept = make(chan struct{})
+		go func() {
+			defer close(kept)
+			keep.run(ending)
+		}()
+	}
 	for {
 		select {
 		case err := <-served:
@@ -101,7 +117,12 @@
 			case syscall.SIGHUP:
 				reload(d, own, log)
 			default:
-				return end(c, front, log)
+				err := end(c, front, log)
+				close(ending)
+				if <-kept; disk != "" {
+					keep.save(time.Now())
+				}
+				return err
 			}
 		}
 	}
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -17,6 +17,12 @@
 	Log     Log     `yaml:"log" help:"the node's log, on standard error"`
 	Session Session `yaml:"session" help:"clients' side"`
 	Backend Backend `yaml:"backend" help:"backends' side"`
+	State   State   `yaml:"state" help:"what is kept on disk"`
+}
+
+// State is what a node keeps through its end.
+type State struct {
+	Dir string `yaml:"dir" help:"the folder of its state; empty: none is kept"`
 }
 
 // Log is how the node logs.
@@ -169,7 +175,9 @@
 				p["minimum"], p["maximum"] = json.Number(sf.Tag.Get("least")), json.Number(sf.Tag.Get("most"))
 			default:
 				p["type"], p["default"] = "string", defaults.Field(i).String()
-				p["enum"] = strings.Split(sf.Tag.Get("enum"), ",")
+				if enum := sf.Tag.Get("enum"); enum != "" {
+					p["enum"] = strings.Split(enum, ",")
+				}
 			}
 			text := sf.Tag.Get("help")
 			if least := sf.Tag.Get("least"); least != "" {
--- /dev/null
+++ b/internal/durable/durable_test.go
@@ -0,0 +1,73 @@
+package durable
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A file holds the old value or the new one; one cut anywhere is refused as torn; a write
+// that fails leaves the old one and nothing beside it.
+func TestAFileIsWholeOrRefused(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "value")
+	_, err := Read(name)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	require.NoError(t, Write(name, []byte("old")))
+	require.NoError(t, Write(name, []byte("new one")))
+	got, err := Read(name)
+	require.NoError(t, err)
+	assert.Equal(t, "new one", string(got))
+	assert.ErrorIs(t, Write(name, make([]byte, Most+1)), ErrLong)
+	full := filepath.Join(filepath.Dir(name), "folder")
+	require.NoError(t, os.MkdirAll(filepath.Join(full, "in the way"), 0o700))
+	assert.Error(t, Write(full, []byte("x")), "the rename fails")
+	left, err := os.ReadDir(filepath.Dir(name))
+	require.NoError(t, err)
+	assert.Len(t, left, 2, "nothing is left beside them")
+	whole, err := os.ReadFile(name)
+	require.NoError(t, err)
+	for n := range whole {
+		require.NoError(t, os.WriteFile(name, whole[:n], 0o600))
+		_, err := Read(name)
+		assert.ErrorIs(t, err, ErrTorn, "cut at %d", n)
+	}
+}
+
+func TestValuesThatAreNotRead(t *testing.T) {
+	whole, err := Frame([]byte("state"))
+	require.NoError(t, err)
+	for want, change := range map[string]func([]byte) []byte{
+		"not of this program": func(b []byte) []byte { b[0]++; return b },
+		"another version: 2":  func(b []byte) []byte { b[len(magic)]++; return b },
+		"too long":            func(b []byte) []byte { b[len(magic)+1] = 0xff; return b },
+		"unexpected EOF":      func(b []byte) []byte { return b[:len(b)-1] },
+		"checksum":            func(b []byte) []byte { b[len(b)-1]++; return b },
+	} {
+		b := change(bytes.Clone(whole))
+		_, err := Unframe(b[:HeaderSize], bytes.NewReader(b[HeaderSize:]))
+		assert.ErrorContains(t, err, want)
+	}
+	state, err := Unframe(whole[:HeaderSize], bytes.NewReader(whole[HeaderSize:]))
+	assert.NoError(t, err)
+	assert.Equal(t, "state", string(state))
+}
+
+// FuzzUnframe: whatever a link or a file brings, a value is read whole or not at all.
+func FuzzUnframe(f *testing.F) {
+	whole, _ := Frame([]byte("state"))
+	f.Add(whole)
+	f.Add(whole[:HeaderSize])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if len(text) < HeaderSize {
+			return
+		}
+		state, err := Unframe(text[:HeaderSize], bytes.NewReader(text[HeaderSize:]))
+		if again, _ := Frame(state); err == nil && !bytes.HasPrefix(text, again) {
+			t.Fatalf("%q was read from %q", state, text)
+		}
+	})
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -5,10 +5,8 @@
 package handover
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"log/slog"
 	"net"
@@ -19,15 +17,11 @@
 	"syscall"
 	"time"
 
+	"pipitmux/internal/durable"
 	"pipitmux/internal/logging"
 )
 
 const (
-	// version names the form of what is handed over. Another's is not read.
-	version = 1
-	magic   = "oakseam"
-	// maxState bounds what a successor reads.
-	maxState = 4 << 20
 	// maxPath is the most that a Unix socket's address holds.
 	maxPath = 104
 	// speakWithin is how long either side may take for its part of the start.
@@ -35,16 +29,6 @@
 	isReady     = 'R'
 )
 
-// header stands before the state: magic, version, length and checksum.
-type header struct {
-	Magic   [len(magic)]byte
-	Version uint8
-	Length  uint32
-	Sum     uint32
-}
-
-var headerSize = binary.Size(header{})
-
 // ErrNobody tells that there is no process to take over from.
 var ErrNobody = errors.New("handover: nobody to take over from")
 
@@ -102,7 +86,7 @@
 // receive reads what the predecessor hands over. The socket comes with the header.
 func (t *Taken) receive() error {
 	t.link.SetDeadline(time.Now().Add(speakWithin))
-	head, rights := make([]byte, headerSize), make([]byte, syscall.CmsgSpace(4))
+	head, rights := make([]byte, durable.HeaderSize), make([]byte, syscall.CmsgSpace(4))
 	n, rn, _, _, err := t.link.ReadMsgUnix(head, rights)
 	if err != nil {
 		return err
@@ -116,7 +100,7 @@
 	if _, err := io.ReadFull(t.link, head[n:]); err != nil {
 		return err
 	}
-	if t.State, err = readState(head, t.link); err != nil {
+	if t.State, err = durable.Unframe(head, t.link); err != nil {
 		return err
 	}
 	l, err := net.FileListener(f)
@@ -146,38 +130,6 @@
 	return fds[0], nil
 }
 
-// readState reads a state by its header.
-func readState(head []byte, in io.Reader) ([]byte, error) {
-	var h header
-	if _, err := binary.Decode(head, binary.BigEndian, &h); err != nil {
-		return nil, err
-	}
-	switch {
-	case string(h.Magic[:]) != magic:
-		return nil, errors.New("not of this program")
-	case h.Version != version:
-		return nil, fmt.Errorf("version %d, and this program reads %d", h.Version, version)
-	case h.Length > maxState:
-		return nil, fmt.Errorf("a state of %d bytes is too long", h.Length)
-	}
-	state := make([]byte, h.Length)
-	if _, err := io.ReadFull(in, state); err != nil {
-		return nil, err
-	}
-	if crc32.ChecksumIEEE(state) != h.Sum {
-		return nil, errors.New("the state's checksum is wrong")
-	}
-	return state, nil
-}
-
-// frame puts a state's header before it.
-func frame(state []byte) ([]byte, error) {
-	h := header{Version: version, Length: uint32(len(state)), Sum: crc32.ChecksumIEEE(state)}
-	copy(h.Magic[:], magic)
-	text, err := binary.Append(make([]byte, 0, headerSize+len(state)), binary.BigEndian, h)
-	return append(text, state...), err
-}
-
 // Ready tells the predecessor that its successor serves.
 func (t *Taken) Ready() error {
 	_, err := t.link.Write([]byte{isReady})
@@ -307,10 +259,7 @@
 	if err != nil {
 		return err
 	}
-	if len(state) > maxState {
-		return fmt.Errorf("a state of %d bytes is too long", len(state))
-	}
-	text, err := frame(state)
+	text, err := durable.Frame(state)
 	if err != nil {
 		return err
 	}
@@ -323,7 +272,7 @@
 	var sent error
 	n := 0
 	err = raw.Control(func(fd uintptr) {
-		n, _, sent = c.WriteMsgUnix(text[:headerSize], syscall.UnixRights(int(fd)), nil)
+		n, _, sent = c.WriteMsgUnix(text[:durable.HeaderSize], syscall.UnixRights(int(fd)), nil)
 	})
 	if err := errors.Join(err, sent); err != nil {
 		return err
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,7 +1,6 @@
 package handover
 
 import (
-	"bytes"
 	"log/slog"
 	"net"
 	"os"
@@ -11,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/durable"
 )
 
 // heir notes what it is told.
@@ -102,45 +103,10 @@
 	defer odd.Close()
 	go func() {
 		if c, err := odd.Accept(); err == nil {
-			text, _ := frame(nil)
+			text, _ := durable.Frame(nil)
 			c.Write(text)
 		}
 	}()
 	_, err = Claim(dir, "here:1")
 	assert.ErrorContains(t, err, "no socket came")
 }
-
-func TestStatesThatAreNotRead(t *testing.T) {
-	whole, err := frame([]byte("state"))
-	require.NoError(t, err)
-	for want, change := range map[string]func([]byte) []byte{
-		"not of this program": func(b []byte) []byte { b[0]++; return b },
-		"version 2":           func(b []byte) []byte { b[len(magic)]++; return b },
-		"too long":            func(b []byte) []byte { b[len(magic)+1] = 0xff; return b },
-		"unexpected EOF":      func(b []byte) []byte { return b[:len(b)-1] },
-		"checksum":            func(b []byte) []byte { b[len(b)-1]++; return b },
-	} {
-		b := change(bytes.Clone(whole))
-		_, err := readState(b[:headerSize], bytes.NewReader(b[headerSize:]))
-		assert.ErrorContains(t, err, want)
-	}
-	state, err := readState(whole[:headerSize], bytes.NewReader(whole[headerSize:]))
-	assert.NoError(t, err)
-	assert.Equal(t, "state", string(state))
-}
-
-// FuzzReadState: whatever a link brings, a state is read whole or not at all.
-func FuzzReadState(f *testing.F) {
-	whole, _ := frame([]byte("state"))
-	f.Add(whole)
-	f.Add(whole[:headerSize])
-	f.Fuzz(func(t *testing.T, text []byte) {
-		if len(text) < headerSize {
-			return
-		}
-		state, err := readState(text[:headerSize], bytes.NewReader(text[headerSize:]))
-		if again, _ := frame(state); err == nil && !bytes.HasPrefix(text, again) {
-			t.Fatalf("%q was read from %q", state, text)
-		}
-	})
-}
