--- a/cmd/oaklab/fault.go
+++ b/cmd/oaklab/fault.go
@@ -111,6 +111,7 @@
 	f.StringArrayVar(&sets, "set", nil, "KEY=VALUE in place of the scenario's, such as nodes.count=4")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
 	f.BoolVar(&emulated, "emulated", false, "play in virtual time, without processes")
+	f.BoolVar(&opt.Keep, "keep-state", false, "have nodes keep their state on disk (processes only)")
 	fleetFlags(f, &opt)
 	return c
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Sockets  int    // descriptors and MiB that a node is told to keep to
 	MemoryMB int
 	LogDir   string // where the nodes' logs go; "" keeps none
+	Keep     bool   // nodes keep their state on disk, through kills, until the day is over
 	Progress func(at, of time.Duration)
 }
 
@@ -184,7 +185,15 @@
 		defer file.Close() // the process has its own
 		log = file
 	}
-	return standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log)
+	var args []string
+	if f.opt.Keep {
+		own := filepath.Join(dir, "own.yaml")
+		if err := os.WriteFile(own, fmt.Appendf(nil, "state: {dir: %q}\n", f.dir), 0o600); err != nil {
+			return nil, err
+		}
+		args = []string{"node", "--config", own}
+	}
+	return standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log, args...)
 }
 
 // Kill is emulator.Outside.
