Recall from disk only what holds through a stop, not what was learned of the load

Learn took on the most capacity seen and the rate asked (state.go): cold backends then counted as capacity that has gone (choose refuses by left = able/full), and the rate was taken for a tenth known and counted ten times. Change: Recall takes latencies by class and kind and judgements on the same processes; Learn stays whole for a handover, which goes on at that instant, and counts its rate as known.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -76,7 +76,7 @@
 	}
 	owner.List(logic.ListCached, known)
 	if len(place.learned) > 0 {
-		owner.Learn(place.learned)
+		owner.Learn(place.learned, place.before != nil)
 	}
 	quit := make(chan struct{})
 	defer close(quit)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -207,9 +207,10 @@
 	}
 }
 
-// Learn has the module take on what another learned. It belongs after the first list.
-func (c *Core) Learn(text []byte) {
-	c.urgent <- func() { c.owner.Learn(text) }
+// Learn has the module take on what another learned, whole or what holds through a stop. It
+// belongs after the first list.
+func (c *Core) Learn(text []byte, whole bool) {
+	c.urgent <- func() { c.owner.Learn(text, whole) }
 }
 
 // Ready tells whether the node knows a backend that takes reqs.
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -96,6 +96,7 @@
 type pupil interface {
 	Learned() ([]byte, error)
 	Learn([]byte) error
+	Recall([]byte) error
 }
 
 // Learned returns what the module learned, empty where it does not tell.
@@ -111,10 +112,15 @@
 	return text
 }
 
-// Learn has the module take on what another learned.
-func (o *Owner) Learn(text []byte) {
+// Learn has the module take on what another learned, whole where that goes on at this
+// instant, else what holds through a stop.
+func (o *Owner) Learn(text []byte, whole bool) {
 	if m, ok := o.module.(pupil); ok {
-		if err := m.Learn(text); err != nil {
+		learn := m.Recall
+		if whole {
+			learn = m.Learn
+		}
+		if err := learn(text); err != nil {
 			o.world.Log.Warn("module: what another learned is not taken on", logging.Cause, err)
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -72,16 +72,34 @@
 // Learn takes on what Learned returned, for the classes and servers that are known here
 // too. It changes nothing where a figure can't be one.
 func (b *Balancer) Learn(text []byte) error {
-	var l learned
-	if err := json.Unmarshal(text, &l); err != nil {
-		return err
-	}
-	if err := l.check(); err != nil {
+	l, err := b.recall(text)
+	if err != nil {
 		return err
 	}
 	b.peak, b.full, b.usual, b.missed, b.worth, b.held = l.Peak, l.Full, l.Usual, l.Missed, l.Worth, l.Held
 	b.trust, b.common = trust{l.Cov, l.Sq}, l.Common
 	b.served, b.span, b.asked = rate{l.Served.Sum, l.Served.At}, rate{l.Span.Sum, l.Span.At}, rate{l.Asked.Sum, l.Asked.At}
+	b.birth = 0 // the rate asked is known
+	return nil
+}
+
+// Recall takes on what holds through a stop of the node: how long reqs take, by class and
+// kind of server, and the judgements on servers that are still the same processes. What it
+// had learned of the load speaks of a fleet that may have stopped as well: by it, a fleet
+// that starts cold would be taken for one that has lost its capacity.
+func (b *Balancer) Recall(text []byte) error {
+	_, err := b.recall(text)
+	return err
+}
+
+func (b *Balancer) recall(text []byte) (*learned, error) {
+	l := &learned{}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, err
+	}
+	if err := l.check(); err != nil {
+		return nil, err
+	}
 	for n, c := range l.Classes {
 		if k := b.classes[n]; k != nil {
 			k.scale, k.seen, k.hint, k.usual, k.votes = c.Scale, c.Seen, c.Hint, c.Usual, c.Votes
@@ -96,7 +114,7 @@
 			s.stats.take(o.Stats)
 		}
 	}
-	return nil
+	return l, nil
 }
 
 func (c *curve) take(l learnedCurve) {
--- a/logic/state_test.go
+++ b/logic/state_test.go
@@ -48,6 +48,50 @@
 	assert.NoError(t, next.Learn(again))
 }
 
+// A node that recalls a warm fleet while every server starts cold lets in as much as one that knows nothing:
+// the load that it had learned of is not taken for capacity that has gone.
+func TestARecalledFleetThatStartsColdIsNotShed(t *testing.T) {
+	settings := Settings{Classes: []Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Worth: 5, Effect: Unsafe}}, Nodes: 4,
+		ColdFrom: 0.2, WarmWithin: 10 * time.Second, FallMultiple: 2.5, FallAfter: 1500 * time.Millisecond}
+	list := func(born time.Duration) ServerList {
+		l := ServerList{Kind: ListFull}
+		for _, id := range []ServerID{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			l.Servers = append(l.Servers, Server{ID: id, Capacity: 1, Kind: "k", Born: born})
+		}
+		return l
+	}
+	play := func(b *Balancer, from time.Duration) (sent int) {
+		for i := range 300 { // thirty a second
+			now := from + time.Duration(i)*33*time.Millisecond
+			id := RequestID(strings.Repeat("i", i+1))
+			for _, s := range of[Send](b.Handle(now, Request{ID: id, Class: "c", Expires: time.Second})) {
+				b.Handle(now, Outcome{ID: id, Result: OK, Server: s.Server, Latency: 20 * time.Millisecond, Final: true})
+				sent++
+			}
+		}
+		return sent
+	}
+	warm, err := New(settings, 1)
+	require.NoError(t, err)
+	warm.Handle(time.Hour, list(0))
+	play(warm, time.Hour)
+	text, err := warm.Learned()
+	require.NoError(t, err)
+	after := time.Hour + 14*time.Second
+	sent := map[bool]int{}
+	for _, recall := range []bool{false, true} {
+		b, err := New(settings, 2)
+		require.NoError(t, err)
+		b.Handle(after, list(after))
+		if recall {
+			require.NoError(t, b.Recall(text))
+			assert.Equal(t, warm.classes["c"].scale, b.classes["c"].scale)
+		}
+		sent[recall] = play(b, after)
+	}
+	assert.Greater(t, sent[true], sent[false]*9/10)
+}
+
 // Only servers that get nothing are told as avoided: not one that has a trial, nor one
 // that was set aside just now.
 func TestAvoided(t *testing.T) {
