--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -16,6 +16,34 @@
 	"pipitmux/internal/emulator"
 )
 
+// Day is what every report holds.
+type Day struct {
+	Scenario       string `json:"scenario"`
+	Seed           uint64 `json:"seed"`
+	Played         string `json:"played"` // "processes" or "emulated"
+	Nodes          int    `json:"nodes"`
+	Backends       int    `json:"backends"`
+	Reqs           int    `json:"reqs"`
+	Unanswered     int    `json:"unanswered"`
+	DoubleEffects  int    `json:"double_effects"`
+	LateDrainSends int    `json:"late_drain_sends"`
+	FelledBackends int    `json:"felled_backends"`
+
+	Happened []emulator.Happening `json:"happened"`
+	Seconds  []emulator.Second    `json:"seconds"`
+}
+
+// Clean tells that no rule was broken.
+func (d *Day) Clean() bool {
+	return d.Unanswered+d.DoubleEffects+d.LateDrainSends+d.FelledBackends == 0
+}
+
+func dayOf(r *emulator.Result, played string) Day {
+	return Day{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Reqs: r.Reqs,
+		Unanswered: r.Rules.Unanswered, DoubleEffects: r.Rules.DoubleEffects, LateDrainSends: r.Rules.LateDrainSends,
+		FelledBackends: r.Rules.FelledBackends, Happened: r.Happened, Seconds: r.Seconds}
+}
+
 // Refusal is what was refused of one class.
 type Refusal struct {
 	Class   string  `json:"class"`
@@ -30,16 +58,7 @@
 // asked in its part of the day, an ideal what an estimate from capacity alone would have won
 // (see emulator.Second).
 type SiteLoss struct {
-	Scenario       string    `json:"scenario"`
-	Seed           uint64    `json:"seed"`
-	Played         string    `json:"played"` // "processes" or "emulated"
-	Nodes          int       `json:"nodes"`
-	Backends       int       `json:"backends"`
-	Reqs           int       `json:"reqs"`
-	Unanswered     int       `json:"unanswered"`
-	DoubleEffects  int       `json:"double_effects"`
-	LateDrainSends int       `json:"late_drain_sends"`
-	FelledBackends int       `json:"felled_backends"`
+	Day
 	RefusedByWorth []Refusal `json:"refused_by_worth"` // least worth for its work first
 	// ReturnOvershoot is the most that all nodes together sent a cold backend within the
 	// fall-over window, as a multiple of what it could do; OvershootLimit fells it.
@@ -54,9 +73,6 @@
 	// SteadyAfterS is how long after the return the share won in steadyFor was back at
 	// steadyPart of that before; -1: not on this day.
 	SteadyAfterS float64 `json:"steady_after_s"`
-
-	Happened []emulator.Happening `json:"happened"`
-	Seconds  []emulator.Second    `json:"seconds"`
 }
 
 const (
@@ -64,23 +80,9 @@
 	steadyPart = 0.95 // of what was won before
 )
 
-// Clean tells that no rule was broken.
-func (s *SiteLoss) Clean() bool {
-	return s.Unanswered+s.DoubleEffects+s.LateDrainSends+s.FelledBackends == 0
-}
-
 // PowerLoss is the report of a day on which all machines lost their power.
 type PowerLoss struct {
-	Scenario       string  `json:"scenario"`
-	Seed           uint64  `json:"seed"`
-	Played         string  `json:"played"`
-	Nodes          int     `json:"nodes"`
-	Backends       int     `json:"backends"`
-	Reqs           int     `json:"reqs"`
-	Unanswered     int     `json:"unanswered"`
-	DoubleEffects  int     `json:"double_effects"`
-	LateDrainSends int     `json:"late_drain_sends"`
-	FelledBackends int     `json:"felled_backends"`
+	Day
 	StaleSends     int     `json:"stale_sends"` // to a backend that its node had once been told was gone
 	Overshoot      float64 `json:"overshoot"`   // see SiteLoss.ReturnOvershoot
 	OvershootLimit float64 `json:"overshoot_limit"`
@@ -90,14 +92,11 @@
 	// SecondsToService is how long after the power is back the share won in steadyFor was
 	// at steadyPart of that before; -1: not on this day.
 	SecondsToService float64 `json:"seconds_to_service"`
-
-	Happened []emulator.Happening `json:"happened"`
-	Seconds  []emulator.Second    `json:"seconds"`
 }
 
-// Clean tells that no rule was broken.
+// Clean tells that no rule was broken, and that nobody who was gone was sent to.
 func (p *PowerLoss) Clean() bool {
-	return p.Unanswered+p.DoubleEffects+p.LateDrainSends+p.FelledBackends+p.StaleSends == 0
+	return p.Day.Clean() && p.StaleSends == 0
 }
 
 // ErrNoLoss tells that a scenario states no loss of the kind that is to be played.
@@ -136,10 +135,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &PowerLoss{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Reqs: r.Reqs,
-		Unanswered: r.Rules.Unanswered, DoubleEffects: r.Rules.DoubleEffects, LateDrainSends: r.Rules.LateDrainSends,
-		FelledBackends: r.Rules.FelledBackends, StaleSends: r.Stale, Overshoot: r.Rules.Overshoot,
-		OvershootLimit: sc.Rules.FallMultiple.From, Happened: r.Happened, Seconds: r.Seconds}
+	p := &PowerLoss{Day: dayOf(r, played), StaleSends: r.Stale, Overshoot: r.Rules.Overshoot,
+		OvershootLimit: sc.Rules.FallMultiple.From}
 	back := int(to.Seconds())
 	p.GBefore, _ = share(r.Seconds, 0, int(from.Seconds())-1)
 	p.GFirst60S, p.IdealFirst60S = share(r.Seconds, back, back+60)
@@ -163,10 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &SiteLoss{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Reqs: r.Reqs,
-		Unanswered: r.Rules.Unanswered, DoubleEffects: r.Rules.DoubleEffects, LateDrainSends: r.Rules.LateDrainSends,
-		FelledBackends: r.Rules.FelledBackends, ReturnOvershoot: r.Rules.Overshoot, OvershootLimit: sc.Rules.FallMultiple.From,
-		Happened: r.Happened, Seconds: r.Seconds}
+	s := &SiteLoss{Day: dayOf(r, played), ReturnOvershoot: r.Rules.Overshoot, OvershootLimit: sc.Rules.FallMultiple.From}
 	for i := range sc.Classes {
 		c := &sc.Classes[i]
 		got := r.Classes[c.Name]
