Save a node's state in one pass, and name its files in one place

Reading the change again: stateFile wrote handover's naming of an address anew; the keeper took the state as text, read it and wrote it once more every 2 s, since state() gave bytes; and run() juggled a closed channel for nodes that keep none. Now durable.NameOf serves both, state() gives the value (the handover puts it into text where it needs that), and start() returns what stops the keeper and saves a last time. Behaviour and file form are as before.

Measured: vet and the tests of the node, the handover, the store and the lab pass, their assertions unchanged.

--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -13,10 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"pipitmux/internal/cli"
+	"pipitmux/internal/emulator"
 	"pipitmux/internal/fault"
 	"pipitmux/internal/fleet"
-
-	"pipitmux/internal/emulator"
 )
 
 // Troubles of a short day in two sites: one is lost with its nodes and comes back cold
@@ -31,8 +30,8 @@
 `
 
 // A site with two of four real nodes is killed with -9, its backends fall silent, and it
-// comes back with old lists, the nodes before their backends; then a cut in one direction. No rule is broken, reqs and
-// answers were lost in the cut, and the fleet serves again after it all.
+// comes back with old lists, the nodes before their backends; then a cut in one direction.
+// No rule is broken, reqs and answers were lost in the cut, and the fleet serves again.
 func TestSiteLossOfRealNodes(t *testing.T) {
 	sc, r := fourNodes(t, siteTroubles)
 	assert.Positive(t, r.CutOff)
--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -93,19 +93,10 @@
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	log.Info("serves", "name", c.Name, "listen", c.Listen)
-	tell := func() ([]byte, error) { return state(owner, d) }
+	tell := func() (handed, error) { return state(owner, d) }
 	place.offer(tell, lot)
 	keep := &keeper{name: disk, state: tell, log: log}
-	kept := make(chan struct{})
-	close(kept)
-	ending := make(chan struct{})
-	if disk != "" {
-		kept = make(chan struct{})
-		go func() {
-			defer close(kept)
-			keep.run(ending)
-		}()
-	}
+	stop := keep.start()
 	for {
 		select {
 		case err := <-served:
@@ -118,10 +109,7 @@
 				reload(d, own, log)
 			default:
 				err := end(c, front, log)
-				close(ending)
-				if <-kept; disk != "" {
-					keep.save(time.Now())
-				}
+				stop()
 				return err
 			}
 		}
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -109,21 +109,28 @@
 
 // state is what a successor is handed. The version is read first: what is told twice
 // does no harm, what is missed does.
-func state(owner *core.Core, d *director.Director) ([]byte, error) {
+func state(owner *core.Core, d *director.Director) (handed, error) {
 	rev := d.Rev()
 	known, ok := owner.Known(time.Second)
 	if !ok {
-		return nil, errors.New("the owner did not tell its list in time")
+		return handed{}, errors.New("the owner did not tell its list in time")
 	}
-	return json.Marshal(handed{director.ListOf(rev, true, known.Entries), known.Learned})
+	return handed{director.ListOf(rev, true, known.Entries), known.Learned}, nil
 }
 
 // offer tells the predecessor that this process serves, and waits for a successor once
 // the predecessor has ended.
-func (p *place) offer(state func() ([]byte, error), lot shares) {
+func (p *place) offer(tell func() (handed, error), lot shares) {
 	if p.console == nil {
 		return
 	}
+	state := func() ([]byte, error) {
+		h, err := tell()
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(h)
+	}
 	go func() {
 		if p.before != nil {
 			if err := p.before.Ready(); err != nil {
--- a/cmd/oakseam/saved.go
+++ b/cmd/oakseam/saved.go
@@ -3,11 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"pipitmux/internal/durable"
@@ -29,12 +27,11 @@
 }
 
 // stateFile is where the node that listens at an address keeps its state; empty: nowhere.
-// Nodes that share a folder have each their own.
 func stateFile(dir, listen string) string {
 	if dir == "" {
 		return ""
 	}
-	return filepath.Join(dir, "oakseam-"+strings.NewReplacer("/", "_", ":", "-", "%", "_").Replace(listen)+".state")
+	return filepath.Join(dir, durable.NameOf(listen)+".state")
 }
 
 // recall takes on what the file of a name holds, each part as far as it can be trusted.
@@ -71,18 +68,35 @@
 // keeper writes the node's state to its file now and then.
 type keeper struct {
 	name   string
-	state  func() ([]byte, error) // in the form of handed
+	state  func() (handed, error)
 	log    *slog.Logger
 	failed bool
 }
 
-// run saves until quit is closed.
+// start has the state saved until stop is called, which saves it once more. Where there is
+// no file, neither does anything.
+func (k *keeper) start() (stop func()) {
+	if k.name == "" {
+		return func() {}
+	}
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		k.run(quit)
+	}()
+	return func() {
+		close(quit)
+		<-done
+	}
+}
+
 func (k *keeper) run(quit <-chan struct{}) {
 	tick := time.NewTicker(saveEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-quit:
+			k.save(time.Now())
 			return
 		case <-tick.C:
 			k.save(time.Now())
@@ -103,15 +117,12 @@
 }
 
 func (k *keeper) write(now time.Time) error {
-	text, err := k.state()
+	h, err := k.state()
 	if err != nil {
 		return err
 	}
-	s := saved{At: now}
-	if err := json.Unmarshal(text, &s.handed); err != nil {
-		return fmt.Errorf("what is to be saved: %w", err)
-	}
-	if text, err = json.Marshal(s); err != nil {
+	text, err := json.Marshal(saved{h, now})
+	if err != nil {
 		return err
 	}
 	return durable.Write(k.name, text)
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 )
 
 const (
@@ -76,6 +77,12 @@
 	return value, nil
 }
 
+// NameOf is the name, but for its ending, of what the node that listens at an address keeps
+// in a folder: nodes that share one have each their own.
+func NameOf(listen string) string {
+	return "oakseam-" + strings.NewReplacer("/", "_", ":", "-", "%", "_").Replace(listen)
+}
+
 // Write replaces the file of a name by a value. Where it fails, the old file stands.
 func Write(name string, value []byte) (err error) {
 	text, err := Frame(value)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,7 +12,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,7 +35,7 @@
 // dir is too long for a socket's address, it is reached by an open descriptor of it;
 // done closes that.
 func path(dir, listen string) (name string, done func(), err error) {
-	base := "oakseam-" + strings.NewReplacer("/", "_", ":", "-", "%", "_").Replace(listen) + ".sock"
+	base := durable.NameOf(listen) + ".sock"
 	name = filepath.Join(dir, base)
 	if len(name) <= maxPath {
 		return name, func() {}, nil
