Print the head and the end of both fault reports by one piece of code

Reading the change again: the two reports printed their first line, the breaches and what happened each by a copy. Measured: the printed text of both, emulated, is the same byte for byte before and after; the lab's tests pass.

--- a/cmd/oaklab/fault.go
+++ b/cmd/oaklab/fault.go
@@ -135,7 +135,7 @@
 }
 
 func (s siteLoss) print(w io.Writer) {
-	fmt.Fprintf(w, "%s, seed %d, %s: %d nodes, %d backends, %d reqs\n", s.Scenario, s.Seed, s.Played, s.Nodes, s.Backends, s.Reqs)
+	printHead(w, &s.Day)
 	for _, p := range []struct {
 		name     string
 		g, ideal float64
@@ -151,23 +151,26 @@
 		fmt.Fprintf(w, "refused %-12s %6d of %6d (%.3f), worth %g, %.0f a second of work\n", r.Class, r.Refused, r.Asked, r.Part, r.Worth, r.PerWork)
 	}
 	fmt.Fprintf(w, "return overshoot %.2f of the capacity, %.2f fells\n", s.ReturnOvershoot, s.OvershootLimit)
-	fmt.Fprintf(w, "rules broken: unanswered %d, double effects %d, late drain sends %d, felled backends %d\n",
-		s.Unanswered, s.DoubleEffects, s.LateDrainSends, s.FelledBackends)
-	printHappened(w, s.Happened)
+	printEnd(w, &s.Day, "")
 }
 
 func (p powerLoss) print(w io.Writer) {
-	fmt.Fprintf(w, "%s, seed %d, %s: %d nodes, %d backends, %d reqs\n", p.Scenario, p.Seed, p.Played, p.Nodes, p.Backends, p.Reqs)
+	printHead(w, &p.Day)
 	fmt.Fprintf(w, "before G %.3f, first 60 s with power G %.3f of an ideal %.3f\n", p.GBefore, p.GFirst60S, p.IdealFirst60S)
 	fmt.Fprintf(w, "seconds to service %.0f\n", p.SecondsToService)
 	fmt.Fprintf(w, "overshoot %.2f of the capacity, %.2f fells\n", p.Overshoot, p.OvershootLimit)
-	fmt.Fprintf(w, "rules broken: unanswered %d, double effects %d, late drain sends %d, felled backends %d; stale sends %d\n",
-		p.Unanswered, p.DoubleEffects, p.LateDrainSends, p.FelledBackends, p.StaleSends)
-	printHappened(w, p.Happened)
+	printEnd(w, &p.Day, fmt.Sprintf("; stale sends %d", p.StaleSends))
 }
 
-func printHappened(w io.Writer, of []emulator.Happening) {
-	for _, h := range of {
+func printHead(w io.Writer, d *fault.Day) {
+	fmt.Fprintf(w, "%s, seed %d, %s: %d nodes, %d backends, %d reqs\n", d.Scenario, d.Seed, d.Played, d.Nodes, d.Backends, d.Reqs)
+}
+
+// printEnd prints the breaches, with more of them behind, and what happened.
+func printEnd(w io.Writer, d *fault.Day, more string) {
+	fmt.Fprintf(w, "rules broken: unanswered %d, double effects %d, late drain sends %d, felled backends %d%s\n",
+		d.Unanswered, d.DoubleEffects, d.LateDrainSends, d.FelledBackends, more)
+	for _, h := range d.Happened {
 		fmt.Fprintf(w, "%9.2f s  %s %s\n", h.AtS, h.What, h.On)
 	}
 }
