Have every change told within 6 s: calls beside a silent watch, lists kept in one order

Cause: a silent watch was given up after 3.5 s, then the module paused 1 s (doubling to 6 s through an outage) and the next call had 5 s for its first word: up to 10.5 s for one lost call, 16 s after an outage. Fetch, a watch begun anew and the list known at the start were told with no look at rev, so an older whole list brought a drained backend back.

Change: director.stay makes another call beside a watch that is silent for 2.5 to 2.75 s or a call without a first word for 2.2 to 2.42 s, three out at most; the first to speak holds, a refused one is made again after 0.3 to 0.6 s. logic's pauses are 0.5 s, at most 0.9 s. director.order keeps older lists, whichever way they came, from undoing a drain or an end; a director that numbers from below again is heeded in all else. A list that contradicts itself or a watch that goes back is a failed call.

TestDirectorGivenUp wanted list.failed 1 for a silent watch: now nothing has failed while the call beside it is answered, so it wants no failure, a second list and the old watch ended.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -71,7 +71,7 @@
 	}, place.listener, owner, count)
 	lot := shares{c, pool, front, budget, log}
 	lot.set(place.before != nil)
-	d := director.New(c.Director, place.known.Rev, owner.List, log)
+	d := director.New(c.Director, place.known, owner.List, log)
 
 	known, err := place.known.Entries()
 	if err != nil {
--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -293,7 +293,13 @@
 			receive(t, d.Calls, "the first watch")
 			receive(t, d.Watch, "the first watch") <- text
 			assert.Equal(t, "stream=1&index=7", receive(t, d.Calls, "another watch"))
-			n.counts("list.failed", "1")
+			if name == "silent" || name == "list without end" { // nothing failed as long as one is out
+				n.counts("list.changes", "2")
+				n.until("the silent watch ended", func() bool { return d.Ended.Load() == 1 })
+				n.counts("list.failed", "0")
+			} else {
+				n.counts("list.failed", "1")
+			}
 			assert.Equal(t, 200, n.ask("topup").status, "the list as last told holds on")
 		})
 	}
--- a/internal/director/clock_test.go
+++ b/internal/director/clock_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w.began = time.Now()
 		ctx, stop := context.WithCancel(t.Context())
-		w.d = New("agent:1", 7, func(k logic.ListKind, _ []core.Entry) {
+		w.d = New("agent:1", List{Rev: 7}, func(k logic.ListKind, _ []core.Entry) {
 			w.told, w.kinds = append(w.told, time.Since(w.began)), append(w.kinds, k)
 		}, slog.New(slog.DiscardHandler))
 		w.d.dial = func(context.Context, string, string) (net.Conn, error) {
@@ -105,7 +106,7 @@
 }
 
 // What a silent watch missed counts as told 6 s after it fell silent: by then the next call
-// has had 2 s and more to be answered. A beat that is a second late breaks nothing.
+// has had 3 s and more to be answered.
 func TestSilence(t *testing.T) {
 	spaces, trickle := []say{{0, beat}}, []say{{0, beat}, {0, `{"targets":[`}}
 	for range 1000 {
@@ -119,7 +120,7 @@
 		"after its reply":   {[]say{{0, beat}}, 0},
 		"after beats":       {append([]say{{0, beat}}, beats(3)...), 6 * time.Second},
 		"after a list":      {[]say{{0, oneLine}, {time.Second, indented}}, time.Second},
-		"after a late beat": {[]say{{0, beat}, {3 * time.Second, beat}}, 3 * time.Second},
+		"after a late beat": {[]say{{0, beat}, {2400 * time.Millisecond, beat}}, 2400 * time.Millisecond},
 		"in a list":         {[]say{{0, beat}, {time.Second, oneLine[:30]}}, 0},
 		"but for a trickle": {trickle, 0},
 		"but for spaces":    {spaces, 0},
@@ -132,20 +133,66 @@
 				return append([]say{{0, beat}}, beats(20)...)
 			}, keep)
 			if assert.Len(t, w.calls, 2, "one call anew, and no more") {
-				assert.LessOrEqual(t, w.calls[1]-tt.silent, 4*time.Second)
-				assert.Greater(t, w.calls[1]-tt.silent, 3*time.Second, "a beat may be late")
+				assert.LessOrEqual(t, w.calls[1]-tt.silent, 2750*time.Millisecond)
+				assert.Greater(t, w.calls[1]-tt.silent, 2400*time.Millisecond, "a beat may be late")
 			}
 		})
 	}
 }
 
-// The first word of a call that was asked for may be as late as its turn; a watch may not.
+// A beat that is a second late breaks nothing: the call that was made beside the watch
+// meanwhile ends, unless it was answered first, and either way no list is missed or failed.
+func TestALateBeat(t *testing.T) {
+	late := []say{{0, beat}, {3 * time.Second, beat}, {time.Second, indented}}
+	for name, tt := range map[string]struct {
+		second []say
+		told   time.Duration // when the list was
+	}{
+		"before the call beside it is answered": {[]say{{time.Second, beat}}, 4 * time.Second},
+		"after it":                              {[]say{{100 * time.Millisecond, beat}, {1400 * time.Millisecond, indented}}, 4500 * time.Millisecond},
+		"and the call is refused":               {nil, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := play(t, 5*time.Second, func(call int, _ time.Duration) []say {
+				if call == 0 {
+					return late
+				}
+				return tt.second
+			}, func(_ context.Context, d *Director) { d.Subscribe() })
+			assert.NotContains(t, w.kinds, logic.ListFailed)
+			if assert.NotEmpty(t, w.told) {
+				assert.InDelta(t, tt.told.Seconds(), w.told[len(w.told)-1].Seconds(), 0.3, "the list")
+			}
+			assert.LessOrEqual(t, len(w.calls), 2)
+		})
+	}
+}
+
+// The first word of a call that was asked for may be as late as its turn: the calls made
+// beside it don't take that from it. A watch may not: another call is made beside it, with as
+// much patience, and nothing failed as long as one is out.
 func TestTurnOfACall(t *testing.T) {
 	w := play(t, 20*time.Second, func(call int, _ time.Duration) []say {
 		return append([]say{{4900 * time.Millisecond, beat}}, beats(1)...)
 	}, func(_ context.Context, d *Director) { d.Subscribe() })
-	assert.Equal(t, []logic.ListKind{logic.ListChanges, logic.ListFailed}, w.kinds)
-	assert.Equal(t, []time.Duration{4900 * time.Millisecond, 10400 * time.Millisecond}, w.told)
+	assert.Equal(t, []logic.ListKind{logic.ListChanges, logic.ListChanges}, w.kinds)
+	assert.Equal(t, 4900*time.Millisecond, w.told[0])
+	for _, c := range w.calls {
+		if c > w.told[0] {
+			assert.Less(t, c-6900*time.Millisecond, 3500*time.Millisecond, "the watch is silent since 6.9 s")
+			assert.Equal(t, c+4900*time.Millisecond, w.told[1])
+			break
+		}
+	}
+	assert.LessOrEqual(t, len(w.calls), 9, "at most one call in 2.2 s")
+	w = play(t, 20*time.Second, func(call int, at time.Duration) []say {
+		if call < 3 {
+			return []say{} // lost
+		}
+		return nil
+	}, func(_ context.Context, d *Director) { d.Subscribe() })
+	assert.Equal(t, []logic.ListKind{logic.ListFailed}, w.kinds, "told once, when no call is out")
+	assert.Less(t, w.told[0], 10*time.Second)
 }
 
 // What the agent has counts at once, after an outage too. However its calls failed until then,
@@ -201,7 +248,7 @@
 	}{
 		"one":             {[]say{{0, indented}}, []logic.ListKind{logic.ListChanges}},
 		"reply, then one": {[]say{{0, beat}, {time.Second, indented}}, []logic.ListKind{logic.ListChanges, logic.ListChanges}},
-		"all in one go": {[]say{{0, oneLine + indented + beat + oneLine}},
+		"all in one go": {[]say{{0, oneLine + indented + beat + strings.Replace(oneLine, "8", "10", 1)}},
 			[]logic.ListKind{logic.ListFull, logic.ListChanges, logic.ListFull}},
 		"no end of line": {[]say{{0, oneLine[:len(oneLine)-1]}}, []logic.ListKind{logic.ListFull}},
 		"CRLF":           {[]say{{0, "\r\n"}, {time.Second, "{\"rev\":8,\r\n\"targets\":[]}\r\n"}}, []logic.ListKind{logic.ListChanges, logic.ListChanges}},
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,16 @@
 	silentFor = 3500 * time.Millisecond
 	// A call that is asked for waits for its turn at a director that many share.
 	turnWithin = 5 * time.Second
+	// Another call is made beside one without a first word for so long, and a tenth more at
+	// most: directors answer or refuse within 2 s. And so beside a watch that is silent for
+	// so long, and a tenth more: its beats are 2 s apart. One that is refused is made again
+	// after againIn, and up to as long more. What a silent watch misses counts as told 6 s
+	// after it fell silent: 2.75 s of doubt, 2.42 s for a call that is lost, and the rest for
+	// the next one's answer.
+	turnDoubt  = 2200 * time.Millisecond
+	watchDoubt = 2500 * time.Millisecond
+	againIn    = 300 * time.Millisecond
+	callsMost  = 3 // out at once
 	// The agent that lists are pushed to answers at once: a call without a first word is lost or
 	// the agent slow. So the first one waits this long, each further one twice as long.
 	agentWithin = 500 * time.Millisecond
@@ -66,6 +77,7 @@
 // Entries returns the backends of a list as the core takes them.
 func (l *List) Entries() ([]core.Entry, error) {
 	out := make([]core.Entry, 0, len(l.Targets))
+	seen := make(map[string]int, len(l.Targets))
 	for i, t := range l.Targets {
 		state, ok := states[t.State]
 		if !ok {
@@ -77,6 +89,10 @@
 		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && state != logic.Gone {
 			return nil, fmt.Errorf("targets.%d.endpoint: %w", i, err)
 		}
+		if was, ok := seen[t.UID]; ok && l.All && l.Targets[was] != t {
+			return nil, fmt.Errorf("targets.%d.uid: %q is targets.%d as well, with other values", i, t.UID, was)
+		}
+		seen[t.UID] = i
 		out = append(out, core.Entry{Endpoint: t.Endpoint, Server: logic.Server{
 			ID: logic.ServerID(t.UID), Capacity: t.Capacity, State: state, Kind: t.Kind, Zone: t.Zone,
 			Cell: t.Cell, Born: time.Duration(max(t.BootMS, 0)) * time.Millisecond,
@@ -108,6 +124,9 @@
 	log  *slog.Logger
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	telling sync.Mutex // held while a list is told, ahead of mu: lists are told in one order
+	order   order
+
 	mu    sync.Mutex
 	addr  string
 	rev   int64
@@ -118,10 +137,15 @@
 
 var _ core.Director = (*Director)(nil)
 
-// New returns a Director that has yet to call. rev is the version of the list
-// that the node knows already.
-func New(addr string, rev int64, tell func(logic.ListKind, []core.Entry), log *slog.Logger) *Director {
-	return &Director{addr: addr, rev: rev, tell: tell, log: log, dial: new(net.Dialer).DialContext}
+// New returns a Director that has yet to call. known is the list that the node knows
+// already, with its version.
+func New(addr string, known List, tell func(logic.ListKind, []core.Entry), log *slog.Logger) *Director {
+	d := &Director{addr: addr, rev: known.Rev, tell: tell, log: log, dial: new(net.Dialer).DialContext,
+		order: newOrder(time.Now)}
+	if entries, err := known.Entries(); err == nil {
+		d.order.sort(&known, entries)
+	}
+	return d
 }
 
 // Rev returns the version of the list that was last told.
@@ -136,23 +160,18 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), turnWithin)
 		defer cancel()
-		told := false
 		d.mu.Lock()
 		addr := d.addr
 		d.mu.Unlock()
 		err := d.call(ctx, addr, "/v1/endpoints", turnWithin, func(body *bufio.Reader, _ func()) error {
-			var l List
+			l := List{Rev: -1}
 			if err := json.NewDecoder(io.LimitReader(body, maxList)).Decode(&l); err != nil {
 				return err
 			}
-			entries, err := l.Entries()
-			if err == nil {
-				told = true
-				d.tell(logic.ListFull, entries)
-			}
-			return err
+			l.All = true // the call is for the whole list
+			return d.take(nil, &l)
 		})
-		if !told {
+		if err != nil {
 			d.log.Warn("director: no list", logging.Cause, err)
 			d.tell(logic.ListFailed, nil)
 		}
@@ -229,9 +248,8 @@
 		d.mu.Lock()
 		d.leave = leave
 		addr := d.addr
-		path := fmt.Sprintf("/v1/endpoints?stream=1&index=%d", d.rev)
 		d.mu.Unlock()
-		told, err := d.watch(here, addr, path, first)
+		told, err := d.stay(here, addr, first)
 		replied = replied || told
 		moved := here.Err() != nil && ctx.Err() == nil
 		leave()
@@ -241,40 +259,157 @@
 	}
 }
 
-// watch tells lists until the watch ends, which it always does with an error.
-// It also returns whether a first list was told.
-func (d *Director) watch(ctx context.Context, addr, path string, first time.Duration) (replied bool, err error) {
-	err = d.call(ctx, addr, path, first, func(body *bufio.Reader, whole func()) error {
-		for {
+// watch is one call for a watch, guarded by Director.telling.
+type watch struct {
+	rivals *[]*watch
+	rev    int64 // of its last list
+	dead   bool  // a rival has spoken
+}
+
+// event is a word of a watch, or its end.
+type event struct {
+	of  *watch
+	err error // nil: a word
+}
+
+// stay watches at one address until no call is out any more. A call or a watch that says
+// nothing for longer than an honest one would gets another beside it, and goes on: of those
+// that are out the first to speak holds, and the others end. So a call that is lost costs no
+// more than a while, and one that waits for its turn does not lose it.
+func (d *Director) stay(ctx context.Context, addr string, first time.Duration) (replied bool, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	var ended sync.WaitGroup
+	defer ended.Wait()
+	defer stop()
+	events := make(chan event)
+	var out []*watch // guarded by telling, but for the reads of this goroutine
+	cancel := map[*watch]context.CancelFunc{}
+	doubt := time.NewTimer(time.Hour)
+	defer doubt.Stop()
+	open := func() {
+		d.mu.Lock()
+		path := fmt.Sprintf("/v1/endpoints?stream=1&index=%d", d.rev)
+		d.mu.Unlock()
+		w := &watch{rivals: &out, rev: -1}
+		d.telling.Lock()
+		out = append(out, w)
+		d.telling.Unlock()
+		here, end := context.WithCancel(ctx)
+		cancel[w] = end
+		doubt.Reset(turnDoubt + rand.N(turnDoubt/10))
+		put := func(err error) {
+			select {
+			case events <- event{w, err}:
+			case <-ctx.Done():
+			}
+		}
+		ended.Go(func() { put(d.watch(here, w, addr, path, first, func() { put(nil) })) })
+	}
+	for open(); ; {
+		select {
+		case <-ctx.Done():
+			return replied, ctx.Err()
+		case <-doubt.C:
+			if doubt.Reset(turnDoubt); len(out) < callsMost {
+				open()
+			}
+		case e := <-events:
+			if e.err == nil {
+				replied = true
+				doubt.Reset(watchDoubt + rand.N(watchDoubt/10))
+				d.telling.Lock()
+				for w, end := range cancel {
+					if w.dead {
+						end()
+					}
+				}
+				d.telling.Unlock()
+				continue
+			}
+			cancel[e.of]()
+			delete(cancel, e.of)
+			d.telling.Lock()
+			out = slices.DeleteFunc(out, func(w *watch) bool { return w == e.of })
+			replaced := e.of.dead
+			d.telling.Unlock()
+			if len(cancel) == 0 {
+				return replied, e.err
+			}
+			if !replaced { // those that are left have said nothing since
+				doubt.Reset(againIn + rand.N(againIn))
+			}
+		}
+	}
+}
+
+// watch tells lists until the watch ends, which it always does with an error. word is called
+// for each list and each empty line.
+func (d *Director) watch(ctx context.Context, w *watch, addr, path string, first time.Duration, word func()) error {
+	return d.call(ctx, addr, path, first, func(body *bufio.Reader, whole func()) error {
+		for replied := false; ; replied = true {
 			l, err := next(body)
 			if err != nil {
 				return err
 			}
 			whole()
 			if l == nil {
+				l = &List{Rev: -1} // an empty first line is the reply that nothing has changed
 				if replied {
-					continue
+					l = nil
 				}
-				l = &List{Rev: -1} // an empty first line is the reply that nothing has changed
 			}
-			entries, err := l.Entries()
-			if err != nil {
+			if err := d.take(w, l); err != nil {
 				return err
 			}
-			if l.Rev >= 0 {
-				d.mu.Lock()
-				d.rev = l.Rev
-				d.mu.Unlock()
-			}
-			kind := logic.ListChanges
-			if l.All {
-				kind = logic.ListFull
-			}
-			replied = true
-			d.tell(kind, entries)
+			word()
 		}
 	})
-	return replied, err
+}
+
+// errReplaced ends a watch beside which another has spoken first.
+var errReplaced = errors.New("another watch has spoken first")
+
+// take tells what a watch brought, a list or nil for an empty line, in the order of the
+// lists. A nil watch is a call for the whole list.
+func (d *Director) take(w *watch, l *List) error {
+	d.telling.Lock()
+	defer d.telling.Unlock()
+	if w != nil && w.dead {
+		return errReplaced
+	}
+	var entries []core.Entry
+	if l != nil {
+		var err error
+		if entries, err = l.Entries(); err != nil {
+			return err
+		}
+		if w != nil && l.Rev >= 0 {
+			if l.Rev < w.rev {
+				return fmt.Errorf("rev: %d after %d", l.Rev, w.rev)
+			}
+			w.rev = l.Rev
+		}
+	}
+	if w != nil {
+		for _, r := range *w.rivals {
+			r.dead = r != w
+		}
+	}
+	if l == nil {
+		return nil
+	}
+	entries = d.order.sort(l, entries)
+	if l.Rev >= 0 {
+		d.mu.Lock()
+		d.rev = l.Rev
+		d.mu.Unlock()
+	}
+	kind := logic.ListChanges
+	if l.All {
+		kind = logic.ListFull
+	}
+	d.tell(kind, entries)
+	return nil
 }
 
 // next reads a list, over however many lines, or an empty line, which is nil.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -37,7 +37,7 @@
 			io.WriteString(w, tt.body)
 		}))
 		told := make(chan string, 10)
-		d := New(s.Listener.Addr().String(), 0, func(k logic.ListKind, e []core.Entry) { told <- fmt.Sprint(k, len(e)) }, slog.New(slog.DiscardHandler))
+		d := New(s.Listener.Addr().String(), List{}, func(k logic.ListKind, e []core.Entry) { told <- fmt.Sprint(k, len(e)) }, slog.New(slog.DiscardHandler))
 		for range 2 {
 			d.Fetch()
 			select {
@@ -73,7 +73,7 @@
 	assert.NoError(t, err)
 	defer l.Close()
 	told := make(chan logic.ListKind, 10)
-	d := New(l.Addr().String(), 0, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
+	d := New(l.Addr().String(), List{}, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
 	d.Subscribe()
 	first, err := l.Accept() // the first call is out
 	assert.NoError(t, err)
--- a/internal/standin/director.go
+++ b/internal/standin/director.go
@@ -76,6 +76,7 @@
 				switch text = l; l {
 				case FallSilent:
 					<-r.Context().Done()
+					d.Ended.Add(1)
 					return
 				case Trickle:
 					text = `{"targets":[`
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,8 +73,8 @@
 	reportLife = 300 * time.Millisecond // half-life of what a load report tells
 	trustStep  = 0.03                   // how fast the worth of load reports is followed
 
-	askFirst    = time.Second            // first pause after a failed call to discovery, doubling
-	askMost     = 6 * time.Second        // longest such pause; well inside the ask-within rule
+	askFirst    = time.Second / 2        // first pause after a failed call to discovery, doubling
+	askMost     = 900 * time.Millisecond // longest such pause: two, with two turns of 2 s, stay below 6 s
 	askSpread   = 20 * time.Millisecond  // first calls are spread over this for each node
 	askPatience = 15 * time.Second       // a call without an answer for this long is made again
 	lingerFor   = time.Minute            // an outcome that has not come by then never will
@@ -998,7 +998,7 @@
 	if !b.cfg.MustSubscribe {
 		return
 	}
-	spread := min(askSpread*time.Duration(max(b.cfg.Nodes, 1)), b.askLimit())
+	spread := min(askSpread*time.Duration(max(b.cfg.Nodes, 1)), 2*b.askLimit())
 	b.do(SetTimer{Token: tokenAsk, After: time.Duration(b.rng.Float64() * float64(spread))})
 }
 
