Gate attempts before their first byte, linger at closes, answer all before the kill

Cause, found by reading and forced by tests: - Pool.Start dialled and wrote with nobody asking again: a drain told, a client's close or the end of a keyed window during the dial did not stop the first byte (backend.exchange). - net/http watches for the client's close by one byte; behind stray or pipelined bytes it sees none, so such a client's req went on being tried (counted.Read). - Closes of resting sessions and after the last answer were plain: bytes crossing them reset the session and took an unread answer along (counted.Close). http.Server.Shutdown closed sessions on which a req was being read; a listener at its limit closed over its queue. - The end waited for the longest deadline and 0.5 s, but a req may come 0.6 s after SIGTERM: a hung one was cut unanswered (node.end).

Change: backend.gate, core.Backends.Withdraw (Owner.List, before the module hears), Moot for what did not begin; Call.Left asks the client's socket; counted reads and decides in one step, keeps 8 KiB that come behind a req, half-closes and reads out for 250 ms; Front.End ends sessions itself, empties the queue, refuses after 0.6 s and answers 502 70 ms before its end, which is at the shorter of the longest deadline and 3 s, and 0.68 s.

TestPhases wanted reqs taken 1 s after SIGTERM; such a one is lost if killed, so it now wants them refused from 0.6 s on.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -30,7 +30,11 @@
 	// For standard streams, the listener, the director, the poller, the configuration file,
 	// and client sessions over their limit while others are shed.
 	spareSockets = 64
-	endSlack     = 500 * time.Millisecond
+	// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which no more than
+	// killCounts counts, and killAfter. endSlack is kept of that for the exit.
+	killCounts = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+	endSlack   = 20 * time.Millisecond
 )
 
 // run is the node, from its configuration to its end.
@@ -146,15 +150,13 @@
 	d.Move(c.Director)
 }
 
-// end answers all that was taken. Each req has its answer by its deadline.
+// end answers all that was taken, before the process may be killed.
 func end(c *config.Config, front *session.Front, log *slog.Logger) error {
 	longest := time.Duration(0)
 	for _, cl := range c.Settings.Classes {
 		longest = max(longest, cl.Deadline)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest+endSlack)
-	defer cancel()
-	if err := front.End(ctx); err != nil {
+	if err := front.End(min(longest, killCounts) + killAfter - endSlack); err != nil {
 		log.Warn("ended with client sessions still open", logging.Cause, err)
 	}
 	return nil
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -60,6 +60,8 @@
 // byte: what broke before then never ran, what broke later may have.
 func (e *Error) result() logic.Result {
 	switch {
+	case errors.Is(e.Err, errWithdrawn), errors.Is(e.Err, errLeft), errors.Is(e.Err, errWindow):
+		return logic.Moot
 	case errors.Is(e.Err, context.Canceled), errors.Is(e.Err, errClient):
 		return logic.Canceled
 	case e.Stage < WrittenWhole:
@@ -78,25 +80,27 @@
 		left = time.Hour // until the req's last byte, which comes sooner or never
 	}
 	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
+	g := p.gate(a, end)
 	go func() {
 		defer end(nil)
 		defer timer.Stop()
-		done(p.carry(ctx, a, timer))
+		done(p.carry(ctx, a, timer, g))
 	}()
 	return func() { end(nil) }
 }
 
 // carry makes an attempt and always returns its end: a panic stops here, and is
 // told as a broken connection that may have run.
-func (p *Pool) carry(ctx context.Context, a core.Attempt, timer *time.Timer) (end core.Ended) {
+func (p *Pool) carry(ctx context.Context, a core.Attempt, timer *time.Timer, g *gate) (end core.Ended) {
+	defer p.forget(g)
 	defer func() {
 		if v := recover(); v != nil {
 			p.log.Error("backend: panic", logging.Backend, a.Place.ID, logging.Cause, v, "stack", string(debug.Stack()))
 			end = core.Ended{Result: logic.Reset, At: time.Now()}
 		}
 	}()
-	end, err := p.exchange(ctx, a, timer)
-	end.At = time.Now()
+	end, err := p.exchange(ctx, a, timer, g)
+	end.At, end.Left = time.Now(), errors.Is(err, errLeft)
 	var broken *Error
 	if errors.As(err, &broken) {
 		end.Result = broken.result()
@@ -107,7 +111,7 @@
 
 // exchange writes the req and reads the answer on one connection. Nothing is
 // ever sent a second time here: that is for the module to decide.
-func (p *Pool) exchange(ctx context.Context, a core.Attempt, timer *time.Timer) (end core.Ended, err error) {
+func (p *Pool) exchange(ctx context.Context, a core.Attempt, timer *time.Timer, g *gate) (end core.Ended, err error) {
 	call := a.Call.(*message.Call)
 	if call.Rest != nil && call.Rest.Used() {
 		end.Result = logic.Moot // what followed the held part has gone to another
@@ -117,6 +121,10 @@
 	if err != nil {
 		return end, &Error{NotConnected, because(ctx, err)}
 	}
+	if err := p.begin(ctx, g); err != nil {
+		p.give(c, !errors.Is(err, errWithdrawn)) // nothing was written on it
+		return end, &Error{NotConnected, err}
+	}
 	reusable, passedOn := false, false
 	// The time-out, or being called off, wakes whatever waits on the connection.
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -274,5 +282,6 @@
 	if opt.Relayed == nil {
 		opt.Relayed = func() {}
 	}
-	return &Pool{opt: opt, count: count, log: log, idle: map[core.Place][]*conn{}}
+	d := opt.dialer()
+	return &Pool{opt: opt, count: count, log: log, dial: d.DialContext, idle: map[core.Place][]*conn{}, gates: map[core.Place]map[*gate]struct{}{}}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -20,10 +20,14 @@
 	opt   Options
 	count *counters.Set
 	log   *slog.Logger
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	open int                    // connections open or opening
 	idle map[core.Place][]*conn // the latest used last
+
+	gatesMu sync.Mutex
+	gates   map[core.Place]map[*gate]struct{} // of attempts that have not begun
 }
 
 type conn struct {
@@ -64,8 +68,7 @@
 	if !p.reserve() {
 		return nil, errNoSockets
 	}
-	d := p.opt.dialer()
-	nc, err := d.DialContext(ctx, "tcp", at.Endpoint)
+	nc, err := p.dial(ctx, "tcp", at.Endpoint)
 	if err != nil {
 		p.release()
 		return nil, err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 	Place  Place
 	Until  time.Time     // zero for a req whose last byte has not come
 	Within time.Duration // and then it has so long from that byte
+	Before time.Time     // its first byte has to be written before then; zero: whenever
 }
 
 // Ended is how an attempt ended.
@@ -76,12 +77,15 @@
 	Reply  any       // of an OK; an io.Closer is closed where nobody gets it
 	Report []float64 // nil: none came
 	At     time.Time
+	Left   bool // it was not begun, since the client has left
 }
 
 // Backends carries attempts. Its methods must not block.
 type Backends interface {
 	// Start begins an attempt, calls done once, and returns what calls it off.
 	Start(a Attempt, done func(Ended)) (cancel func())
+	// Withdraw ends the attempts to a place that have not begun, as Moot. None begins after it.
+	Withdraw(Place)
 	CloseIdle(Place)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -31,6 +31,7 @@
 	return func() { p.off.Add(1) }
 }
 func (p *peers) CloseIdle(Place) {}
+func (p *peers) Withdraw(Place)  {}
 func (p *peers) Subscribe()      {}
 func (p *peers) Fetch()          {}
 
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -58,6 +58,7 @@
 // held is a req from its arrival until it is answered and its attempts have ended.
 type held struct {
 	Req
+	class    *logic.Class // nil: not known
 	until    time.Time
 	attempts []sent
 	open     int
@@ -71,6 +72,7 @@
 	within time.Duration // that the module gave it
 	server logic.ServerID
 	cancel func()
+	never  bool // it has ended and did not run
 }
 
 // NewOwner returns an Owner of the module, which must have been made for the
@@ -212,12 +214,16 @@
 		r.Session.Answer(Answer{Kind: Duplicate})
 		return
 	}
+	var class *logic.Class
 	for i := range o.settings.Classes {
-		if cl := &o.settings.Classes[i]; cl.Name == r.Class && (r.Wait <= 0 || r.Wait > cl.Deadline) {
-			r.Wait = cl.Deadline
+		if cl := &o.settings.Classes[i]; cl.Name == r.Class {
+			class = cl
+			if r.Wait <= 0 || r.Wait > cl.Deadline {
+				r.Wait = cl.Deadline
+			}
 		}
 	}
-	h := &held{Req: r, until: r.Arrived.Add(r.Wait)}
+	h := &held{Req: r, class: class, until: r.Arrived.Add(r.Wait)}
 	o.reqs[id] = h
 	if r.Open {
 		h.Arrived = o.world.Now()
@@ -261,10 +267,14 @@
 	if r == nil || r.over || r.Session != of {
 		return
 	}
+	o.gone(id, r)
+	o.forget(id, r)
+}
+
+func (o *Owner) gone(id logic.RequestID, r *held) {
 	o.world.Count.Add("client.gone")
 	r.over = true
 	o.tell(id, logic.ClientGone{ID: id})
-	o.forget(id, r)
 }
 
 // answer gives a req its final answer, unless it has one.
@@ -311,7 +321,7 @@
 		return
 	}
 	o.world.Count.Add("attempt.sent")
-	out := Attempt{Call: r.Call, Place: place, Until: until}
+	out := Attempt{Call: r.Call, Place: place, Until: until, Before: r.before()}
 	if r.Open {
 		out.Until, out.Within = time.Time{}, min(a.Within, r.Wait)
 	}
@@ -320,6 +330,20 @@
 	})
 }
 
+// before returns until when a further attempt of a keyed req may begin: backends drop its
+// repeats for a while only, and a connection that comes up late may use all of that up.
+func (r *held) before() (until time.Time) {
+	if r.class == nil || r.class.Effect != logic.Keyed {
+		return until
+	}
+	for _, a := range r.attempts[:len(r.attempts)-1] {
+		if over := a.at.Add(r.class.Window); !a.never && (until.IsZero() || over.Before(until)) {
+			until = over
+		}
+	}
+	return until
+}
+
 // The counts' names stand here whole: joined for each event they would be a
 // good part of what an event costs.
 var (
@@ -340,7 +364,11 @@
 		o.world.Log.Error("an attempt ended of a req that is not held", logging.Req, id, logging.Attempt, n)
 		return
 	}
-	t := r.attempts[n]
+	if e.Left && !r.over {
+		o.gone(id, r)
+	}
+	t := &r.attempts[n]
+	t.never = e.Result.NeverRan()
 	r.open--
 	if r.Open {
 		t.at = e.At // no backend has begun on it
@@ -365,7 +393,8 @@
 }
 
 // List takes news of the backends. The connections to a process that is gone,
-// or has been started anew or elsewhere, are dropped.
+// or has been started anew or elsewhere, are dropped. Attempts that were decided on before
+// it and have not begun are withdrawn where their backend leaves, and decided anew.
 func (o *Owner) List(kind logic.ListKind, entries []Entry) {
 	o.world.Count.Add(listCounts[kind])
 	servers := make([]logic.Server, 0, len(entries))
@@ -376,8 +405,11 @@
 	}
 	for _, e := range entries {
 		p := Place{ID: e.ID, Endpoint: e.Endpoint, Born: e.Born}
-		if old, ok := was[e.ID]; ok && (old != p || e.State == logic.Gone) {
-			o.world.Backends.CloseIdle(old)
+		if old, ok := was[e.ID]; ok && (old != p || e.State != logic.Serving) {
+			o.world.Backends.Withdraw(old)
+			if old != p || e.State == logic.Gone {
+				o.world.Backends.CloseIdle(old)
+			}
 		}
 		if e.State == logic.Gone {
 			delete(o.places, e.ID)
@@ -408,6 +440,7 @@
 	}
 	slices.SortFunc(left, func(a, b Place) int { return cmp.Compare(a.ID, b.ID) })
 	for _, p := range left {
+		o.world.Backends.Withdraw(p)
 		o.world.Backends.CloseIdle(p)
 	}
 }
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -22,6 +22,7 @@
 	return func() {}
 }
 func (stub) CloseIdle(Place) {}
+func (stub) Withdraw(Place)  {}
 func (stub) Subscribe()      {}
 func (stub) Fetch()          {}
 func (stub) Answer(Answer)   {}
@@ -90,3 +91,137 @@
 		})
 	}
 }
+
+// hand is a module that a test plays by hand, and the backends that it sends to.
+type hand struct {
+	do        func(ev logic.Event) []logic.Action
+	told      []logic.Event
+	started   []Attempt
+	ends      []func(Ended)
+	withdrawn []Place
+	answers   []Answer
+}
+
+func (h *hand) Handle(_ time.Duration, ev logic.Event) []logic.Action {
+	h.told = append(h.told, ev)
+	return h.do(ev)
+}
+func (h *hand) Start(a Attempt, done func(Ended)) func() {
+	h.started, h.ends = append(h.started, a), append(h.ends, done)
+	return func() {}
+}
+func (h *hand) Withdraw(p Place) { h.withdrawn = append(h.withdrawn, p) }
+func (h *hand) CloseIdle(Place)  {}
+func (h *hand) Answer(a Answer)  { h.answers = append(h.answers, a) }
+
+// play runs an owner round the module, at a time that the test moves.
+func (h *hand) play(c logic.Class, at *time.Time) *Owner {
+	o := NewOwner(h, logic.Settings{Classes: []logic.Class{c}}, World{
+		Now: func() time.Time { return *at }, Post: func(ev func()) { ev() },
+		Backends: h, Director: stub{}, Count: stub{}, Log: slog.New(slog.DiscardHandler)})
+	o.List(logic.ListFull, []Entry{{Server: logic.Server{ID: "a"}, Endpoint: "x:1"}, {Server: logic.Server{ID: "b"}, Endpoint: "x:2"}})
+	return o
+}
+
+// A keyed req's further attempt has to begin while the first one's repeats are dropped, and
+// the first that may have run counts; what never ran does not.
+func TestFurtherAttemptsBeginWithinTheWindow(t *testing.T) {
+	for name, tt := range map[string]struct {
+		effect logic.Effect
+		first  logic.Result
+		want   time.Duration // after the first attempt, 0: whenever
+	}{
+		"keyed, may have run": {logic.Keyed, logic.TimedOut, 700 * time.Millisecond},
+		"keyed, never ran":    {logic.Keyed, logic.ConnectFailed, 0},
+		"safe":                {logic.Safe, logic.TimedOut, 0},
+	} {
+		at := time.Unix(1000, 0)
+		h := &hand{do: func(ev logic.Event) []logic.Action {
+			switch ev.(type) {
+			case logic.Request, logic.Outcome:
+				return []logic.Action{logic.Send{ID: "r", Server: "a", Within: time.Second}}
+			}
+			return nil
+		}}
+		o := h.play(logic.Class{Name: "c", Effect: tt.effect, Window: 700 * time.Millisecond, Deadline: 5 * time.Second}, &at)
+		o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: h})
+		sent := at
+		for range 2 {
+			at = at.Add(200 * time.Millisecond)
+			h.ends[len(h.ends)-1](Ended{Result: tt.first, At: at})
+		}
+		if assert.Len(t, h.started, 3, name) {
+			assert.True(t, h.started[0].Before.IsZero(), name)
+			want := time.Time{}
+			if tt.want > 0 {
+				want = sent.Add(tt.want)
+			}
+			assert.Equal(t, want, h.started[1].Before, name)
+			assert.Equal(t, want, h.started[2].Before, name)
+		}
+	}
+}
+
+// Whatever list tells that a backend leaves, or is another process now, its attempts that
+// have not begun are withdrawn before the module hears of it.
+func TestListsWithdrawAttempts(t *testing.T) {
+	a := Place{ID: "a", Endpoint: "x:1"}
+	entry := func(state logic.ServerState, endpoint string, born time.Duration) Entry {
+		return Entry{Server: logic.Server{ID: "a", State: state, Born: born}, Endpoint: endpoint}
+	}
+	other := Entry{Server: logic.Server{ID: "b"}, Endpoint: "x:2"}
+	for name, tt := range map[string]struct {
+		kind    logic.ListKind
+		entries []Entry
+		want    []Place
+	}{
+		"serves on":           {logic.ListChanges, []Entry{entry(logic.Serving, "x:1", 0)}, nil},
+		"drains":              {logic.ListChanges, []Entry{entry(logic.Draining, "x:1", 0)}, []Place{a}},
+		"gone":                {logic.ListChanges, []Entry{entry(logic.Gone, "", 0)}, []Place{a}},
+		"started anew":        {logic.ListChanges, []Entry{entry(logic.Serving, "x:1", 5)}, []Place{a}},
+		"elsewhere":           {logic.ListFull, []Entry{entry(logic.Serving, "x:9", 0), other}, []Place{a}},
+		"drains, by a whole":  {logic.ListFull, []Entry{entry(logic.Draining, "x:1", 0), other}, []Place{a}},
+		"missing in a whole":  {logic.ListFull, []Entry{other}, []Place{a}},
+		"a list that failed":  {logic.ListFailed, nil, nil},
+		"whole, nothing new":  {logic.ListFull, []Entry{entry(logic.Serving, "x:1", 0), other}, nil},
+		"of another, changes": {logic.ListChanges, []Entry{other}, nil},
+	} {
+		at := time.Unix(1000, 0)
+		var h *hand
+		seen := -1
+		h = &hand{do: func(ev logic.Event) []logic.Action {
+			if l, ok := ev.(logic.ServerList); ok && l.Kind == tt.kind {
+				seen = len(h.withdrawn)
+			}
+			return nil
+		}}
+		o := h.play(logic.Class{Name: "c", Deadline: time.Second}, &at)
+		o.List(tt.kind, tt.entries)
+		assert.Equal(t, tt.want, h.withdrawn, name)
+		assert.Equal(t, len(tt.want), seen, "%s: before the module hears of it", name)
+	}
+}
+
+// An attempt that was not begun, since its client has left, ends the req: nothing else is
+// tried for it, and nothing is answered.
+func TestClientLeftBeforeItsAttempt(t *testing.T) {
+	at := time.Unix(1000, 0)
+	h := &hand{do: func(ev logic.Event) []logic.Action {
+		if _, ok := ev.(logic.Request); ok {
+			return []logic.Action{logic.Send{ID: "r", Server: "a", Within: time.Second}}
+		}
+		return nil
+	}}
+	o := h.play(logic.Class{Name: "c", Deadline: time.Second}, &at)
+	o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: h})
+	h.told = nil
+	h.ends[0](Ended{Result: logic.Moot, Left: true, At: at})
+	if assert.Len(t, h.told, 2) {
+		assert.Equal(t, logic.ClientGone{ID: "r"}, h.told[0])
+		assert.True(t, h.told[1].(logic.Outcome).Final)
+	}
+	assert.Empty(t, h.answers)
+	assert.Empty(t, o.reqs)
+	o.Gone("r", h) // which its session tells as well
+	assert.Len(t, h.told, 2)
+}
--- a/internal/director/clock_test.go
+++ b/internal/director/clock_test.go
@@ -149,7 +149,7 @@
 		told   time.Duration // when the list was
 	}{
 		"before the call beside it is answered": {[]say{{time.Second, beat}}, 4 * time.Second},
-		"after it":                              {[]say{{100 * time.Millisecond, beat}, {1400 * time.Millisecond, indented}}, 4500 * time.Millisecond},
+		"after it":                              {[]say{{100 * time.Millisecond, beat}, {1400 * time.Millisecond, indented}}, 4125 * time.Millisecond},
 		"and the call is refused":               {nil, 4 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -161,7 +161,7 @@
 			}, func(_ context.Context, d *Director) { d.Subscribe() })
 			assert.NotContains(t, w.kinds, logic.ListFailed)
 			if assert.NotEmpty(t, w.told) {
-				assert.InDelta(t, tt.told.Seconds(), w.told[len(w.told)-1].Seconds(), 0.3, "the list")
+				assert.InDelta(t, tt.told.Seconds(), w.told[len(w.told)-1].Seconds(), 0.15, "the list")
 			}
 			assert.LessOrEqual(t, len(w.calls), 2)
 		})
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,20 +13,21 @@
 // node is one balancer: a core.Owner round a module, and a model of what
 // internal/backend and the platform's network do for it.
 type node struct {
-	w     *world
-	no    int
-	zone  int
-	alive bool
-	epoch int
-	owner *core.Owner
-	wake  time.Duration // the earliest wake-up planned, 0: none
-	pool  map[int]*idleConns
-	open  int                       // connections, in use or idle
-	tries map[*try]struct{}         // taken and not answered
-	view  map[int]logic.ServerState // as told, for what it knows at a restart
-	told  int                       // how far in the director's news it is
-	watch bool                      // it has a watch
-	flush bool                      // news are on their way
+	w       *world
+	no      int
+	zone    int
+	alive   bool
+	epoch   int
+	owner   *core.Owner
+	wake    time.Duration // the earliest wake-up planned, 0: none
+	pool    map[int]*idleConns
+	open    int                       // connections, in use or idle
+	opening []*attempt                // that had to open one, the latest ones
+	tries   map[*try]struct{}         // taken and not answered
+	view    map[int]logic.ServerState // as told, for what it knows at a restart
+	told    int                       // how far in the director's news it is
+	watch   bool                      // it has a watch
+	flush   bool                      // news are on their way
 
 	inbox []func() // events of the present instant
 	out   []func() // what it does to the world, while nodes decide at once
@@ -204,6 +206,7 @@
 	}
 	n.open++
 	att.conn = true
+	n.opening = append(slices.DeleteFunc(n.opening, func(a *attempt) bool { return a.begun || a.over }), att)
 	w.handshakes++
 	if b.state == Silent || w.lost(n.zone, b.zone) || w.lost(b.zone, n.zone) {
 		w.after(w.sc.Conns.TimeoutMS.ms(), func() { att.endNow(logic.ConnectFailed, nil) })
@@ -347,6 +350,17 @@
 	a.b.dropped(a)
 }
 
+// Withdraw is core.Backends.
+func (n *node) Withdraw(at core.Place) {
+	n.effect(func() {
+		for _, a := range n.opening {
+			if a.b == n.w.byEndpoint[at.Endpoint] && !a.begun {
+				a.endNow(logic.Moot, nil)
+			}
+		}
+	})
+}
+
 // CloseIdle is core.Backends.
 func (n *node) CloseIdle(at core.Place) { n.effect(func() { n.closeIdle(at) }) }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -40,6 +40,9 @@
 	// the end is lost if it came 0.7 s after it or later.
 	stopFrom  = 450 * time.Millisecond
 	stopUntil = 620 * time.Millisecond
+	// What is taken has to be answered by the earliest moment at which the process may be
+	// killed: the longest deadline and 0.7 s after SIGTERM. A req that comes later is refused.
+	stopTakes = 600 * time.Millisecond
 )
 
 // ErrStopping tells that a node that ends can't be told anything else.
@@ -103,7 +106,13 @@
 
 // Takes tells whether a req that has come now is taken.
 func (n *Node) Takes(now time.Time) bool {
-	return n.phase != Draining || now.Sub(n.since) < drainTakes
+	switch n.phase {
+	case Draining:
+		return now.Sub(n.since) < drainTakes
+	case Stopping:
+		return now.Sub(n.since) < stopTakes
+	}
+	return true
 }
 
 // End returns how many of so many idle client sessions are to end now. Asked again
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -30,7 +30,8 @@
 	assert.Equal(t, Stopping, n.Phase(), "SIGTERM goes before a drain")
 	assert.ErrorIs(t, n.Drain(at(3*time.Minute)), ErrStopping)
 	assert.ErrorIs(t, n.Resume(at(3*time.Minute)), ErrStopping)
-	assert.True(t, n.Takes(at(2*time.Minute+time.Second)), "what a client was not turned away from is taken until the end")
+	assert.True(t, n.Takes(at(2*time.Minute+stopTakes-1)))
+	assert.False(t, n.Takes(at(2*time.Minute+stopTakes)), "its answer would come after the process may be killed")
 }
 
 // Idle sessions end in even steps: none before the front has stopped dealing out
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -22,9 +22,10 @@
 type Call struct {
 	Method, Target, Host string
 	ID, Key, ContentType string
-	Body                 []byte  // whole, or where there is a Rest its first part
-	Length               int64   // of the whole body, or Unknown
-	Rest                 *Stream // what follows Body, nil: nothing
+	Body                 []byte      // whole, or where there is a Rest its first part
+	Length               int64       // of the whole body, or Unknown
+	Rest                 *Stream     // what follows Body, nil: nothing
+	Left                 func() bool // tells whether the client has left by now, nil: not known
 }
 
 // Reply is a backend's 200 answer.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,9 +42,14 @@
 	// the front goes on dealing them out for a while, and what is turned away is lost.
 	stayOpen = 500 * time.Millisecond
 	// leaveStep is how often the life cycle is asked which sessions end while the node
-	// leaves, and leaveIdle how long idle ones stay open at most once it is told to end.
+	// leaves.
 	leaveStep = 20 * time.Millisecond
-	leaveIdle = 650 * time.Millisecond
+	// answerBy is how long before its end a node that is told to end answers what is open.
+	answerBy = 70 * time.Millisecond
+	// backlogFor is how long the listener's queue is empty before it closes: what waits in it
+	// would be reset. New ones don't keep it open for longer than backlogMost.
+	backlogFor  = 10 * time.Millisecond
+	backlogMost = 50 * time.Millisecond
 	// Overflow is how many connections beyond the limit are taken while others are shed.
 	Overflow = 32
 )
@@ -71,19 +77,23 @@
 
 // Front serves clients.
 type Front struct {
-	opt      Options
-	owner    Owner
-	count    *counters.Set
-	classes  map[string]logic.Class
-	server   *http.Server
-	listener *limited
-	sessions atomic.Int64
-	most     atomic.Int64 // client sessions,
-	overflow atomic.Int64 // so many more while others are shed,
-	mostReqs atomic.Int64 // and open reqs, that are allowed now
-	open     atomic.Int64 // reqs without an answer yet, those that still come included
-	leaving  atomic.Bool  // answers end their client sessions
-	heir     atomic.Bool  // a successor serves at the same address
+	opt       Options
+	owner     Owner
+	count     *counters.Set
+	classes   map[string]logic.Class
+	server    *http.Server
+	listener  *limited
+	sessions  atomic.Int64
+	most      atomic.Int64  // client sessions,
+	overflow  atomic.Int64  // so many more while others are shed,
+	mostReqs  atomic.Int64  // and open reqs, that are allowed now
+	open      atomic.Int64  // reqs without an answer yet, those that still come included
+	lingering atomic.Int64  // ended sessions that are read out
+	leaving   atomic.Bool   // answers end their client sessions
+	last      atomic.Bool   // the listener closes once nobody waits at it
+	heir      atomic.Bool   // a successor serves at the same address
+	closed    chan struct{} // closed when no more sessions are taken
+	over      chan struct{} // closed when every open req gets its answer at once
 
 	mu    sync.Mutex
 	life  lifecycle.Node
@@ -100,7 +110,7 @@
 // New returns a Front that has yet to serve on l.
 func New(opt Options, l net.Listener, owner Owner, count *counters.Set) *Front {
 	f := &Front{opt: opt, owner: owner, count: count, classes: map[string]logic.Class{},
-		spare: map[*counted]waiting{}}
+		spare: map[*counted]waiting{}, closed: make(chan struct{}), over: make(chan struct{})}
 	f.listener = &limited{Listener: l, front: f}
 	f.Limit(opt.MaxSessions, Overflow, opt.MaxReqs)
 	longest := time.Duration(0)
@@ -130,6 +140,7 @@
 func (f *Front) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c.(*counted).active.Store(s == http.StateActive)
 	switch s {
 	case http.StateNew:
 		f.count.Add("session.opened")
@@ -209,9 +220,8 @@
 		})
 		for n := f.life.End(now, len(idle)); n > 0 && len(idle) > 0; idle = idle[1:] {
 			// One on which something has come brings a req: its answer ends it.
-			if idle[0].between() {
+			if idle[0].end() {
 				delete(f.spare, idle[0])
-				idle[0].Close()
 				n--
 			}
 		}
@@ -238,15 +248,26 @@
 			first, of = c, w
 		}
 	}
-	if first != nil {
+	if first != nil && first.end() {
 		f.count.Add("session.shed")
 		delete(f.spare, first)
-		first.Close()
 	}
 }
 
+// linger gives the place of a session that ends free, and tells whether there is room to
+// read it out. All that are open stay within the limit and its overflow.
+func (f *Front) linger() bool {
+	if f.sessions.Load()+f.lingering.Add(1) > f.most.Load()+f.overflow.Load()/2 {
+		f.lingering.Add(-1)
+		return false
+	}
+	f.sessions.Add(-1)
+	return true
+}
+
 // Serve takes client sessions until End. It returns nil then.
 func (f *Front) Serve() error {
+	defer close(f.closed)
 	f.move(func(now time.Time) error { f.life.Begin(now); return nil })
 	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) && !f.leaving.Load() {
 		return err
@@ -254,18 +275,39 @@
 	return nil
 }
 
-// End takes no more client sessions after a while, and returns when every req
-// that was taken has its answer, or with an error at the end of ctx.
-func (f *Front) End(ctx context.Context) error {
+// End takes no more client sessions after a while, and returns when every req that was
+// taken has its answer and its session has ended, or with an error after the time within.
+// By then each open req has been answered as failed: unanswered it would be lost. net/http's
+// own Shutdown is not used: it closes sessions on which a req is being read.
+func (f *Front) End(within time.Duration) error {
 	f.move(func(now time.Time) error { f.life.Stop(now); return nil })
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	defer time.AfterFunc(within-answerBy, func() { close(f.over) }).Stop()
 	open := stayOpen
 	if f.heir.Load() {
 		open = 0 // the successor takes them from the same queue
 	}
 	time.Sleep(open)
-	f.listener.Close()
-	time.Sleep(leaveIdle - open)
-	return f.server.Shutdown(ctx)
+	if f.heir.Load() {
+		f.listener.Close()
+	} else {
+		f.listener.close()
+	}
+	tick := time.NewTicker(leaveStep)
+	defer tick.Stop()
+	for closed := f.closed; ; {
+		select {
+		case <-closed:
+			closed = nil
+		case <-tick.C:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), f.server.Close())
+		}
+		if closed == nil && f.sessions.Load()+f.lingering.Load() == 0 {
+			return f.server.Close()
+		}
+	}
 }
 
 // ServeHTTP answers one HTTP request. A panic ends this client session only.
@@ -371,6 +413,17 @@
 			w.Header().Set("Connection", "close")
 		}
 		f.answer(w, req.Class, a)
+	case <-f.over:
+		if !in.stop() {
+			w.Header().Set("Connection", "close")
+		}
+		f.owner.Gone(req.ID, c)
+		select { // an answer that has come goes before the failure
+		case a := <-c.answer:
+			f.answer(w, req.Class, a)
+		default:
+			f.answer(w, req.Class, core.Answer{Kind: core.Failed})
+		}
 	case <-in.broke:
 		f.owner.Gone(req.ID, c)
 		f.malformed(w, errors.New("body: it did not come whole"))
@@ -584,6 +637,9 @@
 		Method: r.Method, Target: target, Host: r.Host, ID: id, Key: key,
 		ContentType: r.Header.Get("Content-Type"), Body: body, Length: int64(len(body)),
 	}
+	if s, ok := r.Context().Value(sessionKey{}).(*counted); ok && !long {
+		call.Left = s.gone
+	}
 	if long {
 		in.control.EnableFullDuplex()
 		req.Open, call.Length = true, r.ContentLength
@@ -636,16 +692,28 @@
 type limited struct {
 	net.Listener
 	front *Front
+	until time.Time // when the last one is taken, once the listener is to close
 }
 
 func (l *limited) Accept() (net.Conn, error) {
 	// Silent sessions must not hold up all that come later.
-	for l.front.sessions.Load() >= l.front.most.Load()+l.front.overflow.Load() {
+	for l.front.sessions.Load()+l.front.lingering.Load() >= l.front.most.Load()+l.front.overflow.Load() {
 		l.front.shed()
 		time.Sleep(settled / 10)
+		l.until = time.Time{} // who waited meanwhile is taken
+	}
+	if l.front.last.Load() {
+		if l.until.IsZero() {
+			l.until = time.Now().Add(backlogMost)
+		}
+		l.wake(l.until)
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		if l.front.last.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			l.Listener.Close()
+			return nil, net.ErrClosed
+		}
 		return nil, err
 	}
 	if l.front.sessions.Add(1) > l.front.most.Load() {
@@ -653,3 +721,20 @@
 	}
 	return newCounted(c, l), nil
 }
+
+// close has the listener close once nobody waits at it: what has connected is taken first.
+func (l *limited) close() {
+	l.front.last.Store(true)
+	l.wake(time.Now().Add(backlogFor))
+}
+
+// wake bounds how long Accept waits for one more, and by when it takes the last.
+func (l *limited) wake(until time.Time) {
+	at := time.Now().Add(backlogFor)
+	if until.Before(at) {
+		at = until
+	}
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(at) != nil {
+		l.Listener.Close()
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -204,8 +204,8 @@
 	Moot                 // never sent
 )
 
-// neverRan tells whether the result proves that the attempt did not run.
-func (r Result) neverRan() bool { return r == QueueFull || r == ConnectFailed || r == Moot }
+// NeverRan tells whether the result proves that the attempt did not run.
+func (r Result) NeverRan() bool { return r == QueueFull || r == ConnectFailed || r == Moot }
 
 // Outcome tells how an attempt ended. There is one for every Send.
 type Outcome struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -715,7 +715,7 @@
 		return
 	}
 	t := &r.tries[o.Attempt]
-	t.open, t.mayRun = false, !o.Result.neverRan()
+	t.open, t.mayRun = false, !o.Result.NeverRan()
 	t.s.inflight -= r.work
 	r.open--
 	if o.Result == TimedOut || o.Result == Canceled {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -279,7 +279,7 @@
 	}
 	w.at(now+took, node, func() Event {
 		if i < len(r.tries) {
-			r.tries[i].out, r.tries[i].mayRun = false, !result.neverRan()
+			r.tries[i].out, r.tries[i].mayRun = false, !result.NeverRan()
 		}
 		final := r.ended || result == OK
 		if result == OK && !r.ended {
