Let a connection rest 10 ms before it is used again, so that no late answer is another's

Cause: a backend may answer twice, the second time some milliseconds later. Pool.pop gave out the connection used last at once; quiet sees only what has come by then, so a second answer that came behind the next req's bytes was read as that req's own.

Change: pool.restFor; what has not rested is passed over, and a new one opened.

Result: TestSecondAnswerIsNobodys holds the second answer back until the next req is written; without the rest it reads a wrong body (it hangs on its barrier). TestConnectionsAreReused wants one connection for five reqs as before, each asked once the last answer is 20 ms old. Also: idle clients fill 128 descriptors while the director is down, and the node is ready, serves and takes the list at its return.

--- a/cmd/oakseam/crossing_test.go
+++ b/cmd/oakseam/crossing_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"pipitmux/internal/standin"
 )
@@ -51,3 +54,69 @@
 		})
 	}
 }
+
+// TestIdleClientsFillTheDescriptors: while the director is down, clients that say nothing
+// connect by the hundred to a node that may hold 128 descriptors. It is ready within 10 s of
+// its start all the same, reaches the director at its return, and serves.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	one, two := newBackend(t, ok), newBackend(t, ok)
+	director := freeAddr(t)
+	config := configure(t, freeAddr(t), director, list(7, true, target("s-0", one.Addr, "in_service", 0)), settings())
+	config["limits"].(object)["sockets"] = 128
+	began := time.Now()
+	n := start(t, config)
+	var most unix.Rlimit
+	most.Cur, most.Max = 128, 128
+	require.NoError(t, unix.Prlimit(n.cmd.Process.Pid, unix.RLIMIT_NOFILE, &most, nil))
+	n.until("ready", func() bool { a := n.try("GET", "/ready", "", nil); return a != nil && a.status == 200 })
+	assert.Less(t, time.Since(began), 10*time.Second)
+	n.until("calls fail", func() bool { return n.counter("list.failed") > "1" })
+
+	// Some have asked once and stay; they and the silent ones come again whenever they are ended.
+	over, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		var held []net.Conn
+		for i := 0; ; i++ {
+			select {
+			case <-over:
+				for _, c := range held {
+					c.Close()
+				}
+				return
+			default:
+			}
+			c, err := net.DialTimeout("tcp", n.addr, patience)
+			if err != nil {
+				continue
+			}
+			if i%3 == 0 {
+				io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"[:20+i%8]) // some only begin
+			}
+			if held = append(held, c); len(held) > 400 {
+				held[0].Close()
+				held = held[1:]
+			}
+		}
+	}()
+	defer func() { close(over); <-done }()
+	n.until("the places are taken", func() bool { return n.counter("session.shed") != "0" })
+	for range 4 {
+		assert.Equal(t, 200, n.ask("topup").status)
+	}
+	d, err := standin.NewScriptedDirectorAt(director)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	back := time.Now()
+	receive(t, d.Calls, "a call at its return")
+	receive(t, d.Watch, "the watch") <- line(t, list(8, true, target("s-1", two.Addr, "in_service", 0)))
+	n.until("the list is told", func() bool { return n.counter("list.full") != "0" })
+	assert.Less(t, time.Since(back), 6*time.Second)
+	for range 4 {
+		assert.Equal(t, 200, n.ask("topup").status)
+	}
+	assert.Len(t, two.Seen, 4)
+	a := n.try("GET", "/ready", "", nil)
+	require.NotNil(t, a)
+	assert.Equal(t, 200, a.status)
+}
--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -207,6 +207,8 @@
 	n, _ := serve(t, b.Addr)
 	for range 5 {
 		require.Equal(t, 200, n.ask("topup").status)
+		answered := time.Now() // a backend that answers twice would do so within some milliseconds
+		n.until("the connection has rested", func() bool { return time.Since(answered) > 20*time.Millisecond })
 	}
 	assert.EqualValues(t, 1, b.Opened.Load())
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -283,5 +283,5 @@
 		opt.Relayed = func() {}
 	}
 	d := opt.dialer()
-	return &Pool{opt: opt, count: count, log: log, dial: d.DialContext, idle: map[core.Place][]*conn{}, gates: map[core.Place]map[*gate]struct{}{}}
+	return &Pool{opt: opt, count: count, log: log, dial: d.DialContext, restFor: restFor, idle: map[core.Place][]*conn{}, gates: map[core.Place]map[*gate]struct{}{}}
 }
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -112,3 +112,44 @@
 		b.Close()
 	}
 }
+
+// A backend answers the first req twice, the second time when the next req is under way. The
+// next one gets its own answer: it goes on another connection while the first has not rested,
+// and what came on that one meanwhile ends it.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	next, again := make(chan struct{}), make(chan struct{})
+	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Req) bool {
+		if r.URL.Path == "/first" {
+			standin.Say(c, 200, "", "first")
+			<-next
+			standin.Say(c, 200, "", "first") // once more
+			close(again)
+			return true
+		}
+		if r.URL.Path == "/next" {
+			close(next)
+			<-again
+		}
+		return standin.Say(c, 200, "", r.URL.Path)
+	})
+	require.NoError(t, err)
+	defer b.Close()
+	p := New(Options{ConnectTimeout: 20 * time.Second, IdleFor: time.Hour, MaxConns: 10, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+	assert.Equal(t, restFor, p.restFor)
+	ask := func(path string) string {
+		ends := make(chan core.Ended, 1)
+		p.Start(core.Attempt{Call: &message.Call{Method: "GET", Target: path, Host: "h", ID: "i"}, Place: core.Place{ID: "b", Endpoint: b.Addr},
+			Until: time.Now().Add(20 * time.Second)}, func(e core.Ended) { ends <- e })
+		e := <-ends
+		require.Equal(t, logic.OK, e.Result)
+		return string(e.Reply.(*message.Reply).Body)
+	}
+	p.restFor = time.Hour // no test hangs on how fast this machine is
+	assert.Equal(t, "first", ask("/first"))
+	assert.Equal(t, "/next", ask("/next"))
+	p.restFor = 0
+	for range 3 {
+		assert.Equal(t, "/later", ask("/later"))
+	}
+	assert.EqualValues(t, 2, b.Opened.Load(), "the one that has rested, with nothing on it, is used again")
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,11 @@
 	"pipitmux/internal/counters"
 )
 
+// restFor is how long a connection rests before it is used again. A backend that answers
+// twice does so within some milliseconds: what came meanwhile is seen before the next req is
+// written, and is not taken for its answer.
+const restFor = 10 * time.Millisecond
+
 // Pool holds the connections to all backends. Idle ones are kept by place, so
 // that none to an earlier process of a backend is used for its successor.
 type Pool struct {
@@ -22,6 +28,8 @@
 	log   *slog.Logger
 	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	restFor time.Duration
+
 	mu   sync.Mutex
 	open int                    // connections open or opening
 	idle map[core.Place][]*conn // the latest used last
@@ -83,13 +91,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[at]
-	if len(list) == 0 {
-		return nil
+	rested := time.Now().Add(-p.restFor)
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.since.After(rested) {
+			p.idle[at] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[at] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // reserve books a socket; where none is left, the longest idle connection goes.
