Ask a silent agent anew every 0.4 s, beside the calls that wait, and log calls that break

Cause: while discovery is down the agent that lists are pushed to is silent. Director.Keep doubled the patience of each call up to 3.5 s, so one begun just before the return and lost held the next back for as long, while what the agent has counts as told at once and sends may go on for 0.5 s on one site. A call that broke beside another left no line in the log.

--- a/internal/director/clock_test.go
+++ b/internal/director/clock_test.go
@@ -230,6 +230,21 @@
 			assert.Less(t, w.told[0], back+time.Second)
 		}
 	})
+	t.Run("silent in its outage", func(t *testing.T) { // the watch is silent, and so is each call, for good
+		w := play(t, 20*time.Second, func(call int, at time.Duration) []say {
+			switch {
+			case call == 0:
+				return []say{{0, oneLine}}
+			case at < back:
+				return []say{}
+			}
+			return up
+		}, keep)
+		if assert.Len(t, w.told, 2) {
+			assert.Less(t, w.told[1], back+500*time.Millisecond, "counts as told at once, and sends may go on for 0.5 s")
+		}
+		assert.LessOrEqual(t, len(w.calls), 30)
+	})
 	t.Run("a slow agent", func(t *testing.T) {
 		w := play(t, 20*time.Second, func(int, time.Duration) []say { return []say{{1500 * time.Millisecond, oneLine}} }, keep)
 		assert.NotEmpty(t, w.told, "is waited for in the end")
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -41,12 +40,12 @@
 	turnDoubt  = 2200 * time.Millisecond
 	watchDoubt = 2500 * time.Millisecond
 	againIn    = 300 * time.Millisecond
-	callsMost  = 3 // out at once
-	// The agent that lists are pushed to answers at once: a call without a first word is lost or
-	// the agent slow. So the first one waits this long, each further one twice as long.
-	agentWithin = 500 * time.Millisecond
+	// The agent that lists are pushed to answers at once, and asking costs it nothing: a call
+	// without a first word is lost, or the agent is silent or slow. So another is made beside it
+	// each time, and each waits for as long as a watch may be silent.
+	agentDoubt = 400 * time.Millisecond
 	// Pause of a watch that the module does not ask for. What the agent has counts as told at
-	// once, after an outage as well, and asking costs it nothing.
+	// once, after an outage as well.
 	agentPause = 100 * time.Millisecond
 	maxList    = 4 << 20
 )
@@ -192,7 +191,7 @@
 			stopBefore()
 			<-before
 		}
-		replied, err := d.follow(ctx, turnWithin)
+		replied, err := d.follow(ctx, patience{turnWithin, turnDoubt, 3})
 		if ctx.Err() != nil && replied {
 			return // replaced: the module holds this watch for the new one
 		}
@@ -204,17 +203,12 @@
 // Keep watches until ctx ends, for a module that does not ask: the lists are pushed, to an
 // agent on the node's own machine.
 func (d *Director) Keep(ctx context.Context) {
-	within, failures := agentWithin, 0
+	failures := 0
 	for ctx.Err() == nil {
-		replied, err := d.follow(ctx, within)
+		replied, err := d.follow(ctx, patience{silentFor, agentDoubt, int(silentFor/agentDoubt) + 1})
 		if failures++; replied {
 			failures = 1
 		}
-		if !replied && errors.Is(err, os.ErrDeadlineExceeded) {
-			within = min(2*within, silentFor)
-		} else {
-			within = agentWithin
-		}
 		if failures&(failures-1) == 0 { // ever fewer lines of an outage that goes on
 			d.log.Warn("director: the watch broke", "failures", failures, logging.Cause, err)
 		}
@@ -240,16 +234,23 @@
 	}
 }
 
+// patience is how a caller waits for first words.
+type patience struct {
+	first time.Duration // of one call
+	doubt time.Duration // until another is made beside it, and a tenth more at most
+	most  int           // calls out at once
+}
+
 // follow watches until a watch ends other than by a move. It also returns
-// whether a first list was told, for which a watch has the time given.
-func (d *Director) follow(ctx context.Context, first time.Duration) (replied bool, err error) {
+// whether a first list was told.
+func (d *Director) follow(ctx context.Context, p patience) (replied bool, err error) {
 	for {
 		here, leave := context.WithCancel(ctx)
 		d.mu.Lock()
 		d.leave = leave
 		addr := d.addr
 		d.mu.Unlock()
-		told, err := d.stay(here, addr, first)
+		told, err := d.stay(here, addr, p)
 		replied = replied || told
 		moved := here.Err() != nil && ctx.Err() == nil
 		leave()
@@ -276,7 +277,7 @@
 // nothing for longer than an honest one would gets another beside it, and goes on: of those
 // that are out the first to speak holds, and the others end. So a call that is lost costs no
 // more than a while, and one that waits for its turn does not lose it.
-func (d *Director) stay(ctx context.Context, addr string, first time.Duration) (replied bool, err error) {
+func (d *Director) stay(ctx context.Context, addr string, p patience) (replied bool, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	var ended sync.WaitGroup
 	defer ended.Wait()
@@ -296,21 +297,21 @@
 		d.telling.Unlock()
 		here, end := context.WithCancel(ctx)
 		cancel[w] = end
-		doubt.Reset(turnDoubt + rand.N(turnDoubt/10))
+		doubt.Reset(p.doubt + rand.N(p.doubt/10))
 		put := func(err error) {
 			select {
 			case events <- event{w, err}:
 			case <-ctx.Done():
 			}
 		}
-		ended.Go(func() { put(d.watch(here, w, addr, path, first, func() { put(nil) })) })
+		ended.Go(func() { put(d.watch(here, w, addr, path, p.first, func() { put(nil) })) })
 	}
 	for open(); ; {
 		select {
 		case <-ctx.Done():
 			return replied, ctx.Err()
 		case <-doubt.C:
-			if doubt.Reset(turnDoubt); len(out) < callsMost {
+			if doubt.Reset(p.doubt); len(out) < p.most {
 				open()
 			}
 		case e := <-events:
@@ -336,6 +337,7 @@
 				return replied, e.err
 			}
 			if !replaced { // those that are left have said nothing since
+				d.log.Info("director: a call beside others broke", logging.Cause, e.err)
 				doubt.Reset(againIn + rand.N(againIn))
 			}
 		}
