Move the contracts of transports and stores into the test files of their only users

Both did, so gossiptest and durabletest are contract_test.go of gossip and durable now; TestTransport and TestStore are judgeTransport and judgeStore, since they are no tests by themselves. Text of the clauses unchanged; docs name the new places.

--- a/internal/durable/durabletest/durabletest.go
+++ b/internal/durable/contract_test.go
@@ -1,7 +1,4 @@
-// Package durabletest holds the contract that every durable.Store must pass. Each clause
-// judges one promise of the interface from outside and returns an error where it is broken,
-// so that wrong stores can be shown to break it. It must not know any kind of store.
-package durabletest
+package durable_test
 
 import (
 	"bytes"
@@ -14,6 +11,10 @@
 	"pipitmux/internal/durable"
 )
 
+// This file holds the contract that every durable.Store must pass. Each clause
+// judges one promise of the interface from outside and returns an error where it is broken,
+// so that wrong stores can be shown to break it. It must not know any kind of store.
+
 // Place is where stores of one kind keep their values through a crash.
 type Place struct {
 	// Open returns a store over what the place holds, as a process would after a start.
@@ -47,8 +48,8 @@
 	{"a crash leaves the old or the new value", crash},
 }
 
-// TestStore has a kind of store judged by every clause, each in a place of its own.
-func TestStore(t *testing.T, place func(*testing.T) Place) {
+// judgeStore has a kind of store judged by every clause, each in a place of its own.
+func judgeStore(t *testing.T, place func(*testing.T) Place) {
 	for _, c := range Clauses {
 		t.Run(c.Name, func(t *testing.T) {
 			if err := c.Check(place(t)); err != nil {
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -11,7 +11,7 @@
 )
 
 // Store keeps values by name through crashes. It may be used from several goroutines, and a
-// folder's by several processes. What every Store promises is judged by durabletest.
+// folder's by several processes. What every Store promises is judged by the clauses of contract_test.go.
 type Store interface {
 	// Write replaces the value of a name. Once it has returned without an error, Read
 	// returns this value, also after a crash; where it fails or is cut off at any moment,
--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -17,7 +17,6 @@
 	"github.com/stretchr/testify/require"
 
 	"pipitmux/internal/durable"
-	"pipitmux/internal/durable/durabletest"
 )
 
 // TestMain lets the test program be the process that is killed as it writes.
@@ -70,9 +69,9 @@
 }
 
 func TestStoreContractFolder(t *testing.T) {
-	durabletest.TestStore(t, func(t *testing.T) durabletest.Place {
+	judgeStore(t, func(t *testing.T) Place {
 		dir, kills := t.TempDir(), 0
-		return durabletest.Place{
+		return Place{
 			Open: func() durable.Store { return durable.Folder(dir) },
 			Spoil: func(name string, change func([]byte) []byte) error {
 				text, err := os.ReadFile(filepath.Join(dir, name))
@@ -87,11 +86,11 @@
 	})
 }
 
-func memory(*testing.T) durabletest.Place { return placeOf(&durable.Memory{}, nil) }
+func memory(*testing.T) Place { return placeOf(&durable.Memory{}, nil) }
 
 // placeOf is a place in memory whose stores may be wrapped, rightly or wrongly.
-func placeOf(m *durable.Memory, wrap func(*durable.Memory) durable.Store) durabletest.Place {
-	return durabletest.Place{
+func placeOf(m *durable.Memory, wrap func(*durable.Memory) durable.Store) Place {
+	return Place{
 		Open: func() durable.Store {
 			if wrap != nil {
 				return wrap(m)
@@ -103,7 +102,7 @@
 	}
 }
 
-func TestStoreContractMemory(t *testing.T) { durabletest.TestStore(t, memory) }
+func TestStoreContractMemory(t *testing.T) { judgeStore(t, memory) }
 
 // wrong is a store that breaks one promise.
 type wrong struct {
@@ -133,7 +132,7 @@
 	var last []byte
 	for name, tt := range map[string]struct {
 		w     wrong
-		place func(durabletest.Place) durabletest.Place
+		place func(Place) Place
 		fails []string
 		more  bool // other clauses may fail with it
 	}{
@@ -144,7 +143,7 @@
 			}
 			return v, err
 		}}, fails: []string{"a name never written does not exist", "a full place leaves the old value"}},
-		"keeps values in the process": {place: func(p durabletest.Place) durabletest.Place {
+		"keeps values in the process": {place: func(p Place) Place {
 			first := p.Open()
 			n := 0
 			p.Open = func() durable.Store {
@@ -205,7 +204,7 @@
 			}
 			return m.Write(n, v)
 		}}, fails: []string{"of two writers of a name one wins, whole"}},
-		"is torn by a crash": {place: func(p durabletest.Place) durabletest.Place {
+		"is torn by a crash": {place: func(p Place) Place {
 			p.Crash = func(n string, _ [][]byte) error {
 				return p.Spoil(n, func(b []byte) []byte { return b[:len(b)/2] })
 			}
@@ -213,7 +212,7 @@
 		}, fails: []string{"a crash leaves the old or the new value"}},
 	} {
 		var failed []string
-		for _, c := range durabletest.Clauses {
+		for _, c := range Clauses {
 			p := placeOf(&durable.Memory{}, func(m *durable.Memory) durable.Store {
 				w := tt.w
 				w.Memory = m
--- a/internal/gossip/gossiptest/gossiptest.go
+++ b/internal/gossip/contract_test.go
@@ -1,7 +1,4 @@
-// Package gossiptest holds the contract that every gossip.Transport must pass. Each clause
-// judges one promise of the interface from outside and returns an error where it is broken,
-// so that wrong carriers can be shown to break it. It must not know any carrier.
-package gossiptest
+package gossip_test
 
 import (
 	"bytes"
@@ -15,6 +12,10 @@
 	"pipitmux/internal/gossip"
 )
 
+// This file holds the contract that every gossip.Transport must pass. Each clause
+// judges one promise of the interface from outside and returns an error where it is broken,
+// so that wrong carriers can be shown to break it. It must not know any carrier.
+
 // patience bounds a wait for what has been promised; nothing is judged by how long it took.
 const patience = 10 * time.Second
 
@@ -48,8 +49,8 @@
 	{"faults lose, double and reorder, and spoil nothing", among(2, faults)},
 }
 
-// TestTransport has a carrier judged by every clause, each on a net of its own.
-func TestTransport(t *testing.T, net func(*testing.T) Net) {
+// judgeTransport has a carrier judged by every clause, each on a net of its own.
+func judgeTransport(t *testing.T, net func(*testing.T) Net) {
 	for _, c := range Clauses {
 		t.Run(c.Name, func(t *testing.T) {
 			if err := c.Check(net(t)); err != nil {
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -12,7 +12,7 @@
 )
 
 // Transport carries datagrams between nodes. All of it may be called from several goroutines.
-// What every Transport promises is judged by gossiptest.
+// What every Transport promises is judged by the clauses of contract_test.go.
 type Transport interface {
 	// Addr is the address at which others reach this one.
 	Addr() string
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -10,12 +10,11 @@
 	"github.com/stretchr/testify/assert"
 
 	"pipitmux/internal/gossip"
-	"pipitmux/internal/gossip/gossiptest"
 )
 
 func TestTransportContractUDP(t *testing.T) {
-	gossiptest.TestTransport(t, func(*testing.T) gossiptest.Net {
-		return gossiptest.Net{
+	judgeTransport(t, func(*testing.T) Net {
+		return Net{
 			Listen: func() (gossip.Transport, error) { return gossip.ListenUDP("127.0.0.1:0") },
 			Raw: func(to string, text []byte) error {
 				c, err := net.Dial("udp4", to)
@@ -31,9 +30,9 @@
 }
 
 // memory is a net in memory; wrap, where given, makes its transports wrong.
-func memory(wrap func(*gossip.Memory) gossip.Transport) gossiptest.Net {
+func memory(wrap func(*gossip.Memory) gossip.Transport) Net {
 	n, count := gossip.NewNetwork(rand.New(rand.NewPCG(1, 2))), 0
-	return gossiptest.Net{
+	return Net{
 		Listen: func() (gossip.Transport, error) {
 			count++
 			m := n.Listen(fmt.Sprint("node-", count))
@@ -47,7 +46,7 @@
 }
 
 func TestTransportContractMemory(t *testing.T) {
-	gossiptest.TestTransport(t, func(*testing.T) gossiptest.Net { return memory(nil) })
+	judgeTransport(t, func(*testing.T) Net { return memory(nil) })
 }
 
 // wrong is a transport that breaks one promise.
@@ -83,7 +82,7 @@
 func TestTransportContractBites(t *testing.T) {
 	for name, tt := range map[string]struct {
 		make func() func(*gossip.Memory) gossip.Transport
-		net  func(gossiptest.Net) gossiptest.Net
+		net  func(Net) Net
 		want string
 	}{
 		"sender's address unknown": {make: with(wrong{receive: func(m *gossip.Memory) (string, []byte, error) {
@@ -93,7 +92,7 @@
 		"cuts what is long": {make: with(wrong{send: func(m *gossip.Memory, to string, text []byte) error {
 			return m.Send(to, text[:min(len(text), gossip.MaxDatagram)])
 		}}), want: "256 bytes pass and 257 are refused"},
-		"cuts what is long from outside": {net: func(n gossiptest.Net) gossiptest.Net {
+		"cuts what is long from outside": {net: func(n Net) Net {
 			from, _ := n.Listen()
 			n.Raw = func(to string, text []byte) error { return from.Send(to, text[:gossip.MaxDatagram]) }
 			return n
@@ -162,7 +161,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for _, c := range gossiptest.Clauses {
+			for _, c := range Clauses {
 				if c.Name != tt.want {
 					continue
 				}
