Hold that processes are ready within 10 s though the director turns calls away

TestReadyThoughCallsAreTurnedAway starts ten processes without a list while every call is refused for 6 s: all are ready within 10 s of their start.

--- a/cmd/oakseam/crossing_test.go
+++ b/cmd/oakseam/crossing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -120,3 +121,37 @@
 	require.NotNil(t, a)
 	assert.Equal(t, 200, a.status)
 }
+
+// TestReadyThoughCallsAreTurnedAway: ten processes start without a list while the director
+// turns every call away for 6 s. All are ready within 10 s of their start.
+func TestReadyThoughCallsAreTurnedAway(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, ok)
+	whole := line(t, list(8, true, target("s-0", b.Addr, "in_service", 0)))
+	began := time.Now()
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if time.Since(began) < 6*time.Second {
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+			return
+		}
+		for text := whole; r.Context().Err() == nil; text = "\n" {
+			io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(2 * time.Second):
+			}
+		}
+	}))
+	t.Cleanup(d.CloseClientConnections)
+	t.Cleanup(func() { go d.Close() })
+	const processes = 10
+	var nodes []*node
+	for range processes {
+		nodes = append(nodes, start(t, configure(t, freeAddr(t), d.Listener.Addr().String(), list(0, true), settings())))
+	}
+	for _, n := range nodes {
+		n.until("ready", func() bool { a := n.try("GET", "/ready", "", nil); return a != nil && a.status == 200 })
+	}
+	assert.Less(t, time.Since(began), 10*time.Second)
+}
