Don't take impatient clients, late connections and set-aside backends for a jam

Cause: (1) Balancer.usualTry took each wait that isn't the usual one for a late try whose aim has passed; clients that give up early wait 0.05 to 0.25 of the deadline from the first, a third to a half of all. (3) subset counted backends set aside as capacity lost, where two broken connections in a row set one aside. Change: (1) waits too brief for a late try count as impatience where they are over 0.15 of a class's tries and more than its unserved others, which each late try follows; (2) an end before the aim with no sign of load counts for nothing and gives its room back; (3) lost capacity is what is listed and warm.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// The paper's example figures for reward, penalty and the price of a retry. Where a class states its
-	// worth, V and c2 keep their ratio to R.
+	// The paper's example figures; where a class states its worth, V and c2 keep their ratio to R.
 	exampleR, exampleV, exampleC2 = 20.0, 50.0, 10.0
 	retryPrice                    = 3.0 // but c2 this many times: a copy also delays all who wait behind it
 
@@ -38,6 +37,7 @@
 	roomMost  = 10.0  // sends that may be saved up; twice that may be owed, or a burst in vain lasts
 	jamMissed = 0.1   // where more than this part of the worth let in is missed, sends are held to that
 	usualStep = 0.003 // how fast the part usually served in time is followed
+	briefMost = 0.15  // up to this part of a class's tries are late ones
 
 	retryShare = 0.10 // retries earned by each request served in time: the retry budget
 	retryBurst = 10.0 // retries that may be saved up
@@ -144,6 +144,8 @@
 	hint     float64       // mean work hint in seconds
 	usual    time.Duration // what clients mostly wait for a try
 	votes    int           // how many more tries said so than not
+	brief    float64       // part of its tries that are brief
+	lost     float64       // and part that are not, and were not served: a late try follows one of those
 }
 
 // server is a listed server and what this node knows of it.
@@ -196,6 +198,8 @@
 	work                       int // an attempt's load on its server: none while the request still comes
 	alt                        *server
 	retried, closed, streaming bool
+	brief                      bool // its client waits so briefly that, were it late, its aim is over
+	idle                       bool // the end of its last attempt, or that there was none, tells of no load
 	closedAt                   time.Duration
 }
 
@@ -235,8 +239,7 @@
 	return n
 }
 
-// Handle takes an event at a time and returns the actions it calls for, valid until the next call. A time
-// before the last one counts as the last one.
+// Handle takes an event and returns the actions it calls for, valid until the next call. No time runs back.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
 	b.out = b.out[:0]
 	if !b.started {
@@ -312,7 +315,7 @@
 // admit sets up the state of a request.
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
-	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1}
+	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true}
 	if r.most, r.work = b.cfg.MaxAttempts, 1; q.Coming {
 		r.most, r.work = 1, 0
 	}
@@ -326,9 +329,7 @@
 	}
 	expires := min(q.Expires, c.Deadline)
 	aimLeft := aim - 2*b.cfg.Tick // an answer still has to travel to the client and is seen a tick late
-	if !c.usualTry(expires) {
-		aimLeft -= c.Deadline - expires
-	}
+	aimLeft -= c.passed(r, expires, aimLeft)
 	if r.worth = c.r; b.overShare(q.Tenant) {
 		r.worth *= b.cfg.OverShareWorth
 	}
@@ -342,9 +343,8 @@
 	return r
 }
 
-// overShare tells whether a request is beyond what this node takes for its part of the tenant's share, and
-// counts it. Guards the tenants that keep to their shares when one does not: what is beyond is worth little
-// and is refused first.
+// overShare counts a request and tells whether it is beyond this node's part of its tenant's share. It guards
+// tenants that keep to theirs: what is beyond is worth little and is refused first.
 func (b *Balancer) overShare(tenant string) bool {
 	t := b.tenants[tenant]
 	if t == nil {
@@ -365,20 +365,27 @@
 	at                    time.Duration
 }
 
-// usualTry tells whether the time a client waits is what it mostly is for the class. Else the request is a
-// late try whose time is cut by the client's deadline, so what the deadline lacks has passed since the first
-// try: it was served, at the cost of others, when its answer was worth nothing any more.
-func (c *class) usualTry(expires time.Duration) bool {
+// passed is the time since the first try of a request, as its client's wait tells: where that is not what
+// clients mostly wait, it is a late try whose time is cut by the deadline; such were served, at the cost of
+// others, when an answer was worth nothing any more. Tries with their aim over are few, though, as each
+// follows others: where many wait so briefly, clients lack patience.
+func (c *class) passed(r *request, expires, aim time.Duration) time.Duration {
+	lack := c.Deadline - expires
 	switch d := expires - c.usual; {
 	case c.votes > 0 && max(d, -d) <= c.Deadline/50:
-		c.votes = min(c.votes+1, votesMost)
-		return true
+		c.votes, lack = min(c.votes+1, votesMost), 0
 	case c.votes > 0:
 		c.votes--
-		return false
+	default:
+		c.usual, c.votes, lack = expires, 1, 0
 	}
-	c.usual, c.votes = expires, 1
-	return true
+	c.brief, c.lost = c.brief*(1-missStep), c.lost*(1-missStep)
+	if r.brief = lack >= aim; !r.brief {
+		c.lost += missStep // till it is served
+	} else if c.brief += missStep; c.brief > max(c.lost, briefMost) {
+		return 0
+	}
+	return lack
 }
 
 // first makes the first send of a request, or refuses it.
@@ -404,8 +411,7 @@
 	b.send(r, pick, theta)
 }
 
-// choose returns the server of the first send, its time-out and the alternative; no server where there is no
-// real chance.
+// choose returns the server of the first send, its time-out and alternative; none without a real chance.
 func (b *Balancer) choose(r *request) (*server, time.Duration, *server) {
 	left := r.end - b.now
 	cand := b.gather(nil, r)
@@ -580,8 +586,7 @@
 // aside tells whether the server is set aside as an outlier.
 func (s *server) aside(now time.Duration) bool { return s.bad >= outlierAfter && now < s.until }
 
-// gain is the part of the worth to be expected from a server that is sent a request after a pause and given
-// until the end.
+// gain is the part of the worth to expect from a server sent a request after a pause, until its end.
 func (b *Balancer) gain(r *request, s *server, pause time.Duration) float64 {
 	at := b.now + pause
 	g := b.chance(r, s, min(r.aim, r.end)-at)
@@ -715,12 +720,11 @@
 		return
 	}
 	t := &r.tries[o.Attempt]
-	t.open, t.mayRun = false, !o.Result.NeverRan()
+	t.open, t.mayRun, r.idle = false, !o.Result.NeverRan(), o.Result == ConnectFailed || o.Result >= Canceled
 	t.s.inflight -= r.work
 	r.open--
 	if o.Result == TimedOut || o.Result == Canceled {
-		// Guards against taking a server for idle whose work a cut does not stop: the longer an attempt took,
-		// the longer it may still take.
+		// A cut may not stop the work: the longer an attempt took, the longer it may still take.
 		t.s.ghosts = append(t.s.ghosts, b.now+o.Latency)
 	}
 	b.learn(r, t, o)
@@ -793,7 +797,13 @@
 // close ends a request and calls off what is still out for it.
 func (b *Balancer) close(r *request, served bool) {
 	r.closed, r.closedAt = true, b.now
-	if len(r.tries) > 0 {
+	if served && !r.brief {
+		r.class.lost = max(r.class.lost-missStep, 0)
+	}
+	if !served && r.idle && b.now < r.aim-b.cfg.Tick {
+		// Its client left, or no connection came up, before its aim: that is no jam, and its place is free.
+		b.room += float64(r.open)
+	} else if len(r.tries) > 0 {
 		miss := 1.0
 		if served && b.now <= r.aim {
 			miss = 0
@@ -917,8 +927,7 @@
 	s.Server, s.listed = e, true
 }
 
-// index lists the servers that take requests, old ones in their old order and new ones in the order of the
-// news.
+// index lists the servers that take requests, the old in their old order, the new in that of the news.
 func (b *Balancer) index(news []Server) {
 	old := b.ready
 	b.ready, b.stamp = make([]*server, 0, len(b.servers)), b.stamp+1
@@ -952,7 +961,7 @@
 	b.peak = max(b.served.sum/max(b.span.sum, cmp.Or(b.warmSum, b.nearSum), 1e-9), b.peak*fade)
 	b.near, b.nearAt, b.nearSum, b.warmSum = b.near[:0], b.now, 0, 0
 	want := min(max(subsetLeast, (n*coverLeast+nodes-1)/nodes), n)
-	need, able, fit := 0.0, 0.0, 0.0 // needed yet: cold ones and those set aside count for what they can do
+	need, able := 0.0, 0.0 // needed yet: cold ones and those set aside count for what they can do
 	for _, s := range b.ring {
 		need += s.Capacity * float64(want) / float64(n)
 		able += s.Capacity * b.warmth(s)
@@ -965,12 +974,11 @@
 			b.warmSum += s.Capacity
 		}
 		if !s.aside(b.now) {
-			fit += s.Capacity
 			need -= s.Capacity * b.warmth(s)
 		}
 	}
 	b.full = max(able, able+(b.full-able)*math.Exp2(-gap/float64(fullLife)))
-	if b.left = able / b.full * fit / b.nearSum; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) {
+	if b.left = able / b.full; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) {
 		b.left = 1
 	}
 	return b.near
@@ -992,8 +1000,7 @@
 	failures            int
 }
 
-// firstAsk sets the time of the first call, spread by the number of nodes: discovery's capacity is shared and
-// all nodes may start together.
+// firstAsk sets the time of the first call, spread by the number of nodes, which may all start together.
 func (b *Balancer) firstAsk() {
 	if !b.cfg.MustSubscribe {
 		return
@@ -1046,8 +1053,7 @@
 	b.held += (s.report - b.held) * trustStep
 }
 
-// queue is the logarithm of what the server holds by its last report against what servers hold on average;
-// the older the report the less it tells.
+// queue is the logarithm of what the server's last report says it holds against the mean one; it fades.
 func (b *Balancer) queue(s *server) float64 {
 	if s.reported == 0 {
 		return 0
@@ -1126,9 +1132,8 @@
 	}
 }
 
-// outlier tells whether a server has had more bad answers in a row than what befalls all servers alike would
-// bring. Where connections break at every one, or all are jammed, setting aside one after the other jams the
-// rest.
+// outlier tells whether a server has had more bad answers in a row than what befalls all alike would bring.
+// Where connections break at every one, or all are jammed, setting one after the other aside jams the rest.
 func (b *Balancer) outlier(s *server) bool {
 	if b.now-b.drawn >= curveLife && len(b.ready) > 0 {
 		parts := make([]float64, len(b.ready))
@@ -1152,8 +1157,7 @@
 	c.scale = min(max(c.scale, c.Aim.Seconds()/200), c.Deadline.Seconds()*4)
 }
 
-// chance is F(t): how likely the server answers the request within t. Its own work for this node, and what it
-// lacks in warmth, stretch the time it needs.
+// chance is F(t): how likely the server answers within t. Its work for this node stretches what it needs.
 func (b *Balancer) chance(r *request, s *server, t time.Duration) float64 {
 	if t <= 0 {
 		return 0
@@ -1190,11 +1194,7 @@
 // add counts a latency.
 func (c *curve) add(now, life time.Duration, x float64, censored bool) {
 	c.age(now, life)
-	i := 0
-	if p := position(max(x, 1e-9)); p > 0 {
-		i = int(min(p, bins))
-	}
-	to := &c.done
+	i, to := int(min(max(position(max(x, 1e-9)), 0), bins)), &c.done
 	if censored {
 		to = &c.cut
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -435,6 +435,92 @@
 	}
 }
 
+// Late tries follow others that were not served. Where more of a class's clients wait briefly than that explains,
+// they have little patience: they were refused as if their aim had passed. A few brief waits are late tries still.
+func TestClientsOfLittlePatienceAreServed(t *testing.T) {
+	for _, tt := range []struct {
+		every  int    // one in so many waits briefly
+		result Result // of the others
+		served bool
+	}{{2, OK, true}, {4, OK, true}, {25, OK, false}, {3, QueueFull, false}} {
+		b := newNode(t, testSettings(), testServer(0))
+		sent := 0
+		for i := range 600 {
+			wait, result := 400*ms, tt.result // the deadline of the class; its aim is 100 ms
+			if i%tt.every == 1 {
+				wait, result = 60*ms, OK
+			}
+			b.servers["s0"].bad, b.room, b.missed = 0, roomMost, 0
+			b.servers["s0"].stats, b.kinds = curve{}, map[string]*curve{}
+			for _, s := range of[Send](b.Handle(time.Duration(i)*20*ms, Request{ID: RequestID(fmt.Sprint(i)), Class: "safe", Expires: wait})) {
+				b.Handle(b.now+5*ms, Outcome{ID: s.ID, Result: result, Final: result == OK, Server: s.Server, Latency: 5 * ms})
+				if i >= 100 && wait == 60*ms {
+					sent++
+				}
+			}
+		}
+		if tt.served {
+			assert.Greater(t, sent, 400/tt.every, "%+v", tt)
+		} else {
+			assert.Zero(t, sent, "%+v", tt)
+		}
+	}
+}
+
+// What ends before its aim for another cause than load is no jam, and its place is free: a client that left, one
+// that waited less than the aim, a connection that never came up. An answer in error, a reset and a turn away may
+// be a jam's doing, and so is what lasts past its aim.
+func TestWhatEndsBeforeItsAimIsNoJam(t *testing.T) {
+	end := func(result Result) func(b *Balancer, s Send) {
+		return func(b *Balancer, s Send) {
+			b.Handle(b.now+5*ms, Outcome{ID: s.ID, Result: result, Server: s.Server, Latency: 5 * ms})
+		}
+	}
+	canceled := func(b *Balancer, s Send) { end(Canceled)(b, s) }
+	for name, tt := range map[string]struct {
+		wait time.Duration
+		end  func(b *Balancer, s Send)
+		jam  bool
+	}{
+		"left": {600 * ms, func(b *Balancer, s Send) {
+			b.Handle(b.now+30*ms, ClientGone{ID: s.ID})
+			canceled(b, s)
+		}, false},
+		"left late": {600 * ms, func(b *Balancer, s Send) {
+			b.Handle(b.now+300*ms, ClientGone{ID: s.ID})
+			canceled(b, s)
+		}, true},
+		"little patience": {100 * ms, func(b *Balancer, s Send) {
+			b.Handle(b.now+100*ms, Wake{Token: 2 * b.reqs[s.ID].seq})
+			canceled(b, s)
+		}, false},
+		"reset":       {600 * ms, end(Reset), true},
+		"failed":      {600 * ms, end(Failed), true},
+		"not up":      {600 * ms, end(ConnectFailed), false},
+		"turned away": {600 * ms, end(QueueFull), true},
+	} {
+		b := newNode(t, testSettings(), testServer(0))
+		b.classes["unsafe"].usual, b.classes["unsafe"].votes = tt.wait, votesMost
+		ended := 0
+		for i := 0; i < 100; i++ {
+			at := time.Duration(i) * 400 * ms
+			b.servers["s0"].bad = 0 // it isn't set aside
+			b.servers["s0"].stats, b.kinds = curve{}, map[string]*curve{}
+			for _, s := range of[Send](b.Handle(at, Request{ID: RequestID(fmt.Sprint(i)), Class: "unsafe", Expires: tt.wait})) {
+				tt.end(b, s)
+				ended++
+			}
+		}
+		if tt.jam {
+			assert.Greater(t, b.missed, jamMissed, name)
+			continue
+		}
+		assert.Equal(t, 100, ended, "%s: all are let in", name)
+		assert.Zero(t, b.missed, name)
+		assert.Greater(t, b.room, roomMost/2, name)
+	}
+}
+
 // Where opening a connection has a price, a server with an idle one is picked.
 func TestIdleConnectionIsUsedAgain(t *testing.T) {
 	cfg := testSettings()
@@ -579,6 +665,13 @@
 		_, later := serve(b, 16*time.Second, 20*time.Second, every, OK, "dear", "cheap")
 		assert.LessOrEqual(t, later["dear"]+later["cheap"], want.laterMost, "a req every %v, half gone: refused after 4 s of answers", every)
 	}
+	b := newNode(t, cfg, alike(10)...)
+	serve(b, 40*ms, 12*time.Second, 40*ms, OK, "dear", "cheap")
+	for _, s := range b.ready[:5] { // it had bad answers, which say nothing of the room there is
+		s.bad, s.until = outlierAfter, 20*time.Second
+	}
+	_, refused := serve(b, 12*time.Second, 13*time.Second, 40*ms, OK, "dear", "cheap")
+	assert.Zero(t, refused["dear"]+refused["cheap"], "half set aside")
 	for late, borne := range map[time.Duration]bool{100 * ms: true, 300 * ms: false, 600 * ms: false} { // of an aim of 500 ms
 		b := newNode(t, cfg, alike(10)...)
 		serve(b, 40*ms, 12*time.Second, 40*ms, OK, "dear", "cheap")
