--- a/logic/logic.go
+++ b/logic/logic.go
@@ -800,8 +800,7 @@
 	if served && !r.brief {
 		r.class.lost = max(r.class.lost-missStep, 0)
 	}
-	if !served && r.idle && b.now < r.aim-b.cfg.Tick {
-		// Its client left, or no connection came up, before its aim: that is no jam, and its place is free.
+	if !served && r.idle && b.now < r.aim-b.cfg.Tick { // its client left, or no connection came up: no jam
 		b.room += float64(r.open)
 	} else if len(r.tries) > 0 {
 		miss := 1.0
@@ -961,7 +960,7 @@
 	b.peak = max(b.served.sum/max(b.span.sum, cmp.Or(b.warmSum, b.nearSum), 1e-9), b.peak*fade)
 	b.near, b.nearAt, b.nearSum, b.warmSum = b.near[:0], b.now, 0, 0
 	want := min(max(subsetLeast, (n*coverLeast+nodes-1)/nodes), n)
-	need, able := 0.0, 0.0 // needed yet: cold ones and those set aside count for what they can do
+	need, able, fit := 0.0, 0.0, 0.0 // needed yet: cold ones and those set aside count for what they can do
 	for _, s := range b.ring {
 		need += s.Capacity * float64(want) / float64(n)
 		able += s.Capacity * b.warmth(s)
@@ -974,11 +973,12 @@
 			b.warmSum += s.Capacity
 		}
 		if !s.aside(b.now) {
+			fit += s.Capacity
 			need -= s.Capacity * b.warmth(s)
 		}
 	}
 	b.full = max(able, able+(b.full-able)*math.Exp2(-gap/float64(fullLife)))
-	if b.left = able / b.full; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) {
+	if b.left = able / b.full * fit / b.nearSum; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) {
 		b.left = 1
 	}
 	return b.near
