Hold the nodes of the members test at an address of their own

Cause: the test holds a TCP port for each node and has datagrams come to the same number, which one of its 30 relays, or another test, may have as a UDP port of 127.0.0.1; that node then waits for its address for ever. Change: nodes hold 127.0.0.2, and the test takes every such number at 127.0.0.1 itself.

--- a/cmd/oaklab/members_test.go
+++ b/cmd/oaklab/members_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -77,10 +78,16 @@
 	dir := t.TempDir()
 	f := &tier{t: t, program: buildNode(t, dir)}
 	for range count {
-		held, err := standin.Hold("127.0.0.1") // for its number: the datagrams come to the same port
+		held, err := standin.Hold("127.0.0.2") // for its number: the datagrams come to the same port,
 		require.NoError(t, err)
 		t.Cleanup(func() { held.Close() })
 		f.listen = append(f.listen, held.Addr)
+		_, port, err := net.SplitHostPort(held.Addr)
+		require.NoError(t, err)
+		other, err := net.ListenPacket("udp4", net.JoinHostPort("127.0.0.1", port)) // which a relay may have as well
+		if err == nil {
+			t.Cleanup(func() { other.Close() })
+		}
 	}
 	var err error
 	f.relays, err = standin.NewRelays(f.listen, 1)
