Owe no answer to a req whose write crosses the kill of its node in the lab

Cause: the client of Live.Sending writes while the kill is under way, so the auditor hears of the req after Died and waits for an answer nobody owes (live.go, Sending); Done spares such a try, Sending did not. Change: Sending asks the same question as Done, and nothing is owed for a try whose node was killed. The node's program is not concerned.

--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -209,10 +209,17 @@
 		if t := l.tries[id]; t != nil && !t.sent {
 			t.sent = true
 			l.w.audit.Taken(l.w.now, t.n.no, id, t.op.id, t.op.class.Name, patience)
+			if t.orphan() {
+				l.w.audit.Left(l.w.now, id)
+			}
 		}
 	})
 }
 
+// orphan tells that the node that a try was sent to has been killed, whether or not it
+// runs anew: nothing is owed any more.
+func (t *try) orphan() bool { return !t.n.alive || t.n.epoch != t.epoch }
+
 // Verdict is how a try ended, as its client saw it.
 type Verdict struct {
 	Answer     audit.Answer // None: no whole answer came
@@ -229,7 +236,7 @@
 			return
 		}
 		w := l.w
-		died := !t.n.alive || t.n.epoch != t.epoch
+		died := t.orphan()
 		switch {
 		case v.Answer != audit.None:
 			if !died { // else it was on its way when its node was killed: nothing was owed any more
