End a watch's rivals where its list is taken, and build the tests' pools in one place

take marks and ends the other watches in one step; before, it marked them and the caller's loop ended them after the fact, under the same lock taken twice. Tests: five pools of the backend's tests come from poolOf, a wrapper goes.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,7 +12,6 @@
 	"github.com/stretchr/testify/assert"
 
 	"pipitmux/internal/core"
-	"pipitmux/internal/counters"
 	"pipitmux/internal/message"
 	"pipitmux/logic"
 )
@@ -80,7 +78,7 @@
 	one, two := httptest.NewServer(handler), httptest.NewServer(handler)
 	defer one.Close()
 	defer two.Close()
-	p := New(Options{ConnectTimeout: 10 * time.Second, IdleFor: time.Hour, MaxConns: 1, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+	p := poolOf(1)
 	call := &message.Call{Method: "GET", Target: "/", Host: "h", ID: "i"}
 	assert.Equal(t, logic.OK, attempt(p, one.Listener.Addr().String(), call))
 	assert.Equal(t, logic.OK, attempt(p, two.Listener.Addr().String(), call), "the idle connection made room")
@@ -100,7 +98,7 @@
 func TestPanicStopsAtTheConnection(t *testing.T) {
 	s := httptest.NewServer(http.NotFoundHandler())
 	defer s.Close()
-	p := New(Options{ConnectTimeout: 10 * time.Second, IdleFor: time.Hour, MaxConns: 1, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+	p := poolOf(1)
 	for range 2 {
 		assert.Equal(t, logic.Reset, attempt(p, s.Listener.Addr().String(), "no call"))
 	}
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -18,6 +18,12 @@
 	"pipitmux/logic"
 )
 
+// poolOf is a Pool of so many connections at most, none of which times out in a test.
+func poolOf(most int) *Pool {
+	return New(Options{ConnectTimeout: 10 * time.Second, IdleFor: time.Hour, MaxConns: most, Budget: message.NewBudget(1 << 20)},
+		counters.New(), slog.New(slog.DiscardHandler))
+}
+
 // What happens while an attempt's connection comes up holds before its first byte: none goes
 // to a backend that leaves, for a client that has left, or beyond the time in which repeats
 // are dropped. A connection that nothing was written on is used for the next one, unless its
@@ -44,7 +50,7 @@
 			require.NoError(t, err)
 			defer b.Close()
 			at := core.Place{ID: "b", Endpoint: b.Addr}
-			p := New(Options{ConnectTimeout: 20 * time.Second, IdleFor: time.Hour, MaxConns: 2, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+			p := poolOf(2)
 			dialing, up := make(chan struct{}), make(chan struct{})
 			dial := p.dial
 			p.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
@@ -87,7 +93,7 @@
 		b, err := standin.NewBackend(standin.OK)
 		require.NoError(t, err)
 		at := core.Place{ID: "b", Endpoint: b.Addr}
-		p := New(Options{ConnectTimeout: 20 * time.Second, IdleFor: time.Hour, MaxConns: 100, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+		p := poolOf(100)
 		const attempts = 50
 		ends := make(chan core.Ended, attempts)
 		for range attempts {
@@ -134,7 +140,7 @@
 	})
 	require.NoError(t, err)
 	defer b.Close()
-	p := New(Options{ConnectTimeout: 20 * time.Second, IdleFor: time.Hour, MaxConns: 10, Budget: message.NewBudget(1 << 20)}, counters.New(), slog.New(slog.DiscardHandler))
+	p := poolOf(10)
 	assert.Equal(t, restFor, p.restFor)
 	ask := func(path string) string {
 		ends := make(chan core.Ended, 1)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -322,13 +322,6 @@
 			if e.err == nil {
 				replied = true
 				ask(watchDoubt + rand.N(watchDoubt/10))
-				d.telling.Lock()
-				for _, w := range out {
-					if w.dead {
-						w.end()
-					}
-				}
-				d.telling.Unlock()
 				continue
 			}
 			e.of.end()
@@ -400,7 +393,9 @@
 	}
 	if w != nil {
 		for _, r := range *w.rivals {
-			r.dead = r != w
+			if r.dead = r != w; r.dead {
+				r.end()
+			}
 		}
 	}
 	if l == nil {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -476,7 +476,7 @@
 			b.Handle(b.now+5*ms, Outcome{ID: s.ID, Result: result, Server: s.Server, Latency: 5 * ms})
 		}
 	}
-	canceled := func(b *Balancer, s Send) { end(Canceled)(b, s) }
+	canceled := end(Canceled)
 	for name, tt := range map[string]struct {
 		wait time.Duration
 		end  func(b *Balancer, s Send)
@@ -502,7 +502,7 @@
 		b := newNode(t, testSettings(), testServer(0))
 		b.classes["unsafe"].usual, b.classes["unsafe"].votes = tt.wait, votesMost
 		ended := 0
-		for i := 0; i < 100; i++ {
+		for i := range 100 {
 			at := time.Duration(i) * 400 * ms
 			b.servers["s0"].bad = 0 // it isn't set aside
 			b.servers["s0"].stats, b.kinds = curve{}, map[string]*curve{}
