Show a cold start of 20 real processes, uneven and restarted; mend the lab's client

Nodes are stopped at once. Cause: fleet.client sent a req once more when its kept connection ended with no answer, also where its node had been killed, which may have sent it on (fleet.go, client). Now only where the node lives on; TestCloseUnderAReq forces both and fails without it.

--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -47,17 +47,44 @@
 // fourNodes plays ten seconds of four real nodes in two sites with the troubles, and wants
 // every rule kept.
 func fourNodes(t *testing.T, troubles string) (*emulator.Scenario, *emulator.Result) {
-	dir := t.TempDir()
-	program := buildNode(t, dir)
 	day, _, _ := strings.Cut(onSockets, "troubles:")
 	day = strings.NewReplacer("seconds: 5", "seconds: 10", "count: 2", "count: 4", "per_second: 30", "per_second: 120").Replace(day)
 	sc, err := emulator.Parse("four.yaml", []byte(day+troubles))
 	require.NoError(t, err)
 	sc.Nodes.Zones = []string{"a", "b", "a", "b"}
-	r, err := fleet.Run(t.Context(), sc, 1, fleet.Options{Program: program, Sockets: 512, MemoryMB: 64, LogDir: dir, Progress: func(_, _ time.Duration) {}})
+	return sc, playProcesses(t, sc)
+}
+
+func playProcesses(t *testing.T, sc *emulator.Scenario) *emulator.Result {
+	dir := t.TempDir()
+	r, err := fleet.Run(t.Context(), sc, 1, fleet.Options{Program: buildNode(t, dir), Sockets: 512, MemoryMB: 64, LogDir: dir, Progress: func(_, _ time.Duration) {}})
 	require.NoError(t, err)
 	assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
-	return sc, r
+	return r
+}
+
+// Twenty real nodes and all backends start cold together, some nodes with several times the
+// traffic of others; then each node starts anew and three backends make room for new ones,
+// while all are cold. No backend is felled by the sum of what all send, nor by chance allowed for.
+func TestColdFleetOfRealNodes(t *testing.T) {
+	sc, err := emulator.Read("../../deploy/lab/cold-fleet.yaml")
+	require.NoError(t, err)
+	at := func(s float64) emulator.Span { return emulator.Span{From: s, To: s} }
+	sc.Seconds, sc.Nodes.Count = at(9), at(20)
+	for i, s := range []float64{1, 3, 2} {
+		sc.Troubles[i].AtS = at(s)
+	}
+	sc.Troubles[0].ForS, sc.Troubles[1].ForS = at(0.5), at(3)
+	r := playProcesses(t, sc)
+	p, err := fault.Power(sc, r, "processes")
+	require.NoError(t, err)
+	assert.True(t, p.Clean())
+	assert.Less(t, p.Overshoot, p.OvershootLimit, "with nothing put down to chance")
+	assert.Greater(t, p.Overshoot, 0.5, "cold backends were used")
+	for _, h := range []string{"power_loss over", "restart_nodes", "replace"} {
+		assert.Contains(t, happened(r), h)
+	}
+	t.Logf("most to a cold backend %.2f of %.2f", p.Overshoot, p.OvershootLimit)
 }
 
 // Four real nodes are killed with -9 in one instant and all backends and the director fall
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -254,10 +254,12 @@
 	return out
 }
 
-// front deals clients out over the nodes of their zone that it holds for alive.
+// front deals clients out over the nodes of their zone that it holds for alive, in turn and
+// by their shares.
 type front struct {
 	w    *world
 	turn int
+	owed []float64 // of each node, in clients, where the nodes' shares are stated
 }
 
 func (f *front) all() {
@@ -269,13 +271,28 @@
 // pick returns a node of the zone, one elsewhere where the zone has none, nil
 // where there is none at all.
 func (f *front) pick(zone int) *node {
+	shares := f.w.sc.Nodes.Shares
 	for _, here := range []bool{true, false} {
 		f.turn++
+		var next *node
+		all := 0.0
 		for i := range f.w.nodes {
 			n := f.w.nodes[(f.turn+i)%len(f.w.nodes)]
-			if n.inFront && (n.zone == zone) == here {
+			if !n.inFront || (n.zone == zone) != here {
+				continue
+			}
+			if len(shares) == 0 {
 				return n
 			}
+			share := shares[n.no%len(shares)]
+			f.owed[n.no] += share
+			if all += share; next == nil || f.owed[n.no] > f.owed[next.no] {
+				next = n
+			}
+		}
+		if next != nil {
+			f.owed[next.no] -= all
+			return next
 		}
 	}
 	return nil
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -285,6 +285,7 @@
 		small + "troubles: [{kind: slow, at_s: -1, for_s: 1, size: 2}]":                      "troubles.0.at_s",
 		small + "troubles: [{kind: hang, at_s: 1, for_s: 1, on: [8]}]":                       "troubles.0.on: 8 is no backend",
 		small + "goal: {whole: 0.5, worst_class: 0.4}":                                       "goal: the parts add up to",
+		strings.Replace(small, "count: 3", "count: 3, shares: [1, 0]", 1):                    "nodes.shares.1: must be over 0",
 		small + "name: again": "name",
 		"a: &x [*x]":          "bad.yaml:1",
 		"- 1":                 "bad.yaml:1",
@@ -360,6 +361,31 @@
 	})
 }
 
+// The front deals each node its share, in turn, and what a node is owed while
+// it is away does not come as a flood at its return.
+func TestFrontDealsByShares(t *testing.T) {
+	w := newWorld(scenario(t, ""), 1)
+	w.sc.Nodes.Shares = []float64{5, 1, 2}
+	dealt := func(clients int) []int {
+		got := make([]int, len(w.nodes))
+		for range clients {
+			got[w.front.pick(0).no]++
+		}
+		return got
+	}
+	for _, n := range w.nodes {
+		n.alive, n.zone = true, 0
+	}
+	w.front.all()
+	for range 10 {
+		assert.Equal(t, []int{5, 1, 2}, dealt(8))
+	}
+	w.nodes[0].inFront = false
+	assert.Equal(t, []int{0, 100, 200}, dealt(300))
+	w.nodes[0].inFront = true
+	assert.InDeltaSlice(t, []int{5, 1, 2}, dealt(8), 1)
+}
+
 func TestQueueOrder(t *testing.T) {
 	var q queue
 	var got []int
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -101,11 +101,12 @@
 
 // Nodes are the balancers, spread evenly over the zones unless zones says otherwise.
 type Nodes struct {
-	Count       Span     `yaml:"count"`
-	Zones       []string `yaml:"zones"`       // of each node in turn
-	StartMS     Span     `yaml:"start_ms"`    // their starts are spread over this
-	Connections int      `yaml:"connections"` // to backends, each node; 0: no limit
-	NoticeS     Span     `yaml:"notice_s"`    // until the front notices that a node has died or is back
+	Count       Span      `yaml:"count"`
+	Zones       []string  `yaml:"zones"`       // of each node in turn
+	Shares      []float64 `yaml:"shares"`      // what the front deals to each in turn, in proportion; none: alike
+	StartMS     Span      `yaml:"start_ms"`    // their starts are spread over this
+	Connections int       `yaml:"connections"` // to backends, each node; 0: no limit
+	NoticeS     Span      `yaml:"notice_s"`    // until the front notices that a node has died or is back
 }
 
 // Fleet is how many backends there are.
@@ -404,6 +405,11 @@
 	for i, z := range s.Nodes.Zones {
 		c.oneOf(fmt.Sprintf("nodes.zones.%d", i), z, names)
 	}
+	for i, v := range s.Nodes.Shares {
+		if !(v > 0 && v < far) { // NaN as well
+			c.bad(fmt.Sprintf("nodes.shares.%d", i), "must be over 0")
+		}
+	}
 	if s.Nodes.Connections < 0 {
 		c.bad("nodes.connections", "must not be negative")
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -199,7 +199,7 @@
 	w.traffic = newTraffic(w)
 	w.tally = newTally(w)
 	w.disc = newDiscovery(w)
-	w.front = &front{w: w}
+	w.front = &front{w: w, owed: make([]float64, len(w.nodes))}
 	return w
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -110,13 +110,17 @@
 func (f *fleet) end() {
 	close(f.quit)
 	f.front.Close()
+	var stopped sync.WaitGroup
 	for _, n := range f.nodes {
-		if run := n.drop(); run != nil {
-			run.Stop(stopWithin)
-		}
-		n.director.Close()
-		n.held.Close()
+		stopped.Go(func() {
+			if run := n.drop(); run != nil {
+				run.Stop(stopWithin)
+			}
+			n.director.Close()
+			n.held.Close()
+		})
 	}
+	stopped.Wait()
 	f.mu.Lock()
 	for _, ms := range f.machines {
 		for _, m := range ms {
@@ -416,6 +420,7 @@
 func (f *fleet) client(t emulator.Try) emulator.Verdict {
 	n := f.nodes[t.Node]
 	until := time.Now().Add(t.Patience + onSockets + 20*time.Millisecond)
+	process := n.process()
 	c := n.take()
 	kept := c != nil
 	for {
@@ -426,8 +431,9 @@
 			}
 		}
 		v, crossed := f.talk(n, c, t, until)
-		// A close that crossed the req: the node has not read it, so it goes once more.
-		if !crossed || !kept {
+		// A close that crossed the req: the node has not read it, so it goes once more. One
+		// that was killed may have.
+		if !crossed || !kept || n.process() != process {
 			return v
 		}
 		c, kept = nil, false
@@ -513,6 +519,13 @@
 	since time.Time
 }
 
+// process tells the node's processes apart.
+func (n *node) process() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.epoch
+}
+
 func (n *node) take() net.Conn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/audit"
+	"pipitmux/internal/emulator"
+	"pipitmux/internal/standin"
+	"pipitmux/logic"
+)
+
+// A client whose kept connection ends with no answer sends its req once more where the node
+// lives on, and not where it was killed: that one may have read it.
+func TestCloseUnderAReq(t *testing.T) {
+	for name, killed := range map[string]bool{"killed": true, "lives on": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sc, err := emulator.Read("../../deploy/lab/loopback.yaml")
+			require.NoError(t, err)
+			front, err := standin.NewFront("127.0.0.1")
+			require.NoError(t, err)
+			defer front.Close()
+			n := &node{run: &standin.Node{}}
+			came := make(chan string, 10)
+			m, err := standin.NewMachine("127.0.0.1", func(c net.Conn) {
+				in := bufio.NewReader(c)
+				for first := true; ; first = false {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get("X-Correlation-Id")
+					came <- id
+					if !first {
+						if killed {
+							n.drop()
+						}
+						return
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfor "+id)
+				}
+			})
+			require.NoError(t, err)
+			defer m.Close()
+			n.held = &standin.Held{Addr: m.Addr}
+			f := &fleet{day: emulator.NewLive(sc, 1), front: front, nodes: []*node{n}, quit: make(chan struct{})}
+			try := emulator.Try{ID: "1", Class: logic.Class{Effect: logic.Unsafe}, Patience: 10 * time.Second}
+			assert.Equal(t, emulator.Verdict{Answer: audit.Served}, f.client(try))
+			try.ID = "2"
+			v := f.client(try)
+			var ids []string
+			for len(came) > 0 { // each was put there before the client had its answer or end
+				ids = append(ids, <-came)
+			}
+			if killed {
+				assert.Equal(t, emulator.Verdict{Answer: audit.None, Taken: true}, v)
+				assert.Equal(t, []string{"1", "2"}, ids)
+			} else {
+				assert.Equal(t, emulator.Verdict{Answer: audit.Served}, v)
+				assert.Equal(t, []string{"1", "2", "2"}, ids)
+			}
+		})
+	}
+}
