Play the nodes' talk in the lab: peers, peer_cut, peer_loss and members in results

The same fate of datagrams (loss, doubles, delay, cuts) stands between real nodes in the relays. Results tell detection times, false suspicions, bytes a second.

--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -10,6 +10,7 @@
 
 	"pipitmux/internal/audit"
 	"pipitmux/internal/core"
+	"pipitmux/internal/member"
 	"pipitmux/logic"
 )
 
@@ -169,6 +170,7 @@
 	l.post(func() {
 		n := l.w.nodes[node]
 		n.alive = true
+		l.w.tier.began(n)
 		if l.waitN > 0 {
 			l.waitN--
 		} else {
@@ -177,6 +179,19 @@
 	})
 }
 
+// Talk is how many bytes a second a node may send to others, 0 where they don't talk.
+func (l *Live) Talk() float64 { return l.w.sc.Peers.BytesPerS.From }
+
+// Passes tells that a datagram of a length goes from one node to another, and returns how long
+// each of its copies takes; none: it is lost.
+func (l *Live) Passes(from, to, length int) []time.Duration {
+	l.post(func() { l.w.tier.sent(length) })
+	return l.w.tier.ways.fate(from, to)
+}
+
+// Takes tells what a node now takes another for.
+func (l *Live) Takes(by, about int, s member.State) { l.post(func() { l.w.tier.takes(by, about, s) }) }
+
 // Crashed tells that a node's process has ended by itself.
 func (l *Live) Crashed(node int, err error) {
 	l.post(func() { l.w.fail(fmt.Errorf("node %d has crashed: %w", node, err)) })
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -105,6 +105,7 @@
 	})
 	n.owner.List(logic.ListCached, n.w.entries(n.view))
 	n.after()
+	n.w.tier.began(n)
 }
 
 // kill ends the node as it stands.
@@ -112,6 +113,7 @@
 	n.alive, n.watch = false, false
 	n.epoch++
 	n.w.audit.Died(n.w.now, n.no)
+	n.w.tier.died(n)
 	if n.w.live != nil {
 		n.w.live.out.Kill(n.no)
 		return
--- /dev/null
+++ b/internal/emulator/peers_test.go
@@ -0,0 +1,108 @@
+package emulator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/internal/member"
+)
+
+func membersDay(t *testing.T) *Scenario {
+	t.Helper()
+	sc, err := Read("../../deploy/lab/members.yaml")
+	require.NoError(t, err)
+	sc.Arrivals.PerSecond = fixed(5)
+	return sc
+}
+
+// A site lost with its nodes is gone to all others, and nobody who lives and is heard is gone,
+// though a fifth of the datagrams is lost and one way between two others cut; within the
+// budget. Told from outside, by what nodes take each other for.
+func TestMembersOfADay(t *testing.T) {
+	for _, nodes := range []int{3, 6} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			sc := membersDay(t)
+			sc.Nodes.Count, sc.Seconds, sc.Troubles = fixed(float64(nodes)), fixed(34), sc.Troubles[:2]
+			r := run(t, sc, 1, Options{})
+			m := r.Members
+			require.NotNil(t, m)
+			assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
+			assert.Equal(t, nodes/3*(nodes-nodes/3), m.Detected, "each that is left takes each that died for gone")
+			assert.Zero(t, m.Undetected)
+			assert.Zero(t, m.FalseGone)
+			assert.Zero(t, m.Disagree, "all are there to all again")
+			assert.Greater(t, m.DetectMSP50, 1000.0)
+			assert.Less(t, m.DetectMSP99, 15000.0, "while it was away")
+			assert.Less(t, m.BytesPerS, 512.0)
+			t.Logf("%+v", *m)
+			assert.Equal(t, r, run(t, sc, 1, Options{Workers: 4}), "the same day again")
+		})
+	}
+}
+
+// The nodes' talk changes nothing else of a day.
+func TestTalkLeavesADayAsItIs(t *testing.T) {
+	sc := membersDay(t)
+	sc.Seconds = fixed(20)
+	with := run(t, sc, 1, Options{})
+	require.NotNil(t, with.Members)
+	sc.Peers = Peers{}
+	sc.Troubles = sc.Troubles[1:2]
+	without := run(t, sc, 1, Options{})
+	assert.Nil(t, without.Members)
+	assert.Greater(t, with.Events, without.Events)
+	with.Members, with.Events, with.Happened = nil, without.Events, without.Happened
+	assert.Equal(t, without, with)
+}
+
+// What nodes say of each other is judged by who lives and who can be heard.
+func TestMembersAreJudged(t *testing.T) {
+	w := newWorld(membersDay(t), 1) // nodes 0 and 3 in dc-one, 1 and 4 in dc-two, 2 and 5 in dc-three
+	for _, n := range w.nodes {
+		w.tier.began(n)
+	}
+	w.now = 10e9
+	w.tier.takes(0, 1, member.Suspected)
+	w.tier.takes(0, 1, member.There)
+	w.tier.takes(0, 2, member.Gone)
+	assert.Equal(t, []int{1, 1}, []int{w.tier.sum.FalseSuspicions, w.tier.sum.FalseGone})
+	w.tier.ways.cut(0, 1, 1) // still heard through dc-three
+	w.tier.takes(1, 0, member.Gone)
+	assert.Equal(t, 2, w.tier.sum.FalseGone)
+	w.tier.ways.cut(0, 2, 1) // and now not at all
+	w.tier.takes(1, 0, member.Gone)
+	w.tier.takes(0, 1, member.Gone)
+	assert.Equal(t, 2, w.tier.sum.FalseGone)
+	w.tier.died(w.nodes[5])
+	w.now = 13e9
+	w.tier.takes(0, 5, member.Suspected)
+	w.tier.takes(0, 5, member.Gone)
+	w.now = 17e9
+	w.tier.takes(3, 5, member.Gone)
+	w.tier.takes(5, 0, member.Gone) // the dead say nothing
+	w.tier.sent(500)
+	r := w.tier.result()
+	assert.Equal(t, []int{2, 3, 1}, []int{r.Detected, r.Undetected, r.FalseSuspicions}, "not by 1, 2 and 4")
+	assert.Equal(t, 3, r.Disagree)
+}
+
+func TestTalkIsRefusedByKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"troubles: [{kind: peer_loss, at_s: 1, for_s: 1, size: 0.2}]":                                "troubles.0.kind: the nodes don't talk",
+		"troubles: [{kind: peer_cut, at_s: 1, for_s: 1, zone: a}]\npeers: {bytes_per_s: 512}":        "troubles.0.to",
+		"troubles: [{kind: peer_cut, at_s: 1, for_s: 1, zone: a, to: a}]\npeers: {bytes_per_s: 512}": "troubles.0.to: must be another",
+		"peers: {loss: 0.2}":                      "peers.bytes_per_s: must lie from 256",
+		"peers: {bytes_per_s: 512, loss: 1}":      "peers.loss",
+		"peers: {bytes_per_s: 512, delay_ms: -1}": "peers.delay_ms",
+	} {
+		_, err := Parse("bad.yaml", []byte(small+text))
+		if assert.Error(t, err, text) {
+			assert.True(t, strings.Contains(err.Error(), want), err.Error())
+		}
+	}
+}
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -57,6 +57,7 @@
 	Events    int                          `json:"events"` // emulated
 	Happened  []Happening                  `json:"happened"`
 	Seconds   []Second                     `json:"seconds"`
+	Members   *MembersResult               `json:"members,omitempty"`
 }
 
 // tally counts what clients got.
@@ -242,6 +243,7 @@
 		}
 		r.Seconds = append(r.Seconds, Second{round6(s.Asked), round6(s.Won), round6(s.Ideal)})
 	}
+	r.Members = w.tier.result()
 	r.Rules = w.audit.Finish(w.now)
 	r.Broken = r.Rules.Broken
 	return r
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -80,6 +80,7 @@
 	Prices     Prices     `yaml:"prices"`
 	Troubles   []Trouble  `yaml:"troubles"`   // at stated times
 	Incidental Incidental `yaml:"incidental"` // drawn each day
+	Peers      Peers      `yaml:"peers"`      // drawn last: a day without them stays what it is
 }
 
 // Zone is a data centre.
@@ -278,7 +279,8 @@
 
 // TroubleKinds lists what can go wrong.
 var TroubleKinds = []string{"vanish", "slow", "hang", "fast_errors", "zone_loss", "shared_slow",
-	"replace", "restart_nodes", "discovery_down", "discovery_slow", "cut", "power_loss"}
+	"replace", "restart_nodes", "discovery_down", "discovery_slow", "cut", "power_loss",
+	"peer_cut", "peer_loss"}
 
 var (
 	cancelModes = []string{"none", "waiting", "all"}
@@ -414,6 +416,13 @@
 		c.bad("nodes.connections", "must not be negative")
 	}
 	c.span("nodes.start_ms", s.Nodes.StartMS, 0, 1e6)
+	if s.Peers != (Peers{}) {
+		c.span("peers.bytes_per_s", s.Peers.BytesPerS, 256, 100000)
+	}
+	c.span("peers.loss", s.Peers.Loss, 0, .99)
+	c.span("peers.twice", s.Peers.Twice, 0, .99)
+	c.span("peers.delay_ms", s.Peers.DelayMS, 0, 1e5)
+	c.span("peers.spread_ms", s.Peers.SpreadMS, 0, 1e5)
 	c.span("nodes.notice_s", s.Nodes.NoticeS, 0, 1e6)
 	s.checkFleet(c, names)
 	if s.Arrivals.PerSecond != (Span{}) && s.Arrivals.Load != (Span{}) {
@@ -572,6 +581,9 @@
 
 func (s *Scenario) checkTrouble(c *checker, k string, t *Trouble, zones []string) {
 	c.oneOf(k+".kind", t.Kind, TroubleKinds)
+	if strings.HasPrefix(t.Kind, "peer_") && s.Peers == (Peers{}) {
+		c.bad(k+".kind", "the nodes don't talk: peers is missing")
+	}
 	c.span(k+".at_s", t.AtS, 0, 1e6)
 	c.span(k+".for_s", t.ForS, 0, 1e6)
 	c.span(k+".part", t.Part, 0, 1)
@@ -586,7 +598,7 @@
 	if t.Zone != "" {
 		c.oneOf(k+".zone", t.Zone, zones)
 	}
-	if t.Kind == "cut" {
+	if t.Kind == "cut" || t.Kind == "peer_cut" {
 		c.oneOf(k+".zone", t.Zone, zones)
 		c.oneOf(k+".to", t.To, zones)
 		if t.Zone == t.To {
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -91,6 +91,11 @@
 		w.powerLoss(run, t, r)
 	case "cut":
 		run(func() { w.cutOff(zone, w.sc.zone(t.To), 1) }, func() { w.cutOff(zone, w.sc.zone(t.To), -1) })
+	case "peer_cut":
+		to := w.sc.zone(t.To)
+		run(func() { w.tier.ways.cut(zone, to, 1) }, func() { w.tier.ways.cut(zone, to, -1) })
+	case "peer_loss":
+		run(func() { w.tier.ways.lossy(size) }, func() { w.tier.ways.lossy(-size) })
 	case "discovery_down":
 		run(func() { w.disc.down++; w.disc.breakWatches() }, func() { w.disc.down-- })
 	case "discovery_slow":
@@ -102,9 +107,9 @@
 	switch kind {
 	case "zone_loss":
 		return w.sc.Zones[zone].Name
-	case "cut":
+	case "cut", "peer_cut":
 		return "from " + w.sc.Zones[zone].Name
-	case "power_loss", "shared_slow", "restart_nodes", "discovery_down", "discovery_slow":
+	case "power_loss", "shared_slow", "restart_nodes", "discovery_down", "discovery_slow", "peer_loss":
 		return ""
 	}
 	s := ""
@@ -226,6 +231,9 @@
 // up between them whichever way is cut.
 func (w *world) cutOff(from, to, by int) {
 	w.cuts[[2]int{from, to}] += by
+	if w.tier != nil {
+		w.tier.ways.cut(from, to, by)
+	}
 	if w.live == nil || w.live.out == nil {
 		return
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -64,6 +64,7 @@
 	nodes      []*node
 	disc       *discovery
 	front      *front
+	tier       *tier // nil: the nodes don't talk
 	traffic    *traffic
 	audit      *audit.Auditor
 	tally      *tally
@@ -199,6 +200,7 @@
 	w.traffic = newTraffic(w)
 	w.tally = newTally(w)
 	w.disc = newDiscovery(w)
+	w.tier = newTier(w, seed)
 	w.front = &front{w: w, owed: make([]float64, len(w.nodes))}
 	return w
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 	"pipitmux/internal/core"
 	"pipitmux/internal/director"
 	"pipitmux/internal/emulator"
+	"pipitmux/internal/member"
+	"pipitmux/internal/peers"
 	"pipitmux/internal/standin"
 	"pipitmux/internal/wire"
 	"pipitmux/logic"
@@ -75,6 +78,16 @@
 		}
 		f.nodes = append(f.nodes, &node{no: i, held: held, director: d})
 	}
+	if f.day.Talk() > 0 {
+		var at []string
+		for _, n := range f.nodes {
+			at = append(at, n.peerListen())
+		}
+		if f.relays, err = standin.NewRelays(at, seed); err != nil {
+			return nil, err
+		}
+		f.relays.Rule(f.day.Passes)
+	}
 	return f.day.Run(ctx, f, opt.Progress)
 }
 
@@ -87,6 +100,7 @@
 	fields []string // of load reports
 	nodes  []*node
 	front  *standin.Front
+	relays *standin.Relays // between the nodes, nil where they don't talk
 	quit   chan struct{}
 
 	mu       sync.Mutex
@@ -121,6 +135,9 @@
 		})
 	}
 	stopped.Wait()
+	if f.relays != nil {
+		f.relays.Close()
+	}
 	f.mu.Lock()
 	for _, ms := range f.machines {
 		for _, m := range ms {
@@ -144,6 +161,9 @@
 		Known:    f.list(no, emulator.ListChanges{Rev: rev, All: true, Entries: known}),
 		Settings: wire.Encode(f.day.Settings(no), f.day.Connect()),
 	}
+	if f.relays != nil {
+		c.PeerListen, c.Peers = n.peerListen(), f.relays.Peers(no)
+	}
 	f.jobs.Go(func() {
 		run, err := f.launch(n, c)
 		if err != nil {
@@ -181,23 +201,82 @@
 		return nil, err
 	}
 	var log io.Writer
+	done := func() {}
 	if f.opt.LogDir != "" {
 		file, err := os.OpenFile(filepath.Join(f.opt.LogDir, c.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
 			return nil, err
 		}
-		defer file.Close() // the process has its own
-		log = file
+		log, done = file, func() { file.Close() }
 	}
-	var args []string
+	var own []byte
 	if f.opt.Keep {
-		own := filepath.Join(dir, "own.yaml")
-		if err := os.WriteFile(own, fmt.Appendf(nil, "state: {dir: %q}\n", f.dir), 0o600); err != nil {
+		own = fmt.Appendf(own, "state: {dir: %q}\n", f.dir)
+	}
+	if f.relays != nil {
+		own = fmt.Appendf(own, "peers: {bytes_per_s: %g}\nlog: {format: json}\n", f.day.Talk())
+		log = &peerLines{f: f, node: n.no, log: log}
+	}
+	var args []string
+	if own != nil {
+		name := filepath.Join(dir, "own.yaml")
+		if err := os.WriteFile(name, own, 0o600); err != nil {
+			done()
 			return nil, err
 		}
-		args = []string{"node", "--config", own}
+		args = []string{"node", "--config", name}
+	}
+	run, err := standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log, args...)
+	if err != nil {
+		done()
+		return nil, err
+	}
+	f.jobs.Go(func() { // what it wrote is copied until then
+		<-run.Ended()
+		done()
+	})
+	return run, nil
+}
+
+// peerListen is where the node hears others: at its own number, on an address that no relay has.
+func (n *node) peerListen() string {
+	_, port, _ := net.SplitHostPort(n.held.Addr) // an address of ours
+	return net.JoinHostPort("127.0.0.3", port)
+}
+
+// peerLines is a node's log, whose lines on what it takes its peers for the day is told.
+type peerLines struct {
+	f    *fleet
+	node int
+	log  io.Writer // nil: kept nowhere
+	rest []byte
+}
+
+func (p *peerLines) Write(text []byte) (int, error) {
+	p.rest = append(p.rest, text...)
+	for {
+		line, rest, whole := bytes.Cut(p.rest, []byte("\n"))
+		if !whole {
+			break
+		}
+		p.rest = rest
+		var l struct {
+			Msg, State string
+			Number     int
+		}
+		if json.Unmarshal(line, &l) != nil || l.Msg != "peer" {
+			continue
+		}
+		for _, s := range []member.State{member.There, member.Suspected, member.Gone} {
+			if peers.StateName(s) == l.State {
+				p.f.day.Takes(p.node, l.Number, s)
+			}
+		}
+	}
+	if p.log == nil {
+		return len(text), nil
 	}
-	return standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log, args...)
+	return p.log.Write(text)
 }
 
 // Kill is emulator.Outside.
--- a/internal/gossip/memory.go
+++ b/internal/gossip/memory.go
@@ -4,12 +4,13 @@
 	"bytes"
 	"math/rand/v2"
 	"sync"
+	"time"
 )
 
 // memoryQueue is how many datagrams wait unread at most.
 const memoryQueue = 256
 
-// Network is a network in memory, for tests. Its faults apply to what is sent from then on.
+// Network is a network in memory. Its faults apply to what is sent from then on.
 type Network struct {
 	mu    sync.Mutex
 	ports map[string]*Memory
@@ -17,8 +18,13 @@
 	loss  float64 // parts of the datagrams: lost,
 	twice float64 // delivered twice,
 	swap  float64 // held back until the next one to the same receiver
+	fate  Fate    // in place of those parts
+	after func(time.Duration, func())
 }
 
+// Fate is what becomes of a datagram: how long each of its copies takes; none: it is lost.
+type Fate func(from, to string) []time.Duration
+
 // NewNetwork returns one without faults, whose chances are drawn from the source.
 func NewNetwork(rng *rand.Rand) *Network {
 	return &Network{ports: map[string]*Memory{}, rng: rng}
@@ -31,15 +37,36 @@
 	n.loss, n.twice, n.swap = loss, twice, swap
 }
 
+// Pace has datagrams take their time by a clock of the caller's, virtual or not: after calls
+// back when one comes. Both are called under the network's lock.
+func (n *Network) Pace(fate Fate, after func(time.Duration, func())) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fate, n.after = fate, after
+}
+
 // Listen returns the Transport of an address, in place of a closed one's.
-func (n *Network) Listen(addr string) *Memory {
+func (n *Network) Listen(addr string) *Memory { return n.ListenFunc(addr, nil) }
+
+// ListenFunc is Listen for a network with a clock: what comes is told in place of being received.
+func (n *Network) ListenFunc(addr string, heard func(from string, datagram []byte)) *Memory {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	m := &Memory{net: n, addr: addr, in: make(chan packet, memoryQueue), over: make(chan struct{})}
+	m := &Memory{net: n, addr: addr, heard: heard, in: make(chan packet, memoryQueue), over: make(chan struct{})}
 	n.ports[addr] = m
 	return m
 }
 
+// arrive delivers a datagram to who has the address by now.
+func (n *Network) arrive(to string, p packet) {
+	n.mu.Lock()
+	there := n.ports[to]
+	n.mu.Unlock()
+	if there != nil {
+		there.put(p)
+	}
+}
+
 type packet struct {
 	from string
 	text []byte
@@ -47,12 +74,13 @@
 
 // Memory is the Transport on a Network.
 type Memory struct {
-	net  *Network
-	addr string
-	in   chan packet
-	held []packet // changing places, under the network's lock
-	over chan struct{}
-	once sync.Once
+	net   *Network
+	addr  string
+	heard func(from string, datagram []byte)
+	in    chan packet
+	held  []packet // changing places, under the network's lock
+	over  chan struct{}
+	once  sync.Once
 }
 
 // Addr implements Transport.
@@ -71,6 +99,13 @@
 	n := m.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.fate != nil {
+		for _, d := range n.fate(m.addr, to) {
+			p := packet{m.addr, bytes.Clone(datagram)}
+			n.after(d, func() { n.arrive(to, p) })
+		}
+		return nil
+	}
 	there := n.ports[to]
 	if there == nil || n.rng.Float64() < n.loss {
 		return nil
@@ -92,6 +127,10 @@
 }
 
 func (m *Memory) put(p packet) {
+	if m.heard != nil {
+		m.heard(p.from, p.text)
+		return
+	}
 	select {
 	case m.in <- p:
 	default: // a slow reader's loss
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -49,6 +50,34 @@
 	judgeTransport(t, func(*testing.T) Net { return memory(nil) })
 }
 
+// paced is the same with a clock, as in the lab's days: datagrams take up to 5 ms.
+func paced() Net {
+	n, count := gossip.NewNetwork(nil), 0
+	rng := rand.New(rand.NewPCG(1, 3)) // drawn from under the network's lock
+	faulty := false
+	n.Pace(func(_, _ string) []time.Duration {
+		takes := func() time.Duration { return time.Duration(rng.IntN(int(5 * time.Millisecond))) }
+		switch {
+		case faulty && rng.Float64() < 0.2:
+			return nil
+		case faulty && rng.Float64() < 0.2:
+			return []time.Duration{takes(), takes()}
+		}
+		return []time.Duration{takes()}
+	}, func(d time.Duration, come func()) { time.AfterFunc(d, come) })
+	return Net{
+		Listen: func() (gossip.Transport, error) {
+			count++
+			return n.Listen(fmt.Sprint("node-", count)), nil
+		},
+		Fault: func() { faulty = true },
+	}
+}
+
+func TestTransportContractPaced(t *testing.T) {
+	judgeTransport(t, func(*testing.T) Net { return paced() })
+}
+
 // wrong is a transport that breaks one promise.
 type wrong struct {
 	*gossip.Memory
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -22,6 +22,9 @@
 	Limits    map[string]any `json:"limits"`
 	Known     any            `json:"known"`
 	Settings  any            `json:"settings"`
+
+	PeerListen string   `json:"peer_listen,omitempty"`
+	Peers      []string `json:"peers,omitempty"`
 }
 
 // Node is the real program, running.
--- a/internal/standin/relays.go
+++ b/internal/standin/relays.go
@@ -1,20 +1,21 @@
 package standin
 
 import (
+	"bytes"
 	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 )
 
 // Relays stand between the nodes of a fleet: one for each ordered pair, at whose address the
-// first reaches the second, and from which the second hears of the first. They lose datagrams
-// and cut one way.
+// first reaches the second, and from which the second hears of the first. They lose datagrams,
+// hold them up, double them and cut one way.
 type Relays struct {
 	mu     sync.Mutex
 	rng    *rand.Rand
-	loss   float64
-	cut    func(from, to int) bool
+	fate   func(from, to, length int) []time.Duration
 	nodes  []*net.UDPAddr   // where each node listens
 	pairs  [][]*net.UDPConn // by who sends, then by whom to
 	passed map[[2]int]int   // datagrams, by the same
@@ -23,7 +24,8 @@
 
 // NewRelays opens those of nodes that listen at the addresses.
 func NewRelays(nodes []string, seed uint64) (*Relays, error) {
-	r := &Relays{rng: rand.New(rand.NewPCG(seed, 5)), cut: func(int, int) bool { return false }, passed: map[[2]int]int{}}
+	r := &Relays{rng: rand.New(rand.NewPCG(seed, 5)), passed: map[[2]int]int{}}
+	r.Fault(0, nil)
 	for _, n := range nodes {
 		at, err := net.ResolveUDPAddr("udp4", n)
 		if err != nil {
@@ -62,11 +64,20 @@
 
 // Fault sets the part of datagrams that is lost, and who is not heard by whom; nil: all are.
 func (r *Relays) Fault(loss float64, cut func(from, to int) bool) {
+	r.Rule(func(from, to, _ int) []time.Duration {
+		if r.rng.Float64() < loss || cut != nil && cut(from, to) {
+			return nil
+		}
+		return []time.Duration{0}
+	})
+}
+
+// Rule sets what becomes of a datagram: how long each of its copies takes; none: it is lost.
+// It is asked by one goroutine at a time.
+func (r *Relays) Rule(fate func(from, to, length int) []time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.loss, r.cut = loss, cut; cut == nil {
-		r.cut = func(int, int) bool { return false }
-	}
+	r.fate = fate
 }
 
 // relayBuffer is the most bytes that a relay reads of a datagram.
@@ -84,13 +95,19 @@
 			continue
 		}
 		r.mu.Lock()
-		lost := r.rng.Float64() < r.loss || r.cut(from, to)
-		if !lost {
+		copies := r.fate(from, to, n)
+		if len(copies) > 0 {
 			r.passed[[2]int{from, to}]++
 		}
 		r.mu.Unlock()
-		if !lost {
-			r.pairs[to][from].WriteToUDP(buf[:n], r.nodes[to]) // one that can't be sent is lost
+		for _, d := range copies {
+			text := bytes.Clone(buf[:n])
+			pass := func() { r.pairs[to][from].WriteToUDP(text, r.nodes[to]) } // one that can't be sent is lost
+			if d > 0 {
+				time.AfterFunc(d, pass)
+			} else {
+				pass()
+			}
 		}
 	}
 }
