Answer a suspicion though nothing was said before, and heed what one hears itself

Followed: the suspected node stayed at incarnation 1 for 8 s and more while all others suspected it. Cause: others know incarnation 0 of a node that has never said anything, and so does their suspicion; Told answers one at its own incarnation or later only, and settle said nothing while the incarnation stood (peers.go). Now the first accusation has it say which it is. Also: a node that hears another, itself or by way of a third, doesn't take it for gone on the word of others (member.go silent, checkUp).

--- a/cmd/oaklab/members_test.go
+++ b/cmd/oaklab/members_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pipitmux/internal/emulator"
 	"pipitmux/internal/standin"
 	"pipitmux/internal/wire"
 	"pipitmux/logic"
@@ -211,3 +212,25 @@
 	}
 	clear(f.nodes)
 }
+
+// The lab plays a day in which real nodes talk, by the scenario: a site is lost with its nodes
+// for good, and the result tells that the others came to know it.
+func TestMembersOfRealNodes(t *testing.T) {
+	sc, err := emulator.Read("../../deploy/lab/members.yaml")
+	require.NoError(t, err)
+	sc.Seconds = emulator.Span{From: 15, To: 15}
+	sc.Troubles = sc.Troubles[:2]
+	sc.Troubles[0].AtS, sc.Troubles[0].ForS = emulator.Span{From: 1, To: 1}, emulator.Span{From: 4, To: 4}
+	sc.Troubles[1].AtS = emulator.Span{From: 2, To: 2}
+	sc.Troubles[1].ForS = emulator.Span{From: 60, To: 60}
+	m := playProcesses(t, sc).Members
+	require.NotNil(t, m)
+	assert.Equal(t, 8, m.Detected, "each of four takes each of two for gone")
+	assert.Zero(t, m.Undetected)
+	assert.Zero(t, m.FalseGone)
+	assert.Zero(t, m.Disagree)
+	assert.Positive(t, m.DetectMSP50)
+	assert.Less(t, m.BytesPerS, 512.0)
+	assert.Positive(t, m.BytesPerS)
+	t.Logf("%+v", *m)
+}
--- a/internal/emulator/peers.go
+++ b/internal/emulator/peers.go
@@ -96,14 +96,14 @@
 	w.loss += by
 }
 
-// hears tells whether what a zone says can come to another, on whatever way.
-func (w *ways) hears(from, to, zones int) bool {
+// hears tells whether what a zone says can come to another, by way of the zones of some.
+func (w *ways) hears(from, to int, by []bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	reached := []int{from}
 	for i := 0; i < len(reached); i++ {
-		for z := range zones {
-			if w.cuts[[2]int{reached[i], z}] == 0 && !slices.Contains(reached, z) {
+		for z, there := range by {
+			if there && w.cuts[[2]int{reached[i], z}] == 0 && !slices.Contains(reached, z) {
 				reached = append(reached, z)
 			}
 		}
@@ -223,7 +223,11 @@
 		}
 		return
 	}
-	if zones := len(t.w.sc.Zones); !t.ways.hears(t.w.nodes[about].zone, t.w.nodes[by].zone, zones) || !t.ways.hears(t.w.nodes[by].zone, t.w.nodes[about].zone, zones) {
+	there := make([]bool, len(t.w.sc.Zones)) // zones with a node that could pass it on
+	for no := range t.nodes {
+		there[t.ways.zones[no]] = there[t.ways.zones[no]] || t.nodes[no].alive
+	}
+	if a, b := t.ways.zones[about], t.ways.zones[by]; !t.ways.hears(a, b, there) || !t.ways.hears(b, a, there) {
 		return
 	}
 	if s == member.Gone {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,12 +66,16 @@
 const (
 	healthMost = 8 // a node that trusts itself least waits nine times as long
 	confirmed  = 4 // so many who suspect one are many
+	// Before one is taken for gone on the word of others alone it is probed so often, the last
+	// time two time-outs before.
+	checkTimes = 2
 )
 
 // List is what one node knows of the others. It is not safe for concurrent use.
 type List struct {
 	self        ID
 	incarnation uint32
+	accused     bool // others have said that they suspect it
 	o           Options
 	rng         *rand.Rand
 	peers       map[ID]*peer
@@ -80,8 +84,9 @@
 	gone        []ID // the same of those who are gone
 	health      int
 	last        uint32
-	out         *probe          // the one under way
-	helped      map[uint32]help // probes made for others, by this node's number
+	out         *probe           // the one under way
+	helped      map[uint32]help  // probes made for others, by this node's number
+	checks      map[uint32]*peer // those of the suspected, the latest of each
 	due         time.Duration
 }
 
@@ -93,6 +98,9 @@
 	mine        bool          // this node has probed it in vain
 	say         bool          // and says so: too few others did
 	by          map[ID]uint32 // who else suspects it, at which incarnation
+	heard       time.Duration // when it last answered this node, or said anything to it
+	check       uint32        // the latest probe of it while suspected
+	checked     time.Duration
 	returns     int
 }
 
@@ -118,7 +126,7 @@
 	o.Helpers = cmp.Or(o.Helpers, 3)
 	o.SuspectMin = cmp.Or(o.SuspectMin, 3*time.Second)
 	o.SuspectMax = cmp.Or(o.SuspectMax, 8*time.Second)
-	l := &List{self: self, incarnation: 1, o: o, rng: rng, peers: map[ID]*peer{}, helped: map[uint32]help{}}
+	l := &List{self: self, incarnation: 1, o: o, rng: rng, peers: map[ID]*peer{}, helped: map[uint32]help{}, checks: map[uint32]*peer{}}
 	for _, id := range others {
 		if id != self {
 			l.peers[id] = &peer{id: id, by: map[ID]uint32{}}
@@ -135,6 +143,9 @@
 // Raise takes on an incarnation that this node was found to have had, if it is higher.
 func (l *List) Raise(incarnation uint32) { l.incarnation = max(l.incarnation, incarnation) }
 
+// Accused tells that others have said that they suspect this node, at whatever incarnation.
+func (l *List) Accused() bool { return l.accused }
+
 // Health is how far this node distrusts itself, from 0.
 func (l *List) Health() int { return l.health }
 
@@ -185,9 +196,12 @@
 	if l.peers[by] == nil {
 		return // nobody we know
 	}
-	if at, ok := suspects[l.self]; ok && at >= l.incarnation && at < math.MaxUint32 {
-		l.incarnation = at + 1
-		l.trust(1) // others hear us late: it may be us
+	if at, ok := suspects[l.self]; ok {
+		l.accused = true
+		if at >= l.incarnation && at < math.MaxUint32 {
+			l.incarnation = at + 1
+			l.trust(1) // others hear us late: it may be us
+		}
 	}
 	for id, p := range l.peers {
 		at, ok := suspects[id]
@@ -207,15 +221,7 @@
 
 // judge sets the state of one from who suspects it.
 func (l *List) judge(now time.Duration, p *peer) {
-	count := 0
-	if p.mine {
-		count = 1
-	}
-	for by, at := range p.by {
-		if at >= p.incarnation && l.peers[by].state != Gone { // who is gone bears no witness
-			count++
-		}
-	}
+	count := l.count(p)
 	p.say = p.mine && (p.say || count <= confirmed)
 	was := p.state
 	switch {
@@ -223,7 +229,7 @@
 		p.state = There
 	case p.state == There:
 		p.state = Suspected
-	case p.state == Suspected && now-p.since >= l.patience(count):
+	case p.state == Suspected && now-p.silent() >= l.patience(count):
 		p.state = Gone
 	}
 	if p.state != was {
@@ -234,6 +240,48 @@
 	}
 }
 
+// count is how many suspect one, this node among them.
+func (l *List) count(p *peer) (count int) {
+	if p.mine {
+		count = 1
+	}
+	for by, at := range p.by {
+		if at >= p.incarnation && l.peers[by].state != Gone { // who is gone bears no witness
+			count++
+		}
+	}
+	return count
+}
+
+// silent is since when a suspected one has said nothing to this node: what it has heard
+// itself goes before what it is told.
+func (p *peer) silent() time.Duration { return max(p.since, p.heard) }
+
+// Seen is told that something came from a node itself.
+func (l *List) Seen(now time.Duration, from ID) {
+	if p := l.peers[from]; p != nil {
+		p.heard = now
+	}
+}
+
+// checkUp probes one that others suspect before it is taken for gone on their word, also by
+// way of another: what it would answer them may be late.
+func (l *List) checkUp(now time.Duration, p *peer) []Send {
+	every := 2 * l.o.Timeout
+	if p.state != Suspected || p.mine || now < p.checked+every || now < p.silent()+l.patience(l.count(p))-(checkTimes+1)*every {
+		return nil
+	}
+	delete(l.checks, p.check)
+	l.last++
+	p.check, p.checked = l.last, now
+	l.checks[l.last] = p
+	out := []Send{{p.id, Message{Kind: Ping, Probe: l.last}}}
+	if by := l.helpers(p.id); len(by) > 0 {
+		out = append(out, Send{by[0], Message{Kind: Ask, Probe: l.last, About: p.id}})
+	}
+	return out
+}
+
 // patience is how long a suspected one may answer: the more suspect it the shorter.
 func (l *List) patience(count int) time.Duration {
 	if len(l.peers) <= confirmed { // few there are: two are many
@@ -249,6 +297,7 @@
 
 // Heard takes a message and returns what it calls for. Whoever is heard is there.
 func (l *List) Heard(now time.Duration, from ID, m Message) []Send {
+	l.Seen(now, from)
 	if p := l.peers[from]; p != nil && p.mine {
 		p.mine = false
 		l.judge(now, p)
@@ -268,6 +317,9 @@
 			delete(l.helped, m.Probe)
 			return []Send{{h.to, Message{Kind: Ack, Probe: h.number}}}
 		}
+		if p := l.checks[m.Probe]; p != nil {
+			p.heard = now
+		}
 		if o := l.out; o != nil && o.number == m.Probe { // by itself, or by way of another
 			if p := l.peers[o.to]; p.mine {
 				p.mine = false
@@ -310,7 +362,9 @@
 		}
 	}
 	for _, id := range l.order {
-		l.judge(now, l.peers[id])
+		p := l.peers[id]
+		out = append(out, l.checkUp(now, p)...)
+		l.judge(now, p)
 	}
 	if now >= l.due && l.out == nil && len(l.peers) > 0 {
 		l.due = max(l.due, now-l.o.Period) + l.wait(l.o.Period)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -354,3 +354,42 @@
 		require.Fail(t, "not all are there to all", "%v after %v", got, prefix)
 	}
 }
+
+// What a node hears itself goes before what it is told: one that many suspect is not gone while
+// it says something to this node, or answers by way of another, and is once it does neither.
+func TestHeardIsNotGone(t *testing.T) {
+	for name, answer := range map[string]func(l *List, now time.Duration, out []Send){
+		"silent": func(*List, time.Duration, []Send) {},
+		"heard":  func(l *List, now time.Duration, _ []Send) { l.Seen(now, "x") },
+		"answers by way of another": func(l *List, now time.Duration, out []Send) {
+			for _, s := range out {
+				if s.Kind == Ask && s.About == "x" {
+					l.Heard(now, s.To, Message{Kind: Ack, Probe: s.Probe})
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			names := []ID{"a", "b", "c", "d", "e", "me", "x"}
+			l := New("me", names, Options{Period: time.Hour}, rand.New(rand.NewPCG(1, 1)))
+			l.due = time.Hour // no probes of its own
+			for _, by := range names[:5] {
+				l.Told(0, by, map[ID]uint32{"x": 0})
+			}
+			state := func() State { return l.Members()[5].State }
+			assert.Equal(t, Suspected, state())
+			gone := time.Duration(0)
+			for now := step; now <= 20*time.Second && gone == 0; now += step {
+				answer(l, now, l.Tick(now))
+				if state() == Gone {
+					gone = now
+				}
+			}
+			if name == "silent" {
+				assert.Equal(t, 3*time.Second, gone)
+			} else {
+				assert.Zero(t, gone)
+			}
+		})
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -78,6 +78,7 @@
 	if from < 0 || from >= c.nodes || from == c.self {
 		return nil
 	}
+	c.List.Seen(now, id(from))
 	news, notes := c.Talk.Heard(now, string(id(from)), text)
 	for _, r := range news {
 		if r.Kind != KindMember || r.Origin == string(id(c.self)) {
@@ -115,8 +116,9 @@
 	c.List.Raise(c.Talk.Incarnation())
 	suspects := c.List.Suspects()
 	// Who has never suspected anybody nor been suspected says nothing: where all start at once
-	// that would be told many times over, and tells nobody anything.
-	if maps.Equal(suspects, c.said) && c.Talk.Incarnation() == c.life {
+	// that would be told many times over, and tells nobody anything. Once it is suspected,
+	// though, its incarnation, which those who suspect it don't know, is the answer.
+	if maps.Equal(suspects, c.said) && c.Talk.Incarnation() == c.life && (c.said != nil || !c.List.Accused()) {
 		return
 	}
 	value, err := gossip.Encode(suspects)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -147,3 +147,20 @@
 	}
 	assert.Equal(t, []int{2, 0}, []int{all, wrong})
 }
+
+// A node that has said nothing yet answers those who suspect it: they know no incarnation of it.
+func TestAccusedNodeAnswers(t *testing.T) {
+	accuser, accused := NewCircle(0, 3, 1e6, rand.New(rand.NewPCG(1, 1))), NewCircle(1, 3, 1e6, rand.New(rand.NewPCG(2, 1)))
+	value, err := gossip.Encode(map[member.ID]uint32{id(1): 0})
+	require.NoError(t, err)
+	require.NoError(t, accuser.Talk.Put(KindMember, value))
+	accused.Tick(0)
+	_, said := accused.Talk.Get(KindMember, string(id(1)))
+	assert.False(t, said)
+	for _, d := range accuser.tell(0, 1) {
+		accused.Heard(0, 0, d.Text)
+	}
+	r, said := accused.Talk.Get(KindMember, string(id(1)))
+	assert.True(t, said)
+	assert.Positive(t, r.Incarnation)
+}
