Hand what was learned of clients' patience to a successor, and keep it through a stop

Change: learnedClass carries brief and lost (state.go); parts over 1 are turned down with the rest. TestPatienceIsTakenOn: 10 of 10 served from the first on, fewer without; it fails with the line taken out.

--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	Scale, Seen, Hint float64
 	Usual             time.Duration
 	Votes             int
+	Brief, Lost       float64 // of the clients' patience
 }
 
 type learnedCurve struct {
@@ -58,7 +59,7 @@
 		Classes: map[string]learnedClass{}, Kinds: map[string]learnedCurve{}, Servers: map[ServerID]learnedServer{},
 	}
 	for n, c := range b.classes {
-		l.Classes[n] = learnedClass{c.scale, c.seen, c.hint, c.usual, c.votes}
+		l.Classes[n] = learnedClass{c.scale, c.seen, c.hint, c.usual, c.votes, c.brief, c.lost}
 	}
 	for n, k := range b.kinds {
 		l.Kinds[n] = k.form()
@@ -103,6 +104,7 @@
 	for n, c := range l.Classes {
 		if k := b.classes[n]; k != nil {
 			k.scale, k.seen, k.hint, k.usual, k.votes = c.Scale, c.Seen, c.Hint, c.Usual, c.Votes
+			k.brief, k.lost = c.Brief, c.Lost
 		}
 	}
 	for n, k := range l.Kinds {
@@ -130,7 +132,10 @@
 		if !(c.Scale > 0) {
 			return fmt.Errorf("learned: class %s: a median latency of %v", n, c.Scale)
 		}
-		figures = append(figures, c.Seen, c.Hint)
+		if c.Brief > 1 || c.Lost > 1 {
+			return fmt.Errorf("learned: class %s: parts of %v and %v", n, c.Brief, c.Lost)
+		}
+		figures = append(figures, c.Seen, c.Hint, c.Brief, c.Lost)
 	}
 	curves := slices.Collect(maps.Values(l.Kinds))
 	for _, s := range l.Servers {
--- a/logic/state_test.go
+++ b/logic/state_test.go
@@ -33,7 +33,8 @@
 	require.NoError(t, err)
 	servers[1].Born = 2
 	next.Handle(now, ServerList{Kind: ListFull, Servers: servers})
-	for _, bad := range []string{"{", "{}", strings.Replace(string(text), `"Usual":1`, `"Usual":7`, 1), strings.Replace(string(text), `"Done":[`, `"Done":[-1,`, 1)} {
+	for _, bad := range []string{"{", "{}", strings.Replace(string(text), `"Usual":1`, `"Usual":7`, 1), strings.Replace(string(text), `"Done":[`, `"Done":[-1,`, 1),
+		strings.Replace(string(text), `"Brief":0`, `"Brief":2`, 1)} {
 		assert.Error(t, next.Learn([]byte(bad)), "%.40q", bad)
 		assert.Zero(t, next.classes["c"].seen)
 	}
@@ -48,6 +49,41 @@
 	assert.NoError(t, next.Learn(again))
 }
 
+// A successor serves clients of little patience from the first on, as it need not learn anew
+// that their brief waits are no late tries.
+func TestPatienceIsTakenOn(t *testing.T) {
+	settings := Settings{Classes: []Class{{Name: "c", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Effect: Unsafe}}, Nodes: 1}
+	now := time.Hour
+	play := func(b *Balancer, reqs int) (sent int) {
+		for i := range reqs { // waits that differ, none of them usual
+			now += 50 * time.Millisecond
+			id := RequestID(strings.Repeat("i", i+1))
+			for _, s := range of[Send](b.Handle(now, Request{ID: id, Class: "c", Expires: time.Duration(500+i%7*100) * time.Millisecond})) {
+				b.Handle(now, Outcome{ID: id, Result: OK, Server: s.Server, Latency: 20 * time.Millisecond, Final: true})
+				sent++
+			}
+		}
+		return sent
+	}
+	start := func() *Balancer {
+		b, err := New(settings, 1)
+		require.NoError(t, err)
+		b.Handle(now, ServerList{Kind: ListFull, Servers: []Server{{ID: "a", Capacity: 1, Kind: "k"}}})
+		return b
+	}
+	old := start()
+	play(old, 100)
+	text, err := old.Learned()
+	require.NoError(t, err)
+	assert.Less(t, play(start(), 10), 10, "nothing is known of them")
+	next := start()
+	require.NoError(t, next.Learn(text))
+	assert.Equal(t, 10, play(next, 10))
+	stopped := start()
+	require.NoError(t, stopped.Recall(text))
+	assert.Equal(t, 10, play(stopped, 10), "it holds through a stop")
+}
+
 // A node that recalls a warm fleet while every server starts cold lets in as much as one that knows nothing:
 // the load that it had learned of is not taken for capacity that has gone.
 func TestARecalledFleetThatStartsColdIsNotShed(t *testing.T) {
