--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -55,9 +55,18 @@
 	return sc, playProcesses(t, sc)
 }
 
+// playProcesses plays a day of real nodes, whose logs it prints where that fails.
 func playProcesses(t *testing.T, sc *emulator.Scenario) *emulator.Result {
+	t.Helper()
 	dir := t.TempDir()
 	r, err := fleet.Run(t.Context(), sc, 1, fleet.Options{Program: buildNode(t, dir), Sockets: 512, MemoryMB: 64, LogDir: dir, Progress: func(_, _ time.Duration) {}})
+	if err != nil || !r.Rules.Clean() {
+		logs, _ := filepath.Glob(dir + "/*.log")
+		for _, l := range logs {
+			text, _ := os.ReadFile(l)
+			t.Logf("%s:\n%s", l, text)
+		}
+	}
 	require.NoError(t, err)
 	assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
 	return r
--- a/cmd/oaklab/oaklab_test.go
+++ b/cmd/oaklab/oaklab_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -119,27 +118,16 @@
 // kills of the nodes themselves and a director that fails; the auditor, which
 // sees the sockets only, finds the rules kept.
 func TestFleetOnSockets(t *testing.T) {
-	dir := t.TempDir()
-	program := buildNode(t, dir)
 	sc, err := emulator.Parse("sockets.yaml", []byte(onSockets))
 	require.NoError(t, err)
-	r, err := fleet.Run(t.Context(), sc, 1, fleet.Options{Program: program, Sockets: 512, MemoryMB: 64, LogDir: dir, Progress: func(_, _ time.Duration) {}})
-	if err != nil || !r.Rules.Clean() {
-		logs, _ := filepath.Glob(dir + "/*.log")
-		for _, l := range logs {
-			text, _ := os.ReadFile(l)
-			t.Logf("%s:\n%s", l, text)
-		}
-	}
-	require.NoError(t, err)
-	assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
+	r := playProcesses(t, sc)
 	assert.Greater(t, r.Reqs, 100)
 	assert.Greater(t, r.Classes["topup"].Served, r.Classes["topup"].Asked/2)
 	assert.Greater(t, r.Attempts, 100)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = fleet.Run(ctx, sc, 1, fleet.Options{Program: program, Sockets: 512, MemoryMB: 64, Progress: func(_, _ time.Duration) {}})
+	_, err = fleet.Run(ctx, sc, 1, fleet.Options{Program: buildNode(t, t.TempDir()), Sockets: 512, MemoryMB: 64, Progress: func(_, _ time.Duration) {}})
 	assert.ErrorIs(t, err, emulator.ErrLate, "a day that is broken off ends what it started")
 	_, err = fleet.Run(t.Context(), sc, 1, fleet.Options{Program: "/bin/false", Sockets: 512, MemoryMB: 64, Progress: func(_, _ time.Duration) {}})
 	assert.ErrorContains(t, err, "before it was ready")
