Read the nodes' lines on their peers in one place, and open a node's log once all is written

Cause: on reading the change again, the lab's fleet parsed the same log lines as the test of six processes does; a node's log was opened before its own file, so two paths had to close it; a test wrote an answer by hand that answer() makes; a talker kept what only its tick needs.

--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -55,6 +55,9 @@
 	return sc, playProcesses(t, sc)
 }
 
+// stated is a figure that no seed draws.
+func stated(v float64) emulator.Span { return emulator.Span{From: v, To: v} }
+
 // playProcesses plays a day of real nodes, whose logs it prints where that fails.
 func playProcesses(t *testing.T, sc *emulator.Scenario) *emulator.Result {
 	t.Helper()
@@ -78,12 +81,11 @@
 func TestColdFleetOfRealNodes(t *testing.T) {
 	sc, err := emulator.Read("../../deploy/lab/cold-fleet.yaml")
 	require.NoError(t, err)
-	at := func(s float64) emulator.Span { return emulator.Span{From: s, To: s} }
-	sc.Seconds, sc.Nodes.Count = at(9), at(20)
+	sc.Seconds, sc.Nodes.Count = stated(9), stated(20)
 	for i, s := range []float64{1, 3, 2} {
-		sc.Troubles[i].AtS = at(s)
+		sc.Troubles[i].AtS = stated(s)
 	}
-	sc.Troubles[0].ForS, sc.Troubles[1].ForS = at(0.5), at(3)
+	sc.Troubles[0].ForS, sc.Troubles[1].ForS = stated(0.5), stated(3)
 	r := playProcesses(t, sc)
 	p, err := fault.Power(sc, r, "processes")
 	require.NoError(t, err)
--- a/cmd/oaklab/members_test.go
+++ b/cmd/oaklab/members_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -20,33 +18,18 @@
 	"pipitmux/logic"
 )
 
-// view is a node's log, of which it keeps what the node takes each peer for.
+// view is what a node takes each peer for, by its log.
 type view struct {
 	mu   sync.Mutex
-	rest []byte
 	of   map[int]string
 	seen map[string]int // changes, as "number state"
 }
 
-func (v *view) Write(text []byte) (int, error) {
+func (v *view) changed(number int, state string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.rest = append(v.rest, text...)
-	for {
-		line, rest, ok := bytes.Cut(v.rest, []byte("\n"))
-		if !ok {
-			return len(text), nil
-		}
-		v.rest = rest
-		var l struct {
-			Msg, State string
-			Number     int
-		}
-		if json.Unmarshal(line, &l) == nil && l.Msg == "peer" {
-			v.of[l.Number] = l.State
-			v.seen[fmt.Sprint(l.Number, " ", l.State)]++
-		}
-	}
+	v.of[number] = state
+	v.seen[fmt.Sprint(number, " ", state)]++
 }
 
 // takes tells what the node takes a peer for; it says nothing of one that was there all along.
@@ -120,7 +103,7 @@
 	f.views[n] = &view{of: map[int]string{}, seen: map[string]int{}}
 	node, err := standin.StartNode(f.program, dir, map[string]any{"name": fmt.Sprint("n", n), "listen": f.listen[n], "discovery": "127.0.0.1:1",
 		"seed": fmt.Sprint(n + 1), "limits": map[string]any{"sockets": 256}, "peer_listen": f.listen[n], "peers": f.relays.Peers(n),
-		"known": standin.List{Rev: 1, All: true}, "settings": wire.Encode(settings, time.Second)}, f.listen[n], "127.0.0.1:1", f.views[n], "node", "--config", own)
+		"known": standin.List{Rev: 1, All: true}, "settings": wire.Encode(settings, time.Second)}, f.listen[n], "127.0.0.1:1", &standin.PeerLog{Changed: f.views[n].changed}, "node", "--config", own)
 	require.NoError(f.t, err)
 	f.nodes[n] = node
 }
@@ -218,11 +201,9 @@
 func TestMembersOfRealNodes(t *testing.T) {
 	sc, err := emulator.Read("../../deploy/lab/members.yaml")
 	require.NoError(t, err)
-	sc.Seconds = emulator.Span{From: 18, To: 18}
-	sc.Troubles = sc.Troubles[:2]
-	sc.Troubles[0].AtS, sc.Troubles[0].ForS = emulator.Span{From: 1, To: 1}, emulator.Span{From: 4, To: 4}
-	sc.Troubles[1].AtS = emulator.Span{From: 2, To: 2}
-	sc.Troubles[1].ForS = emulator.Span{From: 60, To: 60}
+	sc.Seconds, sc.Troubles = stated(18), sc.Troubles[:2]
+	sc.Troubles[0].AtS, sc.Troubles[0].ForS = stated(1), stated(4)
+	sc.Troubles[1].AtS, sc.Troubles[1].ForS = stated(2), stated(60)
 	m := playProcesses(t, sc).Members
 	require.NotNil(t, m)
 	assert.Equal(t, 8, m.Detected, "each of four takes each of two for gone")
--- a/internal/durable/contract_test.go
+++ b/internal/durable/contract_test.go
@@ -93,7 +93,7 @@
 
 func owned(p Place) error {
 	s, value := p.Open(), []byte("value")
-	if err := s.Write("a", []byte(value)); err != nil {
+	if err := s.Write("a", value); err != nil {
 		return err
 	}
 	value[0] = 'X'
--- a/internal/emulator/peers.go
+++ b/internal/emulator/peers.go
@@ -126,12 +126,10 @@
 
 // talker is one node's part in it.
 type talker struct {
-	circle *peers.Circle
-	port   *gossip.Memory
-	were   map[member.ID]member.State
-	takes  map[int]member.State // by number, of the others
-	since  time.Duration        // when it began or died
-	alive  bool
+	port  *gossip.Memory
+	takes map[int]member.State // by number, of the others
+	since time.Duration        // when it began or died
+	alive bool
 }
 
 // tellEvery is how often a node looks at what is due, as peers.Run does.
@@ -162,10 +160,9 @@
 	if t.w.live != nil {
 		return
 	}
-	k.were = map[member.ID]member.State{}
-	k.circle = peers.NewCircle(n.no, len(t.nodes), t.w.sc.Peers.BytesPerS.From, rand.New(rand.NewPCG(t.rng.Uint64(), 1)))
+	circle, were := peers.NewCircle(n.no, len(t.nodes), t.w.sc.Peers.BytesPerS.From, rand.New(rand.NewPCG(t.rng.Uint64(), 1))), map[member.ID]member.State{}
 	k.port = t.net.ListenFunc(strconv.Itoa(n.no), func(from string, text []byte) {
-		t.say(n.no, k.circle.Heard(t.w.now, nodeNo(from), text))
+		t.say(n.no, circle.Heard(t.w.now, nodeNo(from), text))
 	})
 	epoch := n.epoch
 	var tick func()
@@ -173,8 +170,8 @@
 		if n.epoch != epoch {
 			return
 		}
-		t.say(n.no, k.circle.Tick(t.w.now))
-		for _, c := range k.circle.Changes(k.were) {
+		t.say(n.no, circle.Tick(t.w.now))
+		for _, c := range circle.Changes(were) {
 			t.takes(n.no, c.Number, c.State)
 		}
 		t.w.after(tellEvery, tick)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -416,6 +416,7 @@
 		c.bad("nodes.connections", "must not be negative")
 	}
 	c.span("nodes.start_ms", s.Nodes.StartMS, 0, 1e6)
+	c.span("nodes.notice_s", s.Nodes.NoticeS, 0, 1e6)
 	if s.Peers != (Peers{}) {
 		c.span("peers.bytes_per_s", s.Peers.BytesPerS, 256, 100000)
 	}
@@ -423,7 +424,6 @@
 	c.span("peers.twice", s.Peers.Twice, 0, .99)
 	c.span("peers.delay_ms", s.Peers.DelayMS, 0, 1e5)
 	c.span("peers.spread_ms", s.Peers.SpreadMS, 0, 1e5)
-	c.span("nodes.notice_s", s.Nodes.NoticeS, 0, 1e6)
 	s.checkFleet(c, names)
 	if s.Arrivals.PerSecond != (Span{}) && s.Arrivals.Load != (Span{}) {
 		c.bad("arrivals.load", "stands beside per_second; one of them is wanted")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -200,32 +199,33 @@
 	if err != nil {
 		return nil, err
 	}
-	var log io.Writer
-	done := func() {}
-	if f.opt.LogDir != "" {
-		file, err := os.OpenFile(filepath.Join(f.opt.LogDir, c.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			return nil, err
-		}
-		log, done = file, func() { file.Close() }
-	}
 	var own []byte
 	if f.opt.Keep {
 		own = fmt.Appendf(own, "state: {dir: %q}\n", f.dir)
 	}
 	if f.relays != nil {
 		own = fmt.Appendf(own, "peers: {bytes_per_s: %g}\nlog: {format: json}\n", f.day.Talk())
-		log = &peerLines{f: f, node: n.no, log: log}
 	}
 	var args []string
 	if own != nil {
 		name := filepath.Join(dir, "own.yaml")
 		if err := os.WriteFile(name, own, 0o600); err != nil {
-			done()
 			return nil, err
 		}
 		args = []string{"node", "--config", name}
 	}
+	var log io.Writer
+	done := func() {}
+	if f.opt.LogDir != "" {
+		file, err := os.OpenFile(filepath.Join(f.opt.LogDir, c.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, err
+		}
+		log, done = file, func() { file.Close() }
+	}
+	if f.relays != nil {
+		log = &standin.PeerLog{Log: log, Changed: func(about int, state string) { f.takes(n.no, about, state) }}
+	}
 	run, err := standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log, args...)
 	if err != nil {
 		done()
@@ -244,39 +244,13 @@
 	return net.JoinHostPort("127.0.0.3", port)
 }
 
-// peerLines is a node's log, whose lines on what it takes its peers for the day is told.
-type peerLines struct {
-	f    *fleet
-	node int
-	log  io.Writer // nil: kept nowhere
-	rest []byte
-}
-
-func (p *peerLines) Write(text []byte) (int, error) {
-	p.rest = append(p.rest, text...)
-	for {
-		line, rest, whole := bytes.Cut(p.rest, []byte("\n"))
-		if !whole {
-			break
-		}
-		p.rest = rest
-		var l struct {
-			Msg, State string
-			Number     int
-		}
-		if json.Unmarshal(line, &l) != nil || l.Msg != "peer" {
-			continue
+// takes tells the day what a node takes another for, by its log.
+func (f *fleet) takes(by, about int, state string) {
+	for _, s := range []member.State{member.There, member.Suspected, member.Gone} {
+		if peers.StateName(s) == state {
+			f.day.Takes(by, about, s)
 		}
-		for _, s := range []member.State{member.There, member.Suspected, member.Gone} {
-			if peers.StateName(s) == l.State {
-				p.f.day.Takes(p.node, l.Number, s)
-			}
-		}
-	}
-	if p.log == nil {
-		return len(text), nil
 	}
-	return p.log.Write(text)
 }
 
 // Kill is emulator.Outside.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -45,7 +44,7 @@
 						}
 						return
 					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfor "+id)
+					c.Write(answer(id, logic.OK, nil, nil))
 				}
 			})
 			require.NoError(t, err)
