Add the tier's configuration, state machines, operators' API and design note

Change: pure packages for the configuration (parse, check, route lookup), the operators' API over a tree of matchers, the state machines of configuration, services and turns with budgets, the choice of a group's next members, and the design note. Measured: their unit, property and fuzz tests pass (routing, matcher, operators also under the race detector); nothing runs as a process yet.

--- /dev/null
+++ b/internal/anemometer/events/events_test.go
@@ -0,0 +1,51 @@
+package events
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestGathersDataOfWholeEvents(t *testing.T) {
+	for _, tt := range []struct {
+		name, stream, output string
+		count, begun         uint64
+	}{
+		{"none", "", "", 0, 0},
+		{"two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "a\nb\n", 2, 2},
+		{"version first", "versions: 4\nid: 1\ndata: a\n\n", "a\n", 1, 1},
+		{"without a space", "data:a\n\n", "a\n", 1, 1},
+		{"only the first space goes", "data:  a\n\n", " a\n", 1, 1},
+		{"carriage returns", "data: a\r\n\r\n", "a\n", 1, 1},
+		{"two lines of data", "data: a\ndata: b\n\n", "a\nb\n", 1, 1},
+		{"comment", ": hello\n\ndata: a\n\n", "a\n", 1, 1},
+		{"broken off in an event", "data: a\n\nid: 2\ndata: b", "a\n", 1, 2},
+		{"broken off behind a line", "data: a\n\ndata: b\n", "a\n", 1, 2},
+		{"empty data", "data:\n\n", "\n", 1, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var g Gatherer
+			g.Write([]byte(tt.stream))
+			assert.Equal(t, string(g.Output()), tt.output)
+			assert.Equal(t, g.Count(), tt.count)
+			assert.Equal(t, g.Begun(), tt.begun)
+		})
+	}
+}
+
+// However a stream is cut into reads, the same is gathered.
+func TestPiecesMakeNoDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := rapid.SliceOf(rapid.SampledFrom([]byte("ad:\r\n t"))).Draw(t, "stream")
+		var whole, pieces Gatherer
+		whole.Write(stream)
+		for rest := stream; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			pieces.Write(rest[:n])
+			rest = rest[n:]
+		}
+		assert.Equal(t, string(pieces.Output()), string(whole.Output()))
+		assert.Equal(t, pieces.Begun(), whole.Begun())
+	})
+}
--- /dev/null
+++ b/internal/barograph/operators/calls.go
@@ -0,0 +1,207 @@
+package operators
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/station/matcher"
+	"pipitmux/internal/station/routing"
+)
+
+// BaseRevisionHeader has the revision that a configuration replaces.
+const BaseRevisionHeader = "Oakseam-Base-Revision"
+
+// The paths of the calls, and the name of the node in them.
+const (
+	pathReplace     = "/api/Configuration.Replace"
+	pathShow        = "/api/Configuration.Show"
+	pathRetireBegin = "/api/Retire.Begin/{node}"
+	pathRetireShow  = "/api/Retire.Show/{node}"
+	valueNode       = "node"
+)
+
+// maxRetireBody bounds the body of Retire.Begin, in bytes.
+const maxRetireBody = 16 << 10
+
+// Reasons of refusals.
+var (
+	errBase     = errors.New(BaseRevisionHeader + ": must be one whole number")
+	errConflict = errors.New("another configuration is the newest")
+	errInvalid  = errors.New("the configuration cannot be taken")
+	errTooFew   = errors.New("too few nodes would be left")
+	errDeadline = errors.New("deadlineS: must be a number of seconds, not below 0")
+)
+
+// tree has the handler of each call.
+func (s *Server) tree() *matcher.Tree[matcher.Handler] {
+	tree := new(matcher.Tree[matcher.Handler])
+	add := func(method, pattern string, handler matcher.Handler) {
+		if err := tree.Add(method, pattern, handler); err != nil {
+			panic(err) // the patterns are fixed
+		}
+	}
+	add(http.MethodPost, pathReplace, s.replace)
+	add(http.MethodGet, pathShow, s.show)
+	add(http.MethodPost, pathRetireBegin, s.retireBegin)
+	add(http.MethodGet, pathRetireShow, s.retireShow)
+	return tree
+}
+
+func (s *Server) replace(response http.ResponseWriter, request *http.Request, _ matcher.Values) {
+	release, err := s.reserve(request)
+	if err != nil {
+		refuseBody(response, err)
+		return
+	}
+	defer release()
+	body, err := readBody(request, s.options.MaxBody)
+	if err != nil {
+		refuseBody(response, err)
+		return
+	}
+	base, err := baseRevision(request.Header)
+	if err != nil {
+		refuse(response, http.StatusBadRequest, err)
+		return
+	}
+	if _, err := routing.Parse(body); err != nil {
+		refuse(response, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := s.deciding(response, request)
+	defer cancel()
+	outcome := s.options.Authority.Replace(ctx, base, body)
+	klog.InfoS("Operators' configuration", "base", base, "bytes", len(body), "result", outcome.Result, "reason", outcome.Reason)
+	answerReplace(response, outcome)
+}
+
+// baseRevision reads the header; a call without it replaces nothing, revision 0.
+func baseRevision(header http.Header) (uint64, error) {
+	values := header.Values(BaseRevisionHeader)
+	if len(values) == 0 {
+		return 0, nil
+	}
+	base, err := strconv.ParseUint(strings.TrimSpace(values[0]), 10, 64)
+	if err != nil || len(values) > 1 {
+		return 0, errBase
+	}
+	return base, nil
+}
+
+func answerReplace(response http.ResponseWriter, outcome ReplaceOutcome) {
+	switch outcome.Result {
+	case ReplaceTaken:
+		answer(response, http.StatusOK, acknowledgement{})
+	case ReplaceConflict:
+		refuse(response, http.StatusPreconditionFailed, because(outcome.Reason, errConflict))
+	case ReplaceInvalid:
+		refuse(response, http.StatusBadRequest, because(outcome.Reason, errInvalid))
+	default:
+		refuse(response, http.StatusServiceUnavailable, because(outcome.Reason, ErrUnavailable))
+	}
+}
+
+// because gives the reason in words, or the general one where there is none.
+func because(reason string, general error) error {
+	if reason == "" {
+		return general
+	}
+	return errors.New(reason)
+}
+
+func (s *Server) show(response http.ResponseWriter, request *http.Request, _ matcher.Values) {
+	ctx, cancel := s.deciding(response, request)
+	defer cancel()
+	body, err := s.options.Authority.Show(ctx)
+	switch {
+	case err == nil:
+		write(response, http.StatusOK, body)
+	case errors.Is(err, ErrNone):
+		refuse(response, http.StatusNotFound, ErrNone)
+	default:
+		refuse(response, http.StatusServiceUnavailable, err)
+	}
+}
+
+func (s *Server) retireBegin(response http.ResponseWriter, request *http.Request, values matcher.Values) {
+	body, err := readBody(request, maxRetireBody)
+	if err != nil {
+		refuseBody(response, err)
+		return
+	}
+	deadline, err := s.retireDeadline(body)
+	if err != nil {
+		refuse(response, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := s.deciding(response, request)
+	defer cancel()
+	node := values.Get(valueNode)
+	outcome := s.options.Authority.RetireBegin(ctx, node, deadline)
+	klog.InfoS("Operators' retirement", "node", node, "deadline", deadline, "outcome", outcome)
+	answerRetire(response, outcome)
+}
+
+func answerRetire(response http.ResponseWriter, outcome RetireOutcome) {
+	switch outcome {
+	case RetireAccepted:
+		answer(response, http.StatusOK, acknowledgement{})
+	case RetireUnknownNode:
+		refuse(response, http.StatusNotFound, ErrUnknownNode)
+	case RetireTooFew:
+		refuse(response, http.StatusConflict, errTooFew)
+	default:
+		refuse(response, http.StatusServiceUnavailable, ErrUnavailable)
+	}
+}
+
+// retireDeadline reads {"deadlineS":10}. A call without a body or without the key has
+// the standard deadline.
+func (s *Server) retireDeadline(body []byte) (time.Duration, error) {
+	if len(bytes.TrimSpace(body)) == 0 {
+		return s.options.RetireWithin, nil
+	}
+	var order struct {
+		DeadlineS *float64 `json:"deadlineS"`
+	}
+	if err := json.Unmarshal(body, &order); err != nil {
+		return 0, errors.Wrap(errDeadline, err.Error())
+	}
+	if order.DeadlineS == nil {
+		return s.options.RetireWithin, nil
+	}
+	nanoseconds := *order.DeadlineS * float64(time.Second)
+	if nanoseconds < 0 {
+		return 0, errDeadline
+	}
+	if nanoseconds >= math.MaxInt64 {
+		return math.MaxInt64, nil
+	}
+	return time.Duration(nanoseconds), nil
+}
+
+func (s *Server) retireShow(response http.ResponseWriter, request *http.Request, values matcher.Values) {
+	ctx, cancel := s.deciding(response, request)
+	defer cancel()
+	state, err := s.options.Authority.RetireShow(ctx, values.Get(valueNode))
+	switch {
+	case errors.Is(err, ErrUnknownNode):
+		refuse(response, http.StatusNotFound, ErrUnknownNode)
+	case err != nil:
+		refuse(response, http.StatusServiceUnavailable, err)
+	case state == RetireRolling:
+		answer(response, http.StatusOK, retirement{MemberState: memberRolling})
+	case state == RetireCompleted:
+		answer(response, http.StatusOK, retirement{MemberState: memberCompleted})
+	default:
+		refuse(response, http.StatusServiceUnavailable, ErrUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/barograph/operators/connections_test.go
@@ -0,0 +1,76 @@
+package operators
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+)
+
+var errStopped = errors.New("stopped")
+
+// pipes is a listener that has a connection ready at any time, or a failure.
+type pipes struct {
+	accepted int
+	fails    bool
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	if p.fails {
+		return nil, errStopped
+	}
+	p.accepted++
+	ours, _ := net.Pipe()
+	return ours, nil
+}
+
+func (p *pipes) Close() error { return nil }
+
+func (p *pipes) Addr() net.Addr { return nil }
+
+func TestBoundedWaitsForAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := new(pipes)
+		listener := newBounded(inner, 2)
+		first, err := listener.Accept()
+		assert.NilError(t, err)
+		_, err = listener.Accept()
+		assert.NilError(t, err)
+		third := make(chan error, 1)
+		go func() {
+			_, err := listener.Accept()
+			third <- err
+		}()
+		synctest.Wait()
+		assert.Equal(t, inner.accepted, 2)
+		assert.NilError(t, first.Close())
+		assert.NilError(t, <-third)
+		assert.Equal(t, inner.accepted, 3)
+
+		// Closing twice gives one place free, not two.
+		_ = first.Close()
+		fourth := make(chan error, 1)
+		go func() {
+			_, err := listener.Accept()
+			fourth <- err
+		}()
+		synctest.Wait()
+		assert.Equal(t, inner.accepted, 3)
+		assert.NilError(t, listener.Close())
+		assert.ErrorIs(t, <-fourth, net.ErrClosed)
+	})
+}
+
+func TestBoundedKeepsThePlaceOfAFailure(t *testing.T) {
+	inner := &pipes{fails: true}
+	listener := newBounded(inner, 1)
+	for range 3 {
+		_, err := listener.Accept()
+		assert.ErrorIs(t, err, errStopped)
+	}
+	inner.fails = false
+	_, err := listener.Accept()
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/internal/barograph/operators/standin_test.go
@@ -0,0 +1,134 @@
+package operators
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// testWithin bounds each wait of a test that should not wait.
+const testWithin = 20 * time.Second
+
+// valid is a configuration that routing takes, with spaces that have to be kept.
+const valid = "{ \"configRevision\": 3,\n \"virtualServers\": [], \"pools\": [], \"new\": [1.50] }\n"
+
+// standIn is an Authority that answers as it is told and keeps what it was asked.
+type standIn struct {
+	replace     ReplaceOutcome
+	shown       []byte
+	showErr     error
+	retire      RetireOutcome
+	state       RetireState
+	stateErr    error
+	whileActive func(context.Context) // called within Replace
+
+	lock     sync.Mutex
+	replaces int
+	base     uint64
+	body     string
+	node     string
+	deadline time.Duration
+}
+
+func (s *standIn) Replace(ctx context.Context, base uint64, body []byte) ReplaceOutcome {
+	s.lock.Lock()
+	s.replaces++
+	s.base, s.body = base, string(body)
+	s.lock.Unlock()
+	if s.whileActive != nil {
+		s.whileActive(ctx)
+	}
+	return s.replace
+}
+
+func (s *standIn) Show(context.Context) ([]byte, error) { return s.shown, s.showErr }
+
+func (s *standIn) RetireBegin(_ context.Context, node string, deadline time.Duration) RetireOutcome {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.node, s.deadline = node, deadline
+	return s.retire
+}
+
+func (s *standIn) RetireShow(_ context.Context, node string) (RetireState, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.node = node
+	return s.state, s.stateErr
+}
+
+// asked gives how often Replace was called.
+func (s *standIn) asked() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.replaces
+}
+
+// serve runs a server on loopback for the time of a test and returns its address.
+func serve(t *testing.T, options Options) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(options)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		assert.NilError(t, server.Close())
+		assert.NilError(t, <-ended)
+	})
+	return listener.Addr().String()
+}
+
+// connection speaks to a server byte by byte.
+type connection struct {
+	*net.TCPConn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *connection {
+	t.Helper()
+	dialled, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = dialled.Close() })
+	assert.NilError(t, dialled.SetDeadline(time.Now().Add(testWithin)))
+	return &connection{TCPConn: dialled.(*net.TCPConn), t: t, reader: bufio.NewReader(dialled)}
+}
+
+func (c *connection) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(c.t, err)
+}
+
+// answer reads one answer and its body, and checks that it states its length.
+func (c *connection) answer(method string) (*http.Response, string) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	assert.NilError(c.t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(c.t, err)
+	assert.Assert(c.t, response.ContentLength >= 0, "no Content-Length")
+	return response, string(body)
+}
+
+// call makes one call on a connection that stays open.
+func (c *connection) call(method, path, header, body string) (int, string) {
+	c.t.Helper()
+	request, err := http.NewRequest(method, "http://operators"+path, strings.NewReader(body))
+	assert.NilError(c.t, err)
+	if name, value, ok := strings.Cut(header, ":"); ok {
+		request.Header[name] = []string{value}
+	}
+	assert.NilError(c.t, request.Write(c))
+	response, text := c.answer(method)
+	return response.StatusCode, text
+}
--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -78,12 +78,14 @@
 	From, To NodeID
 	Term     uint64
 	// Index and LogTerm are of the entry before Entries (Append), of the last entry of a
-	// candidate (Canvass, Vote), or the newest that is matched (AppendReply).
+	// candidate (Canvass, Vote), or the newest that is matched (AppendReply; of a rejecting
+	// one Index is what was rejected and LogTerm is the term at Hint).
 	Index, LogTerm uint64
 	Commit         uint64
 	Entries        []Entry
 	Reject         bool
-	Hint           uint64        // of a rejecting AppendReply: the receiver's last index
+	Hint           uint64        // of a rejecting AppendReply: the receiver's newest index that may match, at most Index
+	Forced         bool          // of a Vote: the owner gave its lease up, so voters needn't keep it
 	Sent           time.Duration // on the owner's clock, given back in the reply: the lease counts from it
 	Snapshot       *Snapshot
 }
@@ -131,6 +133,8 @@
 	Members      Members
 	Settled      bool                     // this node is the owner and an entry of its term is committed
 	Pending      bool                     // a change of members is not committed yet
+	Changed      uint64                   // index of the entry that Members come from, 0: the first ones
 	Heard        map[NodeID]time.Duration // at the owner: when each other member was last heard from
 	Matched      map[NodeID]uint64        // at the owner: what each other member holds
+	Contradicted bool                     // an owner sent what differs from committed entries: a member or a disk is broken
 }
--- /dev/null
+++ b/internal/barograph/revisions/revisions.go
@@ -0,0 +1,292 @@
+// Package revisions is the state machine of the configuration's partition: the newest
+// configuration, which changes were taken, and the directory of the control plane's
+// nodes. It is pure and deterministic.
+package revisions
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/protocol"
+)
+
+// takenMost is how many changes are remembered, so that one that is sent again is
+// acknowledged again: more than a day's.
+const takenMost = 20000
+
+// Digest identifies a change by its bytes.
+type Digest [sha256.Size]byte
+
+// Change is a whole configuration that takes the place of the one at Base.
+type Change struct {
+	Base, Revision uint64
+	Body           []byte
+}
+
+// Command is one step of the machine. One of the pointers is set.
+type Command struct {
+	Change   *Change        `cbor:"1,keyasint,omitempty"`
+	Register *protocol.Node `cbor:"2,keyasint,omitempty"`
+	Assign   *Assignment    `cbor:"3,keyasint,omitempty"`
+	Moved    *Moved         `cbor:"4,keyasint,omitempty"`
+	Retire   *Retirement    `cbor:"5,keyasint,omitempty"`
+}
+
+// Assignment gives the partitions of the turns their first members. It counts once.
+type Assignment struct{ Partitions [][]replica.NodeID }
+
+// Moved tells that a partition of the turns has other members.
+type Moved struct {
+	Partition int
+	Change    uint64 // index in the partition's log
+	Voters    []replica.NodeID
+}
+
+// Retirement asks for a storage node to be emptied.
+type Retirement struct {
+	Node  string
+	Least int // storage nodes that must be left
+}
+
+// Result is what came of a command.
+type Result uint8
+
+// The results of commands.
+const (
+	Taken    Result = iota + 1
+	Conflict        // another version is current
+	Stale           // the revision isn't above the current one
+	Missing         // no such node
+	TooFew          // too few nodes would be left
+	Unreadable
+)
+
+// Bytes is the form in which a result is handed back.
+func (r Result) Bytes() []byte { return []byte{byte(r)} }
+
+// ReadResult reads a result that was handed back.
+func ReadResult(text []byte) (Result, error) {
+	if len(text) != 1 || text[0] == 0 || Result(text[0]) > Unreadable {
+		return 0, &ResultError{Length: len(text)}
+	}
+	return Result(text[0]), nil
+}
+
+// ResultError tells of a result that can't be read.
+type ResultError struct{ Length int }
+
+func (e *ResultError) Error() string { return "the result of a command can't be read" }
+
+// state is what snapshots hold.
+type state struct {
+	Revision  uint64
+	Body      []byte
+	Taken     []Digest // oldest first
+	Directory protocol.Directory
+}
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	state   state
+	known   map[Digest]struct{}
+	changed func()
+}
+
+// New returns an empty Machine. It calls changed, where not nil, after each step that
+// changes its state.
+func New(changed func()) *Machine {
+	if changed == nil {
+		changed = func() {}
+	}
+	return &Machine{known: map[Digest]struct{}{}, changed: changed}
+}
+
+// Encode gives a command the form that Apply takes.
+func (c *Command) Encode() ([]byte, error) {
+	text, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	return text, nil
+}
+
+// Apply takes a command and returns its Result.
+func (m *Machine) Apply(text []byte) []byte {
+	var command Command
+	if err := cbor.Unmarshal(text, &command); err != nil {
+		return Unreadable.Bytes()
+	}
+	result := m.apply(&command)
+	if result == Taken {
+		m.changed()
+	}
+	return result.Bytes()
+}
+
+func (m *Machine) apply(c *Command) Result {
+	switch {
+	case c.Change != nil:
+		return m.replace(c.Change)
+	case c.Register != nil:
+		return m.register(*c.Register)
+	case c.Assign != nil:
+		return m.assign(c.Assign)
+	case c.Moved != nil:
+		return m.move(c.Moved)
+	case c.Retire != nil:
+		return m.retire(c.Retire)
+	}
+	return Unreadable
+}
+
+// replace is a compare-and-set on the revision. A change that was taken is
+// acknowledged whenever it comes again: by its base and its bytes it is known to be
+// that very one.
+func (m *Machine) replace(c *Change) Result {
+	digest := digestOf(c)
+	if _, ok := m.known[digest]; ok {
+		return Taken
+	}
+	switch {
+	case c.Base != m.state.Revision:
+		return Conflict
+	case c.Revision <= m.state.Revision:
+		return Stale
+	}
+	m.state.Revision, m.state.Body = c.Revision, c.Body
+	m.state.Taken = append(m.state.Taken, digest)
+	m.known[digest] = struct{}{}
+	if over := len(m.state.Taken) - takenMost; over > 0 {
+		for _, old := range m.state.Taken[:over] {
+			delete(m.known, old)
+		}
+		m.state.Taken = slices.Delete(m.state.Taken, 0, over)
+	}
+	return Taken
+}
+
+func digestOf(c *Change) Digest {
+	sum := sha256.New()
+	sum.Write([]byte{byte(c.Base >> 56), byte(c.Base >> 48), byte(c.Base >> 40), byte(c.Base >> 32),
+		byte(c.Base >> 24), byte(c.Base >> 16), byte(c.Base >> 8), byte(c.Base)})
+	sum.Write(c.Body)
+	return Digest(sum.Sum(nil))
+}
+
+// register takes a node on. An earlier incarnation of it has gone for good.
+func (m *Machine) register(n protocol.Node) Result {
+	nodes := slices.DeleteFunc(slices.Clone(m.state.Directory.Nodes), func(o protocol.Node) bool {
+		return o.ID == n.ID || o.SameMachine(n)
+	})
+	m.state.Directory.Nodes = append(nodes, n)
+	m.state.Directory.Version++
+	return Taken
+}
+
+func (m *Machine) assign(a *Assignment) Result {
+	if len(m.state.Directory.Partitions) > 0 {
+		return Conflict
+	}
+	for _, voters := range a.Partitions {
+		m.state.Directory.Partitions = append(m.state.Directory.Partitions, protocol.PartitionMembers{Voters: voters})
+	}
+	m.state.Directory.Version++
+	return Taken
+}
+
+func (m *Machine) move(to *Moved) Result {
+	if to.Partition < 0 || to.Partition >= len(m.state.Directory.Partitions) {
+		return Missing
+	}
+	// The directory is handed out by reference: what is handed out stays as it is.
+	partitions := slices.Clone(m.state.Directory.Partitions)
+	p := &partitions[to.Partition]
+	if to.Change <= p.Change {
+		return Conflict
+	}
+	p.Change, p.Voters = to.Change, to.Voters
+	m.state.Directory.Partitions = partitions
+	m.state.Directory.Version++
+	return Taken
+}
+
+func (m *Machine) retire(r *Retirement) Result {
+	if slices.Contains(m.state.Directory.Retiring, r.Node) {
+		return Taken
+	}
+	left, found := 0, false
+	for _, n := range m.state.Directory.Nodes {
+		switch {
+		case n.Class != protocol.Storage:
+		case n.Name == r.Node:
+			found = true
+		case !slices.Contains(m.state.Directory.Retiring, n.Name):
+			left++
+		}
+	}
+	switch {
+	case !found:
+		return Missing
+	case left < r.Least:
+		return TooFew
+	}
+	m.state.Directory.Retiring = append(slices.Clone(m.state.Directory.Retiring), r.Node)
+	m.state.Directory.Version++
+	return Taken
+}
+
+// Configuration returns the newest configuration and its revision, 0: none yet. The
+// bytes must not be changed.
+func (m *Machine) Configuration() (revision uint64, body []byte) {
+	return m.state.Revision, m.state.Body
+}
+
+// Directory returns the directory. What it refers to must not be changed.
+func (m *Machine) Directory() protocol.Directory { return m.state.Directory }
+
+// Emptied tells whether no partition is kept by the node any more, and whether it is
+// known to be retiring.
+func (m *Machine) Emptied(node string) (emptied, retiring bool) {
+	retiring = slices.Contains(m.state.Directory.Retiring, node)
+	for _, n := range m.state.Directory.Nodes {
+		if n.Name != node || n.Class != protocol.Storage {
+			continue
+		}
+		for _, p := range m.state.Directory.Partitions {
+			if slices.Contains(p.Voters, n.ID) {
+				return false, retiring
+			}
+		}
+	}
+	return true, retiring
+}
+
+// Snapshot returns the state.
+func (m *Machine) Snapshot() []byte {
+	text, err := cbor.Marshal(&m.state)
+	if err != nil {
+		panic(err) // the state is made of plain values only
+	}
+	return text
+}
+
+// Restore takes a state on; an empty one is the state at first.
+func (m *Machine) Restore(text []byte) error {
+	var next state
+	if len(text) > 0 {
+		if err := cbor.Unmarshal(text, &next); err != nil {
+			return errors.Wrap(err, "restore configuration state")
+		}
+	}
+	m.state = next
+	m.known = make(map[Digest]struct{}, len(next.Taken))
+	for _, d := range next.Taken {
+		m.known[d] = struct{}{}
+	}
+	m.changed()
+	return nil
+}
--- /dev/null
+++ b/internal/barograph/turns/turns.go
@@ -0,0 +1,297 @@
+// Package turns is the state machine of a partition of the turns: what was said in each
+// line of a program, and what the program may still put out. It is pure and
+// deterministic, but for the time at which a program was last touched on this node,
+// which decides nothing here: it only tells the owner what to propose to forget.
+package turns
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Admission reserves a turn's tokens.
+type Admission struct {
+	Program  string        `cbor:"1,keyasint"`
+	Attempt  string        `cbor:"2,keyasint"`
+	Previous string        `cbor:"3,keyasint,omitempty"`
+	Imported bool          `cbor:"4,keyasint,omitempty"`
+	Budget   uint64        `cbor:"5,keyasint"`
+	Most     uint64        `cbor:"6,keyasint"`
+	Keep     time.Duration `cbor:"7,keyasint"`
+}
+
+// Ending ends a try, and keeps its turn where that was answered whole.
+type Ending struct {
+	Program  string        `cbor:"1,keyasint"`
+	Attempt  string        `cbor:"2,keyasint"`
+	Whole    bool          `cbor:"3,keyasint,omitempty"`
+	Tokens   uint64        `cbor:"4,keyasint"`
+	Previous string        `cbor:"5,keyasint,omitempty"`
+	Imported []byte        `cbor:"6,keyasint,omitempty"` // all that was said before, kept with the turn
+	Input    []byte        `cbor:"7,keyasint,omitempty"`
+	Output   []byte        `cbor:"8,keyasint,omitempty"`
+	Keep     time.Duration `cbor:"9,keyasint"`
+}
+
+// Command is one step of the machine. One of the fields is set.
+type Command struct {
+	Admit  *Admission `cbor:"1,keyasint,omitempty"`
+	End    *Ending    `cbor:"2,keyasint,omitempty"`
+	Forget []string   `cbor:"3,keyasint,omitempty"` // programs
+}
+
+// Encode gives a command the form that Apply takes.
+func (c *Command) Encode() ([]byte, error) {
+	text, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	return text, nil
+}
+
+// Result is what came of a command.
+type Result uint8
+
+// The results of commands.
+const (
+	Granted    Result = iota + 1 // reserved, or ended
+	Spent                        // the budget holds no further turn
+	Missing                      // the partition holds no such turn
+	Closed                       // the try has ended before
+	Unreadable                   // no command
+)
+
+// ResultError tells of a result that can't be read.
+type ResultError struct{ Length int }
+
+func (e *ResultError) Error() string { return "the result of a command can't be read" }
+
+// ReadResult reads what Apply returned.
+func ReadResult(text []byte) (Result, error) {
+	if len(text) != 1 || text[0] == 0 || Result(text[0]) >= Unreadable {
+		return 0, &ResultError{Length: len(text)}
+	}
+	return Result(text[0]), nil
+}
+
+// turn is a turn that was answered whole.
+type turn struct {
+	Program  string `cbor:"1,keyasint"`
+	Previous string `cbor:"2,keyasint,omitempty"`
+	Imported []byte `cbor:"3,keyasint,omitempty"`
+	Input    []byte `cbor:"4,keyasint,omitempty"`
+	Output   []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// program is a program's budget, and which tries count towards it.
+type program struct {
+	Spent    uint64              `cbor:"1,keyasint"`
+	Reserved map[string]uint64   `cbor:"2,keyasint,omitempty"` // by try: the most that it may put out
+	Ended    map[string]struct{} `cbor:"3,keyasint,omitempty"` // tries that ended
+	Turns    []string            `cbor:"4,keyasint,omitempty"`
+	Keep     time.Duration       `cbor:"5,keyasint"`
+	touched  time.Duration
+}
+
+type state struct {
+	Programs map[string]*program `cbor:"1,keyasint"`
+	Turns    map[string]*turn    `cbor:"2,keyasint"`
+}
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	state state
+	now   func() time.Duration
+}
+
+// New returns an empty Machine. The clock is steady and read only to tell which programs
+// rest: see Resting.
+func New(now func() time.Duration) *Machine {
+	m := &Machine{now: now}
+	m.state = emptyState()
+	return m
+}
+
+func emptyState() state {
+	return state{Programs: map[string]*program{}, Turns: map[string]*turn{}}
+}
+
+// Apply takes a command and returns its Result.
+func (m *Machine) Apply(text []byte) []byte {
+	var c Command
+	if err := cbor.Unmarshal(text, &c); err != nil {
+		return []byte{byte(Unreadable)}
+	}
+	return []byte{byte(m.apply(&c))}
+}
+
+func (m *Machine) apply(c *Command) Result {
+	switch {
+	case c.Admit != nil:
+		return m.admit(c.Admit)
+	case c.End != nil:
+		return m.end(c.End)
+	}
+	for _, name := range c.Forget {
+		m.forget(name)
+	}
+	return Granted
+}
+
+func (m *Machine) program(name string, keep time.Duration) *program {
+	p := m.state.Programs[name]
+	if p == nil {
+		p = &program{Reserved: map[string]uint64{}, Ended: map[string]struct{}{}}
+		m.state.Programs[name] = p
+	}
+	p.Keep = max(p.Keep, keep)
+	p.touched = m.now()
+	return p
+}
+
+// admit reserves the most that a turn may put out. Each try counts at its most until it
+// has ended: no node's death gives any of it back. Told again, it has no further effect.
+func (m *Machine) admit(a *Admission) Result {
+	if a.Previous != "" && !a.Imported && m.state.Turns[a.Previous] == nil {
+		return Missing
+	}
+	p := m.program(a.Program, a.Keep)
+	if _, ended := p.Ended[a.Attempt]; ended {
+		return Closed
+	}
+	if _, reserved := p.Reserved[a.Attempt]; reserved {
+		return Granted
+	}
+	if p.counted()+a.Most > a.Budget {
+		return Spent
+	}
+	p.Reserved[a.Attempt] = a.Most
+	return Granted
+}
+
+// counted is what was put out, with every open try at its most.
+func (p *program) counted() uint64 {
+	sum := p.Spent
+	for _, most := range p.Reserved {
+		sum += most
+	}
+	return sum
+}
+
+// end settles a try to what was handed out, once.
+func (m *Machine) end(e *Ending) Result {
+	p := m.program(e.Program, e.Keep)
+	if _, ended := p.Ended[e.Attempt]; ended {
+		if e.Whole && m.state.Turns[e.Attempt] == nil {
+			return Closed
+		}
+		return Granted
+	}
+	p.Ended[e.Attempt] = struct{}{}
+	delete(p.Reserved, e.Attempt)
+	p.Spent += e.Tokens
+	if e.Whole {
+		m.keep(p, e)
+	}
+	return Granted
+}
+
+// keep keeps a turn. What it goes on from may be another program's, which is forgotten at
+// a time of its own: then the turn takes the whole text along.
+func (m *Machine) keep(p *program, e *Ending) {
+	t := &turn{Program: e.Program, Previous: e.Previous, Imported: e.Imported, Input: e.Input, Output: e.Output}
+	if before := m.state.Turns[e.Previous]; before != nil && before.Program != e.Program && len(e.Imported) == 0 {
+		t.Imported, _ = m.History(e.Previous)
+	}
+	m.state.Turns[e.Attempt] = t
+	p.Turns = append(p.Turns, e.Attempt)
+}
+
+func (m *Machine) forget(name string) {
+	p := m.state.Programs[name]
+	if p == nil {
+		return
+	}
+	for _, id := range p.Turns {
+		delete(m.state.Turns, id)
+	}
+	delete(m.state.Programs, name)
+}
+
+// History returns what was said up to the end of a turn: the oldest input, the data of
+// its events, and so on. It is false where the partition doesn't hold the turn.
+func (m *Machine) History(attempt string) ([]byte, bool) {
+	var line []*turn
+	size := 0
+	for id := attempt; id != ""; {
+		t := m.state.Turns[id]
+		if t == nil {
+			return nil, false
+		}
+		line = append(line, t)
+		size += len(t.Imported) + len(t.Input) + len(t.Output)
+		if len(t.Imported) > 0 {
+			break
+		}
+		id = t.Previous
+	}
+	text := make([]byte, 0, size)
+	for i := len(line) - 1; i >= 0; i-- {
+		text = append(text, line[i].Imported...)
+		text = append(text, line[i].Input...)
+		text = append(text, line[i].Output...)
+	}
+	return text, true
+}
+
+// Resting returns programs that nothing was heard of for as long as they are kept, and
+// slack longer, at most so many.
+func (m *Machine) Resting(slack time.Duration, most int) []string {
+	var resting []string
+	now := m.now()
+	for name, p := range m.state.Programs {
+		if now-p.touched > p.Keep+slack && len(resting) < most {
+			resting = append(resting, name)
+		}
+	}
+	return resting
+}
+
+// Size is how many turns and programs are held.
+func (m *Machine) Size() (turns, programs int) {
+	return len(m.state.Turns), len(m.state.Programs)
+}
+
+// Snapshot returns the state.
+func (m *Machine) Snapshot() []byte {
+	text, err := cbor.Marshal(&m.state)
+	if err != nil {
+		panic(err) // the state is made of plain values only
+	}
+	return text
+}
+
+// Restore takes a state on; an empty one is the state at first. All programs count as
+// touched now: they are kept longer, never shorter.
+func (m *Machine) Restore(text []byte) error {
+	next := emptyState()
+	if len(text) > 0 {
+		if err := cbor.Unmarshal(text, &next); err != nil {
+			return errors.Wrap(err, "restore turns")
+		}
+	}
+	now := m.now()
+	for _, p := range next.Programs {
+		p.touched = now
+		if p.Reserved == nil {
+			p.Reserved = map[string]uint64{}
+		}
+		if p.Ended == nil {
+			p.Ended = map[string]struct{}{}
+		}
+	}
+	m.state = next
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,8 +22,10 @@
 type Req struct {
 	ID, Class string
 	Retry     bool
-	Tenant    string        // who the req belongs to, as the settings name them; empty: not told
-	Hint      time.Duration // a guess at its work; 0: not told
+	Tenant    string           // who the req belongs to, as the settings name them; empty: not told
+	Hint      time.Duration    // a guess at its work; 0: not told
+	Prefer    []logic.ServerID // that hold part of its prompt, best first
+	Worth     float64          // 0: its class's
 	Arrived   time.Time
 	Wait      time.Duration // how long the client waits, from Arrived; 0: as long as its class lets it
 	Call      any           // handed to the backends unread
--- /dev/null
+++ b/internal/station/protocol/protocol.go
@@ -0,0 +1,239 @@
+// Package protocol holds the messages that the processes of the tier exchange over
+// net/rpc. It knows neither program.
+package protocol
+
+import (
+	"fmt"
+	"time"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/hashing"
+)
+
+// Class is what a node does in the tier.
+type Class uint8
+
+// The classes of nodes.
+const (
+	Edge    Class = iota + 1 // carries traffic, keeps nothing
+	Core                     // keeps configuration, services and duties
+	Storage                  // keeps turns and budgets
+)
+
+// Node is one incarnation of a node of the control plane, and where it is reached.
+type Node struct {
+	ID      replica.NodeID
+	Name    string
+	Class   Class
+	Address string // of its net/rpc listener
+	Zone    string
+}
+
+// SameMachine tells whether both are incarnations of one node: a later one takes the
+// place of an earlier one.
+func (n Node) SameMachine(o Node) bool {
+	return n.Class == o.Class && (n.Name == o.Name || n.Address == o.Address)
+}
+
+// PartitionMembers tells who keeps a partition of the turns.
+type PartitionMembers struct {
+	Change uint64 // index of the change in the partition's own log, 0: as first assigned
+	Voters []replica.NodeID
+}
+
+// Directory is what all processes are told of the control plane.
+type Directory struct {
+	Version    uint64
+	Nodes      []Node // core and storage
+	Retiring   []string
+	Partitions []PartitionMembers // of the turns, by number; empty: not assigned yet
+}
+
+// Server is one process of a service.
+type Server struct {
+	ID       string
+	Address  string
+	Zone     string
+	Capacity int
+	Draining bool
+	Warmup   time.Duration // how much longer it was slow when it was listed first
+}
+
+// ServerList holds the servers of a service.
+type ServerList struct {
+	Service string
+	Version uint64 // rises with each change
+	Servers []Server
+}
+
+// Groups of the control plane.
+const (
+	ConfigurationGroup replica.GroupID = "configuration"
+	ListerDuty         replica.GroupID = "duty-lister"
+	// ServicePartitions is how many partitions hold the services, TurnPartitions how many
+	// the turns and budgets. Both are fixed for the life of a deployment's disks.
+	ServicePartitions = 4
+	TurnPartitions    = 16
+)
+
+// ServiceGroup names the group of a partition of the services.
+func ServiceGroup(partition int) replica.GroupID {
+	return replica.GroupID(fmt.Sprintf("services-%d", partition))
+}
+
+// TurnGroup names the group of a partition of the turns.
+func TurnGroup(partition int) replica.GroupID {
+	return replica.GroupID(fmt.Sprintf("turns-%d", partition))
+}
+
+// ServicePartition is the partition of a service.
+func ServicePartition(service string) int {
+	return hashing.Partition(service, ServicePartitions)
+}
+
+// TurnPartition is the partition of a program's turns and budget.
+func TurnPartition(program string) int { return hashing.Partition(program, TurnPartitions) }
+
+// HelloArgs introduces a process of the control plane to another.
+type HelloArgs struct{ Self Node }
+
+// HelloReply is who was asked, and whom it knows.
+type HelloReply struct {
+	Self  Node
+	Nodes []Node
+}
+
+// DeliverArgs brings messages between members of groups.
+type DeliverArgs struct {
+	From     Node
+	Messages []replica.Message
+}
+
+// Nothing is an empty message.
+type Nothing struct{}
+
+// Outcome is how a forwarded call ended.
+type Outcome uint8
+
+// The outcomes of a forwarded call.
+const (
+	Done        Outcome = iota + 1
+	NotOwner            // Owner names a better one where it is known; nothing was done
+	Unknown             // it may have been done, or may still be
+	Unavailable         // nothing was done
+)
+
+// ProposeArgs hands a command to a group's owner.
+type ProposeArgs struct {
+	Group   replica.GroupID
+	Command []byte
+	Within  time.Duration
+}
+
+// ProposeReply is the result of the command's application.
+type ProposeReply struct {
+	Outcome Outcome
+	Owner   replica.NodeID
+	Result  []byte
+}
+
+// IndexArgs asks a group's owner how far it has applied, after it has proven that it is the owner.
+type IndexArgs struct {
+	Group  replica.GroupID
+	Within time.Duration
+}
+
+// IndexReply is that index.
+type IndexReply struct {
+	Outcome Outcome
+	Owner   replica.NodeID
+	Index   uint64
+}
+
+// WatchArgs asks a core node for what is newer than the caller has. The call is answered
+// at once where there is news, else when some comes, or empty after Wait.
+type WatchArgs struct {
+	Node      string
+	Revision  uint64 // of the configuration in force at the caller, 0: none
+	Directory uint64
+	Services  [ServicePartitions]uint64
+	Confirmed bool // the answer's configuration must be no older than the newest at this moment
+	Wait      time.Duration
+}
+
+// WatchReply holds what is newer. A nil pointer or zero version: nothing.
+type WatchReply struct {
+	Confirmed     bool
+	Revision      uint64
+	Configuration []byte
+	Directory     *Directory
+	Services      [ServicePartitions]uint64
+	Lists         []ServerList // of the partitions whose version is newer, whole
+}
+
+// Where a turn stands at the end of a call.
+type TurnOutcome uint8
+
+// The outcomes of calls about turns.
+const (
+	TurnGranted     TurnOutcome = iota + 1 // reserved (Admit) or kept (Finish), durably
+	TurnSpent                              // the budget holds no further turn, nothing is reserved
+	TurnMissing                            // the partition surely holds no such turn
+	TurnClosed                             // the try has ended already
+	TurnNotOwner                           // Owner names a better one where known; nothing was done
+	TurnUnknown                            // it may have been done
+	TurnUnavailable                        // nothing was done
+)
+
+// AdmitArgs asks the owner of a program's partition to reserve a turn's tokens and to
+// tell what was said before.
+type AdmitArgs struct {
+	Program  string
+	Attempt  string
+	Previous string // "" at the start of a line
+	Imported bool   // what was said before is known from another partition
+	Budget   uint64
+	Most     uint64 // tokens that the turn may put out
+	Keep     time.Duration
+	Within   time.Duration
+}
+
+// AdmitReply brings the text before the new input.
+type AdmitReply struct {
+	Outcome TurnOutcome
+	Owner   replica.NodeID
+	History []byte
+}
+
+// FinishArgs ends a try. A turn that was answered whole is kept.
+type FinishArgs struct {
+	Program  string
+	Attempt  string
+	Whole    bool
+	Tokens   uint64 // handed to the client
+	Previous string
+	Imported []byte // text before, where it came from another partition
+	Input    []byte
+	Output   []byte // the data of each event, a line feed behind each
+	Keep     time.Duration
+	Within   time.Duration
+}
+
+// FinishReply tells whether the end is durable.
+type FinishReply struct {
+	Outcome TurnOutcome
+	Owner   replica.NodeID
+}
+
+// FindArgs asks a storage node for a turn in all partitions that it owns.
+type FindArgs struct {
+	Attempt string
+	Within  time.Duration
+}
+
+// FindReply brings the turn's whole text, or the partitions that surely don't hold it.
+type FindReply struct {
+	Found   bool
+	History []byte
+	Without []int
+}
