--- a/logic/api.go
+++ b/logic/api.go
@@ -7,7 +7,16 @@
 // no I/O, reads no clock and starts no goroutine; the same events at the same
 // times with the same seed give the same actions.
 //
-// This file holds the interface. The decisions are in logic.go.
+// This file holds the interface. The decisions, by concern:
+//
+//   - constants.go: the figures that they go by
+//   - balancer.go: state, events, what a request is worth and how long it has
+//   - choose.go: first pick, early refusal, time-out θ, alternative
+//   - attempt.go: sends, outcomes, retries, final answers
+//   - guard.go: what may be sent where: rules, limits, cold servers, outliers
+//   - list.go: discovery, the part of the fleet that a node sends to
+//   - learn.go: what outcomes and load reports tell
+//   - curve.go: histograms of latencies, rates
 package logic
 
 import (
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,11 +1,12 @@
 package logic
 
 import (
-	"bufio"
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"math"
 	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strconv"
@@ -17,21 +18,32 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The auditor's limits on the decision module.
+// policyFiles returns the files that deploy/balancer.toml names as the decision module.
+func policyFiles(t *testing.T) []string {
+	t.Helper()
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	require.NoError(t, err)
+	_, list, found := strings.Cut("\n"+string(text), "\npolicy = ")
+	require.True(t, found)
+	list, _, _ = strings.Cut(list, "\n")
+	var names []string
+	require.NoError(t, json.Unmarshal([]byte(list), &names))
+	return names
+}
+
+// The auditor's limits on the decision module, over all of its files.
 func TestModuleSize(t *testing.T) {
-	f, err := os.Open("logic.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	nonblank := 0
-	sc := bufio.NewScanner(f)
-	for n := 1; sc.Scan(); n++ {
-		if strings.TrimSpace(sc.Text()) != "" {
-			nonblank++
-		}
-		if width := len([]rune(strings.ReplaceAll(sc.Text(), "\t", "    "))); width > 110 {
-			t.Errorf("line %d is %d wide, 110 at most", n, width)
+	for _, name := range policyFiles(t) {
+		text, err := os.ReadFile(filepath.Join("..", name))
+		require.NoError(t, err)
+		for n, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				nonblank++
+			}
+			if width := len([]rune(strings.ReplaceAll(line, "\t", "    "))); width > 110 {
+				t.Errorf("%s:%d is %d wide, 110 at most", name, n+1, width)
+			}
 		}
 	}
 	if nonblank > 1200 {
@@ -39,6 +51,19 @@
 	}
 }
 
+// Whatever of the package is no interface, state or view of the module is named as its policy.
+func TestPolicyFilesAreNamed(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	require.NoError(t, err)
+	var want []string
+	for _, name := range files {
+		if !strings.HasSuffix(name, "_test.go") && !slices.Contains([]string{"api.go", "state.go", "view.go"}, name) {
+			want = append(want, "logic/"+name)
+		}
+	}
+	assert.ElementsMatch(t, want, policyFiles(t))
+}
+
 func newNode(t *testing.T, cfg Settings, servers ...Server) *Balancer {
 	t.Helper()
 	b, err := New(cfg, 7)
