Let a class limit the attempts of its requests

Cause: Settings.MaxAttempts holds for all classes, though an upload bears fewer attempts than a lookup.

Change: Class.MaxAttempts; at 0 the settings' limit counts. Below 0 New refuses it.

--- a/logic/api.go
+++ b/logic/api.go
@@ -53,16 +53,17 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name       string
-	Aim        time.Duration // an answer within it earns the full worth
-	AimStretch float64       // the aim grows by this multiple of the work hint
-	Deadline   time.Duration // what a client waits in all, over its own retries
-	Worth      float64       // 0: unknown, the paper's example figures serve
-	LateWorth  float64       // part of the worth kept after the aim, 0 to 1
-	Effect     Effect
-	Group      Group         // for Keyed
-	Window     time.Duration // for Keyed: how long repeats are dropped
-	Stream     bool          // answers are streamed: Started events come
+	Name        string
+	Aim         time.Duration // an answer within it earns the full worth
+	AimStretch  float64       // the aim grows by this multiple of the work hint
+	Deadline    time.Duration // what a client waits in all, over its own retries
+	Worth       float64       // 0: unknown, the paper's example figures serve
+	LateWorth   float64       // part of the worth kept after the aim, 0 to 1
+	Effect      Effect
+	Group       Group         // for Keyed
+	Window      time.Duration // for Keyed: how long repeats are dropped
+	Stream      bool          // answers are streamed: Started events come
+	MaxAttempts int           // attempts allowed for one request, 0: Settings.MaxAttempts counts
 }
 
 // Tenant describes one customer who shares the fleet.
@@ -118,6 +119,8 @@
 			return fmt.Errorf("settings: class %s: aim and deadline must be above 0", c.Name)
 		case c.Effect == Keyed && c.Window <= 0:
 			return fmt.Errorf("settings: class %s: keyed without a window", c.Name)
+		case c.MaxAttempts < 0:
+			return fmt.Errorf("settings: class %s: attempts below 0", c.Name)
 		case c.Worth < 0 || c.LateWorth < 0 || c.LateWorth > 1:
 			return fmt.Errorf("settings: class %s: worth out of range", c.Name)
 		}
