Take on new classes at run time

Cause: the classes were those of New; a tier whose operators add or change one would have to start its nodes anew and so lose what they had learned.

Change: Balancer.SetClasses replaces them. Classes are checked as New does, by one function.

--- a/logic/api.go
+++ b/logic/api.go
@@ -108,10 +108,21 @@
 
 // check reports settings that no decision can be made with.
 func (s *Settings) check() error {
-	if len(s.Classes) == 0 {
+	if err := checkClasses(s.Classes); err != nil {
+		return err
+	}
+	if s.Nodes < 0 || s.Number < 0 || s.ColdFrom < 0 || s.ColdFrom > 1 || s.FallMultiple < 0 || s.MaxAttempts < 0 {
+		return errors.New("settings: a figure is out of range")
+	}
+	return nil
+}
+
+// checkClasses reports classes that no decision can be made with.
+func checkClasses(classes []Class) error {
+	if len(classes) == 0 {
 		return errors.New("settings: no classes")
 	}
-	for _, c := range s.Classes {
+	for _, c := range classes {
 		switch {
 		case c.Name == "":
 			return errors.New("settings: a class has no name")
@@ -125,9 +136,6 @@
 			return fmt.Errorf("settings: class %s: worth out of range", c.Name)
 		}
 	}
-	if s.Nodes < 0 || s.Number < 0 || s.ColdFrom < 0 || s.ColdFrom > 1 || s.FallMultiple < 0 || s.MaxAttempts < 0 {
-		return errors.New("settings: a figure is out of range")
-	}
 	return nil
 }
 
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -47,17 +47,21 @@
 	ask                   asking
 }
 
-// class is a class of requests and what was learned of it.
+// class is a class of requests as told at one time, and what was learned of those of its name.
 type class struct {
 	Class
 	r, v, c2 float64
-	scale    float64       // median latency in seconds, for a request of usual size
-	seen     float64       // answers behind scale
-	hint     float64       // mean work hint in seconds
-	usual    time.Duration // what clients mostly wait for a try
-	votes    int           // how many more tries said so than not
-	brief    float64       // part of its tries that are brief
-	lost     float64       // and part that are not, and were not served: a late try follows one of those
+	*habits
+}
+
+type habits struct {
+	scale float64       // median latency in seconds, for a request of usual size
+	seen  float64       // answers behind scale
+	hint  float64       // mean work hint in seconds
+	usual time.Duration // what clients mostly wait for a try
+	votes int           // how many more tries said so than not
+	brief float64       // part of its tries that are brief
+	lost  float64       // and part that are not, and were not served: a late try follows one of those
 }
 
 // server is a listed server and what this node knows of it.
@@ -119,7 +123,7 @@
 	}
 	b := &Balancer{
 		cfg: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		classes: map[string]*class{}, servers: map[ServerID]*server{}, kinds: map[string]*curve{},
+		servers: map[ServerID]*server{}, kinds: map[string]*curve{},
 		tenants: map[string]*quota{}, reqs: map[RequestID]*request{}, bySeq: map[uint64]*request{},
 		seq: firstRequestToken, budget: retryBurst, room: roomMost, usual: 1, field: -1,
 		trust: trust{cov: 0.5, sq: 1},
@@ -134,14 +138,28 @@
 			b.field = i
 		}
 	}
-	for _, c := range s.Classes {
+	return b, b.SetClasses(s.Classes)
+}
+
+// SetClasses replaces the classes. One of a known name keeps what was learned of it; requests under way keep
+// theirs. Where New would return an error it returns that and changes nothing.
+func (b *Balancer) SetClasses(classes []Class) error {
+	if err := checkClasses(classes); err != nil {
+		return err
+	}
+	known := b.classes
+	b.classes = map[string]*class{}
+	for _, c := range classes {
 		b.classes[c.Name] = newClass(c)
+		if old := known[c.Name]; old != nil {
+			b.classes[c.Name].habits = old.habits
+		}
 	}
-	return b, nil
+	return nil
 }
 
 func newClass(c Class) *class {
-	n := &class{Class: c, r: exampleR, v: exampleV, c2: exampleC2, scale: c.Aim.Seconds() / 3}
+	n := &class{c, exampleR, exampleV, exampleC2, &habits{scale: c.Aim.Seconds() / 3}}
 	if c.Worth > 0 {
 		n.r, n.v, n.c2 = c.Worth, c.Worth*exampleV/exampleR, c.Worth*retryPrice*exampleC2/exampleR
 	}
