--- a/logic/api.go
+++ b/logic/api.go
@@ -7,7 +7,16 @@
 // no I/O, reads no clock and starts no goroutine; the same events at the same
 // times with the same seed give the same actions.
 //
-// This file holds the interface. The decisions are in logic.go.
+// This file holds the interface. The decisions, by concern:
+//
+//   - constants.go: the figures that they go by
+//   - balancer.go: state, events, what a request is worth and how long it has
+//   - choose.go: first pick, early refusal, time-out θ, alternative
+//   - attempt.go: sends, outcomes, retries, final answers
+//   - guard.go: what may be sent where: rules, limits, cold servers, outliers
+//   - list.go: discovery, the part of the fleet that a node sends to
+//   - learn.go: what outcomes and load reports tell
+//   - curve.go: histograms of latencies, rates
 package logic
 
 import (
@@ -44,16 +53,17 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name       string
-	Aim        time.Duration // an answer within it earns the full worth
-	AimStretch float64       // the aim grows by this multiple of the work hint
-	Deadline   time.Duration // what a client waits in all, over its own retries
-	Worth      float64       // 0: unknown, the paper's example figures serve
-	LateWorth  float64       // part of the worth kept after the aim, 0 to 1
-	Effect     Effect
-	Group      Group         // for Keyed
-	Window     time.Duration // for Keyed: how long repeats are dropped
-	Stream     bool          // answers are streamed: Started events come
+	Name        string
+	Aim         time.Duration // an answer within it earns the full worth
+	AimStretch  float64       // the aim grows by this multiple of the work hint
+	Deadline    time.Duration // what a client waits in all, over its own retries
+	Worth       float64       // 0: unknown, the paper's example figures serve
+	LateWorth   float64       // part of the worth kept after the aim, 0 to 1
+	Effect      Effect
+	Group       Group         // for Keyed
+	Window      time.Duration // for Keyed: how long repeats are dropped
+	Stream      bool          // answers are streamed: Started events come
+	MaxAttempts int           // attempts allowed for one request, 0: Settings.MaxAttempts counts
 }
 
 // Tenant describes one customer who shares the fleet.
@@ -98,10 +108,21 @@
 
 // check reports settings that no decision can be made with.
 func (s *Settings) check() error {
-	if len(s.Classes) == 0 {
+	if err := checkClasses(s.Classes); err != nil {
+		return err
+	}
+	if s.Nodes < 0 || s.Number < 0 || s.ColdFrom < 0 || s.ColdFrom > 1 || s.FallMultiple < 0 || s.MaxAttempts < 0 {
+		return errors.New("settings: a figure is out of range")
+	}
+	return nil
+}
+
+// checkClasses reports classes that no decision can be made with.
+func checkClasses(classes []Class) error {
+	if len(classes) == 0 {
 		return errors.New("settings: no classes")
 	}
-	for _, c := range s.Classes {
+	for _, c := range classes {
 		switch {
 		case c.Name == "":
 			return errors.New("settings: a class has no name")
@@ -109,13 +130,12 @@
 			return fmt.Errorf("settings: class %s: aim and deadline must be above 0", c.Name)
 		case c.Effect == Keyed && c.Window <= 0:
 			return fmt.Errorf("settings: class %s: keyed without a window", c.Name)
+		case c.MaxAttempts < 0:
+			return fmt.Errorf("settings: class %s: attempts below 0", c.Name)
 		case c.Worth < 0 || c.LateWorth < 0 || c.LateWorth > 1:
 			return fmt.Errorf("settings: class %s: worth out of range", c.Name)
 		}
 	}
-	if s.Nodes < 0 || s.Number < 0 || s.ColdFrom < 0 || s.ColdFrom > 1 || s.FallMultiple < 0 || s.MaxAttempts < 0 {
-		return errors.New("settings: a figure is out of range")
-	}
 	return nil
 }
 
