--- /dev/null
+++ b/internal/barograph/coordinator/authority.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"pipitmux/internal/barograph/host"
+	"pipitmux/internal/barograph/operators"
+	"pipitmux/internal/barograph/revisions"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+)
+
+// orderWithin is how long an order may take here. The caller goes on to another node
+// after a second of silence.
+const orderWithin = 3 * time.Second
+
+// Replace implements operators.Authority.
+func (c *Coordinator) Replace(ctx context.Context, base uint64, body []byte) operators.ReplaceOutcome {
+	configuration, err := routing.Parse(body)
+	if err != nil {
+		return operators.ReplaceOutcome{Result: operators.ReplaceInvalid, Reason: err.Error()}
+	}
+	change := &revisions.Change{Base: base, Revision: configuration.Revision, Body: body}
+	switch c.order(ctx, &revisions.Command{Change: change}) {
+	case revisions.Taken:
+		return operators.ReplaceOutcome{Result: operators.ReplaceTaken}
+	case revisions.Conflict:
+		return operators.ReplaceOutcome{Result: operators.ReplaceConflict}
+	case revisions.Stale:
+		return operators.ReplaceOutcome{Result: operators.ReplaceInvalid, Reason: "configRevision: not above the current one"}
+	}
+	return operators.ReplaceOutcome{Result: operators.ReplaceUncertain}
+}
+
+// order has a command carried out and returns its result, 0 where that isn't known.
+func (c *Coordinator) order(ctx context.Context, command *revisions.Command) revisions.Result {
+	text, err := command.Encode()
+	if err != nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	answer, err := c.node.Submit(ctx, protocol.ConfigurationGroup, text)
+	if err != nil {
+		return 0
+	}
+	result, err := revisions.ReadResult(answer)
+	if err != nil {
+		return 0
+	}
+	return result
+}
+
+// Show implements operators.Authority.
+func (c *Coordinator) Show(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	if err := c.node.Confirm(ctx, protocol.ConfigurationGroup); err != nil {
+		return nil, operators.ErrUnavailable
+	}
+	var revision uint64
+	var body []byte
+	c.node.Host.Peek(protocol.ConfigurationGroup, func(m host.Machine) {
+		revision, body = m.(*revisions.Machine).Configuration()
+	})
+	if revision == 0 {
+		return nil, operators.ErrNone
+	}
+	return body, nil
+}
+
+// RetireBegin implements operators.Authority.
+func (c *Coordinator) RetireBegin(ctx context.Context, name string, _ time.Duration) operators.RetireOutcome {
+	retirement := &revisions.Retirement{Node: name, Least: Voters(c.losses, protocol.TurnPartitions)}
+	switch c.order(ctx, &revisions.Command{Retire: retirement}) {
+	case revisions.Taken:
+		return operators.RetireAccepted
+	case revisions.Missing:
+		return operators.RetireUnknownNode
+	case revisions.TooFew:
+		return operators.RetireTooFew
+	}
+	return operators.RetireUncertain
+}
+
+// RetireShow implements operators.Authority.
+func (c *Coordinator) RetireShow(ctx context.Context, name string) (operators.RetireState, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	if err := c.node.Confirm(ctx, protocol.ConfigurationGroup); err != nil {
+		return 0, operators.ErrUnavailable
+	}
+	var emptied, retiring bool
+	c.node.Host.Peek(protocol.ConfigurationGroup, func(m host.Machine) {
+		emptied, retiring = m.(*revisions.Machine).Emptied(name)
+	})
+	switch {
+	case !retiring:
+		return 0, operators.ErrUnknownNode
+	case emptied:
+		return operators.RetireCompleted, nil
+	}
+	return operators.RetireRolling, nil
+}
--- /dev/null
+++ b/internal/barograph/coordinator/notifier.go
@@ -0,0 +1,42 @@
+package coordinator
+
+import (
+	"sync"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/hashing"
+	"pipitmux/internal/station/protocol"
+)
+
+// notifier wakes all who wait for news.
+type notifier struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func newNotifier() *notifier { return &notifier{next: make(chan struct{})} }
+
+// tell wakes all who wait.
+func (n *notifier) tell() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.next)
+	n.next = make(chan struct{})
+}
+
+// changed returns a channel that is closed with the next news.
+func (n *notifier) changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.next
+}
+
+// hashingRank lists the ids of nodes in a group's order.
+func hashingRank(group replica.GroupID, nodes []protocol.Node) []replica.NodeID {
+	ranked := hashing.Rank(string(group), nodes, func(n protocol.Node) uint64 { return uint64(n.ID) })
+	ids := make([]replica.NodeID, 0, len(ranked))
+	for _, n := range ranked {
+		ids = append(ids, n.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/barograph/keeper/keeper.go
@@ -0,0 +1,261 @@
+// Package keeper is a storage node: with others of its class it keeps the turns of
+// programs and what the programs may still put out.
+package keeper
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/barograph/coordinator"
+	"pipitmux/internal/barograph/host"
+	"pipitmux/internal/barograph/node"
+	"pipitmux/internal/barograph/repair"
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/barograph/revisions"
+	"pipitmux/internal/barograph/turns"
+	"pipitmux/internal/station/follow"
+	"pipitmux/internal/station/protocol"
+)
+
+const (
+	// repairEvery is how often an owner looks whether its partition needs another member.
+	repairEvery = 150 * time.Millisecond
+	// forgetEvery is how often an owner looks for programs that are kept no longer.
+	forgetEvery = 5 * time.Second
+	// keepLonger is added to the time for which programs are kept, and forgetMost how many
+	// are forgotten at once.
+	keepLonger = 10 * time.Second
+	forgetMost = 64
+	// submitWithin bounds a command of this node's own.
+	submitWithin = 2 * time.Second
+)
+
+// Keeper is a storage node.
+type Keeper struct {
+	node     *node.Node
+	losses   int
+	follower *follow.Follower
+
+	mu       sync.Mutex
+	held     map[int]bool // partitions whose group is open here
+	planners map[int]*repair.Planner
+	reported map[int]uint64 // the change of members that the directory was told of
+}
+
+// Options are what a Keeper needs.
+type Options struct {
+	Node   *node.Node
+	Name   string
+	Losses int
+	Seeds  []string
+}
+
+// New restores the groups that the disk holds.
+func New(o Options) (*Keeper, error) {
+	k := &Keeper{node: o.Node, losses: o.Losses, held: map[int]bool{}, planners: map[int]*repair.Planner{}, reported: map[int]uint64{}}
+	k.follower = follow.New(follow.Options{Name: o.Name, Seeds: o.Seeds, Slots: o.Losses + 1, Pool: o.Node.Pool, Told: k.told})
+	restored := o.Node.Host.Held()
+	for partition := range protocol.TurnPartitions {
+		if !slices.Contains(restored, protocol.TurnGroup(partition)) {
+			continue
+		}
+		if err := k.open(partition, replica.Members{}); err != nil {
+			return nil, errors.Wrapf(err, "partition %d", partition)
+		}
+	}
+	return k, nil
+}
+
+// open opens the group of a partition, with its first members where it is new.
+func (k *Keeper) open(partition int, first replica.Members) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.held[partition] {
+		return nil
+	}
+	if err := k.node.Host.Add(protocol.TurnGroup(partition), first, nil, turns.New(k.node.Now)); err != nil {
+		return err
+	}
+	k.held[partition] = true
+	k.planners[partition] = &repair.Planner{}
+	return nil
+}
+
+// Follow opens the group of a partition that another member speaks of. It is for
+// host.Options.Unknown.
+func (k *Keeper) Follow(group replica.GroupID) bool {
+	for partition := range protocol.TurnPartitions {
+		if protocol.TurnGroup(partition) != group {
+			continue
+		}
+		if err := k.open(partition, replica.Members{}); err != nil {
+			klog.ErrorS(err, "A partition can't be followed", "partition", partition)
+			return false
+		}
+		return true
+	}
+	return false
+}
+
+// told takes news of the control plane.
+func (k *Keeper) told(n follow.News) {
+	if n.Directory == nil {
+		return
+	}
+	k.node.Learn(*n.Directory)
+	for partition, p := range n.Directory.Partitions {
+		// Who finds itself among the first members begins the group; a later member is
+		// brought in by the group's owner.
+		if p.Change != 0 || !slices.Contains(p.Voters, k.node.Self.ID) {
+			continue
+		}
+		if err := k.open(partition, replica.Members{Voters: p.Voters}); err != nil {
+			klog.ErrorS(err, "A partition can't be opened", "partition", partition)
+		}
+	}
+}
+
+// Run serves other processes on l until ctx ends or the disk fails.
+func (k *Keeper) Run(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go k.follower.Run(ctx)
+	go coordinator.Register(ctx, k.node, k.follower.Directory)
+	go k.every(ctx, repairEvery, k.tend)
+	go k.every(ctx, forgetEvery, k.forget)
+	return k.node.Serve(ctx, l, map[string]any{"Turns": &turnCalls{k}})
+}
+
+func (k *Keeper) every(ctx context.Context, pause time.Duration, step func(context.Context)) {
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			step(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *Keeper) partitions() []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var open []int
+	for partition := range protocol.TurnPartitions {
+		if k.held[partition] {
+			open = append(open, partition)
+		}
+	}
+	return open
+}
+
+// tend sees to the members of the partitions that this node owns.
+func (k *Keeper) tend(ctx context.Context) {
+	directory := k.follower.Directory()
+	if len(directory.Partitions) == 0 {
+		return
+	}
+	var done sync.WaitGroup
+	for _, partition := range k.partitions() {
+		status, err := k.node.Host.Status(protocol.TurnGroup(partition))
+		if err != nil || !status.Settled {
+			continue
+		}
+		done.Go(func() { k.repair(ctx, partition, status, directory) })
+	}
+	done.Wait()
+}
+
+// repair makes one change to a partition's members where one is due, and has the
+// directory tell of changes that are made.
+func (k *Keeper) repair(ctx context.Context, partition int, status replica.Status, d protocol.Directory) {
+	ctx, cancel := context.WithTimeout(ctx, submitWithin)
+	defer cancel()
+	if k.handOver(status, d) {
+		return
+	}
+	k.report(ctx, partition, status, d)
+	nodes := coordinator.OfClass(d, protocol.Storage)
+	staying := 0
+	for _, n := range nodes {
+		if !slices.Contains(d.Retiring, n.Name) {
+			staying++
+		}
+	}
+	view := repair.View{Status: status, Now: k.node.Now(), Silent: node.Timing.Silent, Nodes: nodes, Retiring: d.Retiring, Voters: coordinator.Voters(k.losses, staying)}
+	next, due := k.planner(partition).Plan(view)
+	if !due {
+		return
+	}
+	err := k.node.Host.ChangeMembers(ctx, protocol.TurnGroup(partition), next)
+	klog.InfoS("The members of a partition change", "partition", partition, "from", status.Members, "to", next, "cause", err)
+}
+
+func (k *Keeper) planner(partition int) *repair.Planner {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.planners[partition]
+}
+
+// handOver gives the ownership away where this node is to be emptied and others can do
+// without it.
+func (k *Keeper) handOver(status replica.Status, d protocol.Directory) bool {
+	if !slices.Contains(d.Retiring, k.node.Self.Name) {
+		return false
+	}
+	for _, id := range status.Members.Voters {
+		n, known := k.node.Addresses.Find(id)
+		if id == k.node.Self.ID || !known || slices.Contains(d.Retiring, n.Name) || status.Matched[id] < status.Commit {
+			continue
+		}
+		return k.node.Host.Handover(status.Group, id) == nil
+	}
+	return false
+}
+
+// report has the directory tell who keeps a partition now.
+func (k *Keeper) report(ctx context.Context, partition int, status replica.Status, d protocol.Directory) {
+	told := d.Partitions[partition]
+	if status.Pending || slices.Equal(told.Voters, status.Members.Voters) {
+		return
+	}
+	moved := &revisions.Moved{Partition: partition, Change: status.Changed, Voters: status.Members.Voters}
+	command := revisions.Command{Moved: moved}
+	text, err := command.Encode()
+	if err != nil {
+		return
+	}
+	if _, err := k.node.Submit(ctx, protocol.ConfigurationGroup, text); err != nil {
+		klog.V(1).InfoS("The directory isn't told of a partition's members yet", "partition", partition, "cause", err)
+	}
+}
+
+// forget drops programs that are kept no longer, in the partitions that this node owns.
+func (k *Keeper) forget(ctx context.Context) {
+	for _, partition := range k.partitions() {
+		group := protocol.TurnGroup(partition)
+		status, err := k.node.Host.Status(group)
+		if err != nil || !status.Settled {
+			continue
+		}
+		var resting []string
+		k.node.Host.Peek(group, func(m host.Machine) { resting = m.(*turns.Machine).Resting(keepLonger, forgetMost) })
+		if len(resting) == 0 {
+			continue
+		}
+		command := turns.Command{Forget: resting}
+		if text, err := command.Encode(); err == nil {
+			one, cancel := context.WithTimeout(ctx, submitWithin)
+			k.node.Host.Propose(one, group, text)
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/internal/barograph/node/node.go
@@ -0,0 +1,140 @@
+// Package node is what every process of the control plane is made of, whatever it keeps:
+// its identity, the nodes it knows, the groups it is a member of and the calls by which
+// it reaches their owners.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/barograph/host"
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/barograph/store"
+	"pipitmux/internal/durable"
+	"pipitmux/internal/station/hashing"
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/protocol"
+)
+
+// Port offsets in the range that the machine keeps free for the tier, one a role, since
+// two roles of one machine run as two processes.
+const (
+	CorePort    = 0
+	StoragePort = 1
+)
+
+// Timing is what all groups keep.
+var Timing = replica.Timing{
+	Heartbeat: 100 * time.Millisecond,
+	Election:  400 * time.Millisecond,
+	Spread:    150 * time.Millisecond,
+	Lease:     300 * time.Millisecond,
+	Silent:    1500 * time.Millisecond,
+}
+
+// Options are what a Node is made of.
+type Options struct {
+	Name, Zone string
+	Class      protocol.Class
+	Address    string // of the net/rpc listener
+	DataDir    string
+	// First tells that the whole system starts for the first time, with empty disks: ids
+	// then follow from addresses, so that all know the first members.
+	First   bool
+	Seeds   []string // net/rpc addresses of core nodes
+	Unknown func(replica.GroupID) bool
+}
+
+// Node is one process of the control plane.
+type Node struct {
+	Self      protocol.Node
+	Host      *host.Host
+	Addresses *Addresses
+	Pool      *link.Pool
+
+	seeds []string
+	store store.Store
+	start time.Time
+}
+
+// FirstID is the id that a node of this class and address has at the first start.
+func FirstID(class protocol.Class, address string) replica.NodeID {
+	return replica.NodeID(hashing.Sum64(string(rune('0'+class))+"|"+address) | 1)
+}
+
+// Open opens the node's disk and takes its identity from there.
+func Open(o Options) (*Node, error) {
+	n := &Node{seeds: o.Seeds, start: time.Now()}
+	disk, err := store.Open(o.DataDir)
+	if err != nil {
+		return nil, errors.Wrap(err, "open store")
+	}
+	n.store = disk
+	id, err := identity(disk, o)
+	if err != nil {
+		return nil, errors.Wrap(err, "identity")
+	}
+	n.Self = protocol.Node{ID: id, Name: o.Name, Class: o.Class, Address: o.Address, Zone: o.Zone}
+	if n.Addresses, err = LoadAddresses(durable.Folder(o.DataDir)); err != nil {
+		klog.ErrorS(err, "The known nodes can't be read: the seeds are asked")
+		n.Addresses, _ = LoadAddresses(&durable.Memory{})
+		n.Addresses.store = durable.Folder(o.DataDir)
+	}
+	if o.First {
+		for _, seed := range o.Seeds {
+			// Their names are learnt when they introduce themselves.
+			n.Addresses.Learn(protocol.Node{ID: FirstID(protocol.Core, seed), Name: seed, Class: protocol.Core, Address: seed})
+		}
+	}
+	n.Addresses.Learn(n.Self)
+	n.Pool = link.NewPool(link.Options{})
+	n.Host, err = host.New(host.Options{
+		Self: id, Timing: Timing, Store: disk, Now: n.Now, Seed: rand.Uint64(), Unknown: o.Unknown,
+		Transport: &transport{self: n.Self, addresses: n.Addresses, pool: n.Pool, under: map[replica.NodeID]int{}},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "open groups")
+	}
+	return n, nil
+}
+
+// identity returns the id that the disk holds, or gives it one. An empty disk means that
+// votes and copies are forgotten: the node is another one then.
+func identity(disk store.Store, o Options) (replica.NodeID, error) {
+	id, held, err := disk.Identity()
+	if err != nil || held {
+		return id, err
+	}
+	if id = replica.NodeID(rand.Uint64() | 1); o.First {
+		id = FirstID(o.Class, o.Address)
+	}
+	return id, disk.SetIdentity(id)
+}
+
+// Now is the node's steady clock.
+func (n *Node) Now() time.Duration { return time.Since(n.start) }
+
+// Serve answers the calls of other nodes and runs the groups until ctx ends or the disk
+// fails.
+func (n *Node) Serve(ctx context.Context, l net.Listener, services map[string]any) error {
+	all := map[string]any{"Replica": &replicaCalls{n}}
+	for name, s := range services {
+		all[name] = s
+	}
+	server, err := link.NewServer(all)
+	if err != nil {
+		return errors.Wrap(err, "calls")
+	}
+	defer server.Close()
+	go server.Serve(l)
+	go n.introduce(ctx)
+	return n.Host.Run(ctx)
+}
+
+// Close closes the disk.
+func (n *Node) Close() error { return n.store.Close() }
--- /dev/null
+++ b/internal/barograph/store/load.go
@@ -0,0 +1,161 @@
+package store
+
+import (
+	"database/sql/driver"
+	"fmt"
+	"io"
+	"net/url"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"pipitmux/internal/barograph/replica"
+)
+
+// versionLine writes schemaVersion.
+var versionLine = fmt.Sprintf("PRAGMA user_version = %d;", schemaVersion)
+
+// VersionError tells of a database file that another version of the program wrote.
+type VersionError struct {
+	Found int64
+}
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("the store is of version %d, this program reads %d", e.Found, schemaVersion)
+}
+
+// Load implements Store.
+func (s *SQLite) Load() (map[replica.GroupID]replica.Stored, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, ErrClosed
+	}
+	return s.load()
+}
+
+// load reads all groups, and notes those that aren't noted.
+func (s *SQLite) load() (map[replica.GroupID]replica.Stored, error) {
+	held := map[int64]*replica.Stored{}
+	names := map[int64]replica.GroupID{}
+	if err := s.query(sqlReadGroups, s.readGroup(held, names)); err != nil {
+		return nil, errors.Wrap(err, "read the groups")
+	}
+	if err := s.query(sqlReadSnapshots, readSnapshot(held)); err != nil {
+		return nil, errors.Wrap(err, "read the snapshots")
+	}
+	if err := s.query(sqlReadEntries, s.readEntry(held)); err != nil {
+		return nil, errors.Wrap(err, "read the entries")
+	}
+	stored := make(map[replica.GroupID]replica.Stored, len(held))
+	for id, one := range held {
+		stored[names[id]] = *one
+	}
+	return stored, nil
+}
+
+func (s *SQLite) readGroup(held map[int64]*replica.Stored, names map[int64]replica.GroupID) func([]driver.Value) error {
+	return func(row []driver.Value) error {
+		id, name := row[0].(int64), replica.GroupID(text(row[1]))
+		names[id] = name
+		hard := replica.HardState{Term: uint64(row[2].(int64)), Vote: replica.NodeID(row[3].(int64))}
+		held[id] = &replica.Stored{Hard: hard}
+		if _, ok := s.groups[name]; !ok {
+			s.groups[name] = &group{id: id}
+		}
+		s.nextID = max(s.nextID, id+1)
+		return nil
+	}
+}
+
+func readSnapshot(held map[int64]*replica.Stored) func([]driver.Value) error {
+	return func(row []driver.Value) error {
+		one, ok := held[row[0].(int64)]
+		if !ok {
+			return nil
+		}
+		one.Snapshot.Index = uint64(row[1].(int64))
+		one.Snapshot.Term = uint64(row[2].(int64))
+		one.Snapshot.State = bytesOf(row[4])
+		return wrap(cbor.Unmarshal(bytesOf(row[3]), &one.Snapshot.Members), "decode members")
+	}
+}
+
+func (s *SQLite) readEntry(held map[int64]*replica.Stored) func([]driver.Value) error {
+	return func(row []driver.Value) error {
+		s.nextSeq = max(s.nextSeq, row[0].(int64)+1)
+		one, ok := held[row[1].(int64)]
+		if !ok {
+			return nil
+		}
+		one.Entries = append(one.Entries, replica.Entry{
+			Index: uint64(row[2].(int64)),
+			Term:  uint64(row[3].(int64)),
+			Kind:  replica.EntryKind(row[4].(int64)),
+			Data:  bytesOf(row[5]),
+		})
+		return nil
+	}
+}
+
+// query gives each row of a question to take. The values are the row's own.
+func (s *SQLite) query(question string, take func([]driver.Value) error) error {
+	rows, err := s.connection.Query(question, nil)
+	if err != nil {
+		return err
+	}
+	row := make([]driver.Value, len(rows.Columns()))
+	for {
+		err := rows.Next(row)
+		if err == io.EOF {
+			return rows.Close()
+		}
+		if err != nil {
+			return errors.Join(err, rows.Close())
+		}
+		if err := take(row); err != nil {
+			return errors.Join(err, rows.Close())
+		}
+	}
+}
+
+// spanOf tells how far a stored log reaches.
+func spanOf(stored replica.Stored) span {
+	reach := span{last: stored.Snapshot.Index}
+	if n := len(stored.Entries); n > 0 {
+		reach.last = max(reach.last, stored.Entries[n-1].Index)
+	}
+	return reach
+}
+
+// escapePath makes a path fit for a file: location.
+func escapePath(path string) string {
+	return (&url.URL{Path: path}).EscapedPath()
+}
+
+// blob keeps empty data as no data: both read back as nil.
+func blob(data []byte) driver.Value {
+	if len(data) == 0 {
+		return nil
+	}
+	return data
+}
+
+func bytesOf(value driver.Value) []byte {
+	data, _ := value.([]byte)
+	if len(data) == 0 {
+		return nil
+	}
+	return data
+}
+
+func text(value driver.Value) string {
+	switch v := value.(type) {
+	case string:
+		return v
+	case []byte:
+		return string(v)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/barograph/store/memory.go
@@ -0,0 +1,314 @@
+package store
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"pipitmux/internal/barograph/replica"
+)
+
+// errInjected is the cause of a failure that a test asked for.
+var errInjected = errors.New("a failure that was asked for")
+
+// Memory is a Store without a disk, with its contract and with switches for what a disk may do.
+// What it holds survives Crash and Close: Reopen gives a new store on the same content.
+type Memory struct {
+	mu      sync.Mutex
+	disk    *content
+	broken  error
+	failing error               // the next change fails with it
+	loses   bool                // Write answers nil and keeps nothing until Sync
+	unsaved []func(*content)    // what loses holds back
+	tears   *rand.Rand          // the next change fails, and is kept by lot
+	onWrite func(batch []Write) // is told of each Write after it is durable
+	before  func(batch []Write) // is told of each Write before it begins
+}
+
+// content is what a disk holds.
+type content struct {
+	identity replica.NodeID
+	named    bool
+	groups   map[replica.GroupID]replica.Stored
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory makes an empty store.
+func NewMemory() *Memory {
+	return &Memory{disk: &content{groups: map[replica.GroupID]replica.Stored{}}}
+}
+
+// Reopen gives a store on what this one has kept, as a restart of the process does,
+// and fails this one for good. Switches are off in the new one.
+func (m *Memory) Reopen() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broken = ErrClosed
+	return &Memory{disk: m.disk.copy()}
+}
+
+// Fail lets the next change fail and keep nothing.
+func (m *Memory) Fail() { m.setFailing(&FailedError{Cause: errInjected}) }
+
+// Fill lets the next change fail as on a full disk, and keep nothing.
+func (m *Memory) Fill() { m.setFailing(&FailedError{Full: true, Cause: errInjected}) }
+
+// Tear lets the next change fail, and whether it is kept is drawn: what a power loss during
+// a commit leaves.
+func (m *Memory) Tear(random *rand.Rand) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failing, m.tears = &FailedError{Cause: errInjected}, random
+}
+
+// Lose lets changes be answered before they are kept, as a disk that lies about its syncs does:
+// a Reopen loses those since the last Sync. A caller can't notice; tests use it to prove that they would.
+func (m *Memory) Lose() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loses = true
+}
+
+// Sync keeps what Lose has held back.
+func (m *Memory) Sync() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, change := range m.unsaved {
+		change(m.disk)
+	}
+	m.unsaved = nil
+}
+
+// OnWrite has the two functions told of each Write, before it begins and after it is durable.
+// Either may be nil; before may block, as a slow disk does, and runs outside of the store's lock.
+func (m *Memory) OnWrite(before, after func(batch []Write)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.before, m.onWrite = before, after
+}
+
+// Identity implements Store.
+func (m *Memory) Identity() (replica.NodeID, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.broken == ErrClosed {
+		return 0, false, ErrClosed
+	}
+	seen := m.seen()
+	return seen.identity, seen.named, nil
+}
+
+// SetIdentity implements Store.
+func (m *Memory) SetIdentity(id replica.NodeID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.change(func(c *content) { c.identity, c.named = id, true })
+}
+
+// Load implements Store.
+func (m *Memory) Load() (map[replica.GroupID]replica.Stored, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.broken == ErrClosed {
+		return nil, ErrClosed
+	}
+	return m.seen().copy().groups, nil
+}
+
+// Write implements Store.
+func (m *Memory) Write(batch []Write) error {
+	if len(batch) == 0 {
+		return nil
+	}
+	if before := m.hook(&m.before); before != nil {
+		before(batch)
+	}
+	if err := m.write(batch); err != nil {
+		return err
+	}
+	if after := m.hook(&m.onWrite); after != nil {
+		after(batch)
+	}
+	return nil
+}
+
+// Drop implements Store.
+func (m *Memory) Drop(group replica.GroupID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.change(func(c *content) { delete(c.groups, group) })
+}
+
+// Close implements Store.
+func (m *Memory) Close() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broken = ErrClosed
+	return nil
+}
+
+func (m *Memory) setFailing(failure *FailedError) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failing, m.tears = failure, nil
+}
+
+func (m *Memory) hook(which *func([]Write)) func([]Write) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return *which
+}
+
+func (m *Memory) write(batch []Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.broken != nil {
+		return m.broken
+	}
+	if err := m.seen().check(batch); err != nil {
+		m.broken = &FailedError{Cause: err}
+		return m.broken
+	}
+	kept := copyBatch(batch)
+	return m.change(func(c *content) {
+		for i := range kept {
+			c.write(&kept[i])
+		}
+	})
+}
+
+// change carries out a change as the switches say.
+func (m *Memory) change(apply func(*content)) error {
+	if m.broken != nil {
+		return m.broken
+	}
+	if m.failing != nil {
+		m.broken = m.failing
+		if m.tears != nil && m.tears.IntN(2) == 0 {
+			apply(m.disk)
+		}
+		return m.broken
+	}
+	if m.loses {
+		m.unsaved = append(m.unsaved, apply)
+		return nil
+	}
+	apply(m.disk)
+	return nil
+}
+
+// seen is the content as the process sees it: the kept one and what isn't saved yet.
+func (m *Memory) seen() *content {
+	if len(m.unsaved) == 0 {
+		return m.disk
+	}
+	seen := m.disk.copy()
+	for _, change := range m.unsaved {
+		change(seen)
+	}
+	return seen
+}
+
+func (c *content) check(batch []Write) error {
+	spans := map[replica.GroupID]*span{}
+	for i := range batch {
+		w := &batch[i]
+		if spans[w.Group] == nil {
+			reach := spanOf(c.groups[w.Group])
+			spans[w.Group] = &reach
+		}
+		if err := spans[w.Group].check(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *content) write(w *Write) {
+	stored := c.groups[w.Group]
+	if w.Hard != nil {
+		stored.Hard = *w.Hard
+	}
+	if w.Snapshot != nil {
+		stored.Snapshot = *w.Snapshot
+		stored.Entries = after(stored.Entries, w)
+	}
+	if len(w.Entries) > 0 {
+		kept := slices.IndexFunc(stored.Entries, func(e replica.Entry) bool { return e.Index >= w.Entries[0].Index })
+		if kept >= 0 {
+			stored.Entries = stored.Entries[:kept]
+		}
+		stored.Entries = append(stored.Entries, w.Entries...)
+	}
+	c.groups[w.Group] = stored
+}
+
+// after gives the entries that stay beside the write's snapshot.
+func after(entries []replica.Entry, w *Write) []replica.Entry {
+	if w.CompactTo == 0 {
+		return nil
+	}
+	upTo := min(w.CompactTo, w.Snapshot.Index)
+	first := slices.IndexFunc(entries, func(e replica.Entry) bool { return e.Index > upTo })
+	if first < 0 {
+		return nil
+	}
+	return slices.Clone(entries[first:])
+}
+
+func (c *content) copy() *content {
+	twin := &content{identity: c.identity, named: c.named, groups: maps.Clone(c.groups)}
+	for name, stored := range twin.groups {
+		stored.Snapshot = copySnapshot(stored.Snapshot)
+		stored.Entries = copyEntries(stored.Entries)
+		twin.groups[name] = stored
+	}
+	return twin
+}
+
+func copyBatch(batch []Write) []Write {
+	kept := slices.Clone(batch)
+	for i := range kept {
+		w := &kept[i]
+		if w.Hard != nil {
+			hard := *w.Hard
+			w.Hard = &hard
+		}
+		if w.Snapshot != nil {
+			snapshot := copySnapshot(*w.Snapshot)
+			w.Snapshot = &snapshot
+		}
+		w.Entries = copyEntries(w.Entries)
+	}
+	return kept
+}
+
+func copySnapshot(s replica.Snapshot) replica.Snapshot {
+	s.Members.Voters = slices.Clone(s.Members.Voters)
+	s.Members.Learners = slices.Clone(s.Members.Learners)
+	s.State = copyBytes(s.State)
+	return s
+}
+
+func copyEntries(entries []replica.Entry) []replica.Entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	kept := slices.Clone(entries)
+	for i := range kept {
+		kept[i].Data = copyBytes(kept[i].Data)
+	}
+	return kept
+}
+
+// copyBytes copies data, empty as nil: see blob.
+func copyBytes(data []byte) []byte {
+	if len(data) == 0 {
+		return nil
+	}
+	return slices.Clone(data)
+}
--- /dev/null
+++ b/internal/barograph/store/memory_test.go
@@ -0,0 +1,67 @@
+package store
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/replica"
+)
+
+func one(index uint64) []Write {
+	return []Write{{Group: "a", Entries: []replica.Entry{entry(index, 1, "data")}}}
+}
+
+func held(t *testing.T, m *Memory) int {
+	stored, err := m.Load()
+	assert.NilError(t, err)
+	return len(stored["a"].Entries)
+}
+
+func TestMemoryFailsAndFillsForGood(t *testing.T) {
+	for name, test := range map[string]struct {
+		set  func(*Memory)
+		full bool
+	}{"fail": {(*Memory).Fail, false}, "full": {(*Memory).Fill, true}} {
+		m := NewMemory()
+		assert.NilError(t, m.Write(one(1)))
+		test.set(m)
+		err := m.Write(one(2))
+		assert.ErrorIs(t, err, ErrFailed, name)
+		assert.Equal(t, errors.Is(err, ErrFull), test.full, name)
+		assert.ErrorIs(t, m.SetIdentity(1), ErrFailed, name)
+		assert.Equal(t, held(t, m.Reopen()), 1, name)
+	}
+}
+
+func TestMemoryLosesWhatWasNotSynced(t *testing.T) {
+	m := NewMemory()
+	m.Lose()
+	assert.NilError(t, m.Write(one(1)))
+	m.Sync()
+	assert.NilError(t, m.Write(one(2)))
+	assert.Equal(t, held(t, m), 2)
+	assert.Equal(t, held(t, m.Reopen()), 1)
+}
+
+func TestMemoryTearsEitherWay(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	found := map[int]bool{}
+	for range 30 {
+		m := NewMemory()
+		m.Tear(random)
+		assert.ErrorIs(t, m.Write(one(1)), ErrFailed)
+		found[held(t, m.Reopen())] = true
+	}
+	assert.DeepEqual(t, found, map[int]bool{0: true, 1: true})
+}
+
+func TestMemoryTellsOfWritesBeforeAndAfter(t *testing.T) {
+	m := NewMemory()
+	var steps []int
+	m.OnWrite(func([]Write) { steps = append(steps, held(t, m)) }, func([]Write) { steps = append(steps, held(t, m)) })
+	assert.NilError(t, m.Write(one(1)))
+	assert.DeepEqual(t, steps, []int{0, 1})
+}
--- /dev/null
+++ b/internal/barograph/store/sqlite.go
@@ -0,0 +1,341 @@
+package store
+
+import (
+	"context"
+	"database/sql/driver"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"github.com/mattn/go-sqlite3"
+
+	"pipitmux/internal/barograph/replica"
+)
+
+// folderMode is of the folders that Open makes: the state is the process's own.
+const folderMode = 0o700
+
+// SQLite is a Store in one database file. It holds the file's lock as long as it is open.
+type SQLite struct {
+	mu         sync.Mutex
+	connection *sqlite3.SQLiteConn
+	statements map[string]*sqlite3.SQLiteStmt // the prepared ones, by their text
+	values     []driver.NamedValue            // run's own, used again
+	groups     map[replica.GroupID]*group
+	nextID     int64
+	nextSeq    int64 // of the next entry, over all groups
+	broken     error // *FailedError or ErrClosed: no further change
+	closed     bool
+}
+
+// group is what is known of a stored group without reading.
+type group struct {
+	id   int64
+	span span
+}
+
+var _ Store = (*SQLite)(nil)
+
+// Open opens the store in the folder, and makes both where they don't exist.
+// ErrInUse: another process has it open.
+func Open(folder string) (*SQLite, error) { return open(folder, 0) }
+
+// open is Open with a bound on the database's pages, 0 for none.
+func open(folder string, maxPages int) (*SQLite, error) {
+	if err := makeFolder(folder); err != nil {
+		return nil, err
+	}
+	connection, err := connect(filepath.Join(folder, fileName))
+	if err != nil {
+		return nil, err
+	}
+	s := &SQLite{
+		connection: connection,
+		statements: map[string]*sqlite3.SQLiteStmt{},
+		groups:     map[replica.GroupID]*group{},
+		nextID:     1,
+		nextSeq:    1,
+	}
+	if err := s.begin(folder, maxPages); err != nil {
+		return nil, errors.Join(err, connection.Close())
+	}
+	return s, nil
+}
+
+// connect opens the database file by its path alone, whatever characters it has.
+func connect(path string) (*sqlite3.SQLiteConn, error) {
+	location := "file:" + escapePath(path) + "?_busy_timeout=0"
+	opened, err := (&sqlite3.SQLiteDriver{}).Open(location)
+	if err != nil {
+		return nil, errors.Wrapf(openFailure(err), "open %s", path)
+	}
+	return opened.(*sqlite3.SQLiteConn), nil
+}
+
+// begin makes the settings and tables, syncs the folder and reads what is there of each group.
+func (s *SQLite) begin(folder string, maxPages int) error {
+	for _, line := range settings(maxPages) {
+		if _, err := s.connection.Exec(line, nil); err != nil {
+			return wrap(openFailure(err), line)
+		}
+	}
+	if err := s.makeTables(); err != nil {
+		return err
+	}
+	if err := syncFolder(folder); err != nil {
+		return err
+	}
+	stored, err := s.load()
+	if err != nil {
+		return err
+	}
+	for name, held := range stored {
+		s.groups[name].span = spanOf(held)
+	}
+	return nil
+}
+
+// makeTables makes the tables of a new file and refuses a file of another version.
+func (s *SQLite) makeTables() error {
+	var version int64
+	err := s.query(sqlReadVersion, func(row []driver.Value) error {
+		version = row[0].(int64)
+		return nil
+	})
+	if err != nil {
+		return wrap(openFailure(err), "read the version")
+	}
+	if version != 0 && version != schemaVersion {
+		return &VersionError{Found: version}
+	}
+	_, err = s.connection.Exec("BEGIN IMMEDIATE;"+schema+versionLine+"COMMIT;", nil)
+	return wrap(openFailure(err), "make the tables")
+}
+
+// Identity implements Store.
+func (s *SQLite) Identity() (replica.NodeID, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, false, ErrClosed
+	}
+	var id replica.NodeID
+	found := false
+	err := s.query(sqlReadIdentity, func(row []driver.Value) error {
+		id, found = replica.NodeID(row[0].(int64)), true
+		return nil
+	})
+	return id, found, wrap(err, "read the identity")
+}
+
+// SetIdentity implements Store.
+func (s *SQLite) SetIdentity(id replica.NodeID) error {
+	return s.commit(func() error { return s.run(sqlIdentity, int64(id)) })
+}
+
+// Write implements Store.
+func (s *SQLite) Write(batch []Write) error {
+	if len(batch) == 0 {
+		return nil
+	}
+	return s.commit(func() error {
+		for i := range batch {
+			if err := s.write(&batch[i]); err != nil {
+				return errors.Wrapf(err, "write group %s", batch[i].Group)
+			}
+		}
+		return nil
+	})
+}
+
+// Drop implements Store.
+func (s *SQLite) Drop(name replica.GroupID) error {
+	return s.commit(func() error {
+		held, ok := s.groups[name]
+		if !ok {
+			return nil
+		}
+		for _, line := range []string{sqlDrop, sqlDropSnap, sqlDropLog} {
+			if err := s.run(line, held.id); err != nil {
+				return errors.Wrapf(err, "drop group %s", name)
+			}
+		}
+		delete(s.groups, name)
+		return nil
+	})
+}
+
+// Close implements Store.
+func (s *SQLite) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed, s.broken = true, ErrClosed
+	var failures []error
+	for _, statement := range s.statements {
+		failures = append(failures, statement.Close())
+	}
+	failures = append(failures, s.connection.Close())
+	return wrap(errors.Join(failures...), "close the store")
+}
+
+// commit carries out the change in one durable transaction. Any failure is for good:
+// what the groups' spans say may then differ from the file.
+func (s *SQLite) commit(change func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken != nil {
+		return s.broken
+	}
+	err := s.transact(change)
+	if err != nil {
+		s.broken = &FailedError{Full: isFull(err), Cause: err}
+		return s.broken
+	}
+	return nil
+}
+
+func (s *SQLite) transact(change func() error) error {
+	if err := s.run(sqlBegin); err != nil {
+		return wrap(err, "begin")
+	}
+	if err := change(); err != nil {
+		_ = s.run(sqlRollback) // SQLite may have rolled back already; nothing more is written either way
+		return err
+	}
+	return wrap(s.run(sqlCommit), "commit")
+}
+
+func (s *SQLite) write(w *Write) error {
+	held, err := s.group(w.Group)
+	if err != nil {
+		return err
+	}
+	before := held.span.last
+	if err := held.span.check(w); err != nil {
+		return err
+	}
+	if w.Hard != nil {
+		if err := s.run(sqlHard, int64(w.Hard.Term), int64(w.Hard.Vote), held.id); err != nil {
+			return err
+		}
+	}
+	if w.Snapshot != nil {
+		if err := s.writeSnapshot(held.id, w); err != nil {
+			return err
+		}
+	}
+	return s.writeEntries(held.id, before, w.Entries)
+}
+
+func (s *SQLite) writeSnapshot(id int64, w *Write) error {
+	members, err := cbor.Marshal(w.Snapshot.Members)
+	if err != nil {
+		return wrap(err, "encode members")
+	}
+	err = s.run(sqlSnapshot, id, int64(w.Snapshot.Index), int64(w.Snapshot.Term), members, blob(w.Snapshot.State))
+	if err != nil {
+		return err
+	}
+	if w.CompactTo == 0 {
+		return s.run(sqlDropLog, id)
+	}
+	return s.run(sqlCompact, id, int64(min(w.CompactTo, w.Snapshot.Index)))
+}
+
+// writeEntries appends the entries, after cutting the log where it reached up to their first.
+func (s *SQLite) writeEntries(id int64, last uint64, entries []replica.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if entries[0].Index <= last {
+		if err := s.run(sqlTruncate, id, int64(entries[0].Index)); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		e := &entries[i]
+		if err := s.run(sqlAppend, s.nextSeq, id, int64(e.Index), int64(e.Term), int64(e.Kind), blob(e.Data)); err != nil {
+			return err
+		}
+		s.nextSeq++
+	}
+	return nil
+}
+
+// group gives the record of a group, made where it is new.
+func (s *SQLite) group(name replica.GroupID) (*group, error) {
+	if held, ok := s.groups[name]; ok {
+		return held, nil
+	}
+	held := &group{id: s.nextID}
+	if err := s.run(sqlGroup, held.id, string(name)); err != nil {
+		return nil, err
+	}
+	s.nextID++
+	s.groups[name] = held
+	return held, nil
+}
+
+// run carries out a statement, prepared when it is first used.
+func (s *SQLite) run(text string, values ...driver.Value) error {
+	statement, ok := s.statements[text]
+	if !ok {
+		prepared, err := s.connection.Prepare(text)
+		if err != nil {
+			return err
+		}
+		statement = prepared.(*sqlite3.SQLiteStmt)
+		s.statements[text] = statement
+	}
+	s.values = s.values[:0]
+	for i, value := range values {
+		s.values = append(s.values, driver.NamedValue{Ordinal: i + 1, Value: value})
+	}
+	_, err := statement.ExecContext(context.Background(), s.values)
+	clear(s.values) // keeps no state alive
+	return err
+}
+
+// isFull tells whether SQLite met a full disk.
+func isFull(err error) bool {
+	var failure sqlite3.Error
+	if !errors.As(err, &failure) {
+		return false
+	}
+	return failure.Code == sqlite3.ErrFull || failure.SystemErrno == syscall.ENOSPC || failure.SystemErrno == syscall.EDQUOT
+}
+
+// openFailure marks a failure of opening by what it tells.
+func openFailure(err error) error {
+	var failure sqlite3.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &failure) && (failure.Code == sqlite3.ErrBusy || failure.Code == sqlite3.ErrLocked):
+		return errors.Join(ErrInUse, err)
+	case isFull(err):
+		return errors.Join(ErrFull, err)
+	}
+	return err
+}
+
+func makeFolder(folder string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return wrap(err, "make the store's folder")
+	}
+	return syncFolder(filepath.Dir(folder))
+}
+
+func syncFolder(folder string) error {
+	opened, err := os.Open(folder)
+	if err != nil {
+		return wrap(err, "open the folder to sync it")
+	}
+	return wrap(errors.Join(opened.Sync(), opened.Close()), "sync the folder")
+}
--- /dev/null
+++ b/internal/barograph/store/sqlite_test.go
@@ -0,0 +1,170 @@
+package store
+
+import (
+	"database/sql/driver"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/replica"
+)
+
+// copyFiles gives a folder with what stands in the store's files now: what a power loss leaves.
+func copyFiles(t *testing.T, folder string) string {
+	t.Helper()
+	target := t.TempDir()
+	names, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	for _, name := range names {
+		data, err := os.ReadFile(filepath.Join(folder, name.Name()))
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(target, name.Name()), data, 0o600))
+	}
+	return target
+}
+
+func TestWriteIsInTheFilesWhenItReturns(t *testing.T) {
+	folder := t.TempDir()
+	s := sqliteDisk{folder: folder}.open(t)
+	for i := uint64(1); i <= 20; i++ {
+		assert.NilError(t, s.Write([]Write{{Group: "a", Entries: []replica.Entry{entry(i, 1, "data")}}}))
+		left := sqliteDisk{folder: copyFiles(t, folder)}.open(t)
+		stored, err := left.Load()
+		assert.NilError(t, err)
+		assert.Equal(t, uint64(len(stored["a"].Entries)), i)
+	}
+}
+
+func TestSettingsAreInForce(t *testing.T) {
+	opened, err := Open(t.TempDir())
+	assert.NilError(t, err)
+	defer opened.Close()
+	for pragma, want := range map[string]string{
+		"journal_mode": "wal", "locking_mode": "exclusive", "synchronous": "2", "journal_size_limit": fmt.Sprint(logBytes),
+	} {
+		got := ""
+		assert.NilError(t, opened.query("PRAGMA "+pragma, func(row []driver.Value) error {
+			got = fmt.Sprint(row[0])
+			return nil
+		}))
+		assert.Equal(t, got, want, pragma)
+	}
+}
+
+func TestNoSharedMemoryFileIsMade(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "with space?", "and#more")
+	s := sqliteDisk{folder: folder}.open(t)
+	assert.NilError(t, s.SetIdentity(1))
+	names, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	var found []string
+	for _, name := range names {
+		found = append(found, name.Name())
+	}
+	assert.DeepEqual(t, found, []string{fileName, fileName + "-wal"})
+}
+
+func TestSecondOpeningIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	_ = sqliteDisk{folder: folder}.open(t)
+	_, err := Open(folder)
+	assert.ErrorIs(t, err, ErrInUse)
+}
+
+func TestOtherVersionIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	opened, err := Open(folder)
+	assert.NilError(t, err)
+	_, err = opened.connection.Exec("PRAGMA user_version = 9", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, opened.Close())
+	_, err = Open(folder)
+	var version *VersionError
+	assert.Assert(t, errors.As(err, &version))
+	assert.Equal(t, version.Found, int64(9))
+}
+
+func TestFullDiskIsTypedAndKeepsWhatWasWritten(t *testing.T) {
+	folder := t.TempDir()
+	opened, err := open(folder, 40)
+	assert.NilError(t, err)
+	data := make([]byte, 10*pageBytes)
+	kept := uint64(0)
+	for err == nil {
+		err = opened.Write([]Write{{Group: "a", Entries: []replica.Entry{{Index: kept + 1, Term: 1, Data: data}}}})
+		if err == nil {
+			kept++
+		}
+	}
+	assert.ErrorIs(t, err, ErrFull)
+	assert.ErrorIs(t, err, ErrFailed)
+	assert.Assert(t, kept > 0)
+	assert.ErrorIs(t, opened.SetIdentity(1), ErrFull)
+	assert.NilError(t, opened.Close())
+	stored, err := sqliteDisk{folder: folder}.open(t).Load()
+	assert.NilError(t, err)
+	assert.Equal(t, uint64(len(stored["a"].Entries)), kept)
+}
+
+// TestFilesStayBounded writes 80 MB through a log that is compacted at 1 MiB.
+func TestFilesStayBounded(t *testing.T) {
+	folder := t.TempDir()
+	s := sqliteDisk{folder: folder}.open(t)
+	data := make([]byte, 8<<10)
+	const each, rounds, bound = 16, 640, 20 << 20
+	index := uint64(0)
+	for round := range rounds {
+		w := Write{Group: "a"}
+		for range each {
+			index++
+			w.Entries = append(w.Entries, replica.Entry{Index: index, Term: 1, Data: data})
+		}
+		assert.NilError(t, s.Write([]Write{w}))
+		if round%8 == 7 {
+			snapshot := &replica.Snapshot{Index: index, Term: 1, State: make([]byte, 1<<20)}
+			assert.NilError(t, s.Write([]Write{{Group: "a", Snapshot: snapshot, CompactTo: index}}))
+		}
+		assert.Assert(t, sizeOf(t, folder) < bound, "after round %d", round)
+	}
+}
+
+func sizeOf(t *testing.T, folder string) int64 {
+	names, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	total := int64(0)
+	for _, name := range names {
+		info, err := name.Info()
+		assert.NilError(t, err)
+		total += info.Size()
+	}
+	return total
+}
+
+// BenchmarkWrite is one commit of as many entries of 200 bytes, each to its own group.
+func BenchmarkWrite(b *testing.B) {
+	for _, count := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) { benchmarkWrite(b, count) })
+	}
+}
+
+func benchmarkWrite(b *testing.B, count int) {
+	opened, err := Open(b.TempDir())
+	assert.NilError(b, err)
+	defer opened.Close()
+	data := make([]byte, 200)
+	index := uint64(0)
+	for b.Loop() {
+		index++
+		batch := make([]Write, count)
+		for i := range batch {
+			batch[i] = Write{Group: replica.GroupID(fmt.Sprint(i)), Entries: []replica.Entry{{Index: index, Term: 1, Data: data}}}
+		}
+		if err := opened.Write(batch); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -61,14 +61,19 @@
 
 // reconfigurable is a module that takes on other classes.
 type reconfigurable interface {
-	SetClasses([]logic.Class)
+	SetClasses([]logic.Class) error
 }
 
+var _ reconfigurable = (*logic.Balancer)(nil)
+
 // Reconfigure takes on other classes for reqs that come later, and has the module do so
 // where it can.
 func (o *Owner) Reconfigure(classes []logic.Class) {
-	o.settings.Classes = slices.Clone(classes)
 	if m, ok := o.module.(reconfigurable); ok {
-		m.SetClasses(slices.Clone(classes))
+		if err := m.SetClasses(slices.Clone(classes)); err != nil {
+			o.world.Log.Error("module: the classes stay as they were", logging.Cause, err)
+			return
+		}
 	}
+	o.settings.Classes = slices.Clone(classes)
 }
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -174,7 +174,7 @@
 	classes []logic.Class
 }
 
-func (l *learner) SetClasses(c []logic.Class) { l.classes = c }
+func (l *learner) SetClasses(c []logic.Class) error { l.classes = c; return nil }
 
 // New classes hold for reqs that come later; a core without a director asks none.
 func TestReconfigureWithoutDirector(t *testing.T) {
--- /dev/null
+++ b/internal/station/link/link_test.go
@@ -0,0 +1,443 @@
+package link_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/station/link"
+)
+
+// patience bounds the waits of the tests, which end long before it.
+const patience = 10 * time.Second
+
+// greeting is what a server says first.
+const greeting = "pmlink1\n"
+
+// Message goes there and back.
+type Message struct {
+	Number int
+	Text   string
+	Data   []byte
+}
+
+// Unsendable can't be encoded.
+type Unsendable struct{ Channel chan int }
+
+// Service is what the tests call.
+type Service struct {
+	entered chan struct{} // told as Hold begins
+	release chan struct{} // Hold waits for it
+	running atomic.Int32  // calls of Count
+	most    atomic.Int32
+}
+
+func newService() *Service {
+	return &Service{entered: make(chan struct{}, 1000), release: make(chan struct{})}
+}
+
+// Echo answers what it was asked.
+func (s *Service) Echo(args *Message, reply *Message) error {
+	*reply = *args
+	return nil
+}
+
+// Hold is Echo after a release.
+func (s *Service) Hold(args *Message, reply *Message) error {
+	s.entered <- struct{}{}
+	<-s.release
+	*reply = *args
+	return nil
+}
+
+// Fail answers with an error after it wrote its reply.
+func (s *Service) Fail(args *Message, reply *Message) error {
+	*reply = *args
+	return errors.New("refused: " + args.Text)
+}
+
+// Swell answers with as many bytes as it is asked for.
+func (s *Service) Swell(args *Message, reply *Message) error {
+	reply.Data = make([]byte, args.Number)
+	return nil
+}
+
+// Count notes how many calls of it there are at once.
+func (s *Service) Count(args *Message, reply *Message) error {
+	now := s.running.Add(1)
+	for most := s.most.Load(); now > most && !s.most.CompareAndSwap(most, now); most = s.most.Load() {
+	}
+	reply.Number = args.Number
+	s.running.Add(-1)
+	return nil
+}
+
+// start serves a service on loopback until the test ends.
+func start(t testing.TB, service *Service, limits link.Limits) (address string, server *link.Server) {
+	t.Helper()
+	listener, err := link.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	return serve(t, service, limits, listener)
+}
+
+func serve(t testing.TB, service *Service, limits link.Limits, listener net.Listener) (string, *link.Server) {
+	t.Helper()
+	server, err := link.NewLimitedServer(map[string]any{"Test": service}, limits)
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		assert.Check(t, server.Close())
+		assert.Check(t, errors.Is(<-served, link.ErrServerClosed))
+	})
+	return listener.Addr().String(), server
+}
+
+// pool makes a Pool that closes as the test ends.
+func pool(t testing.TB, options link.Options) *link.Pool {
+	t.Helper()
+	made := link.NewPool(options)
+	t.Cleanup(made.Close)
+	return made
+}
+
+// patient is a context that ends only where a test hangs.
+func patient(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// clock is a time that a test moves.
+type clock struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func newClock() *clock { return &clock{at: time.Unix(1_000_000, 0)} }
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+func (c *clock) advance(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = c.at.Add(by)
+}
+
+func uncertain(err error) bool {
+	var target *link.UncertainError
+	return errors.As(err, &target)
+}
+
+func remote(err error) bool {
+	var target *link.RemoteError
+	return errors.As(err, &target)
+}
+
+func TestCallsAtOnce(t *testing.T) {
+	const callers, calls = 16, 100
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	ctx := patient(t)
+	var group sync.WaitGroup
+	for n := range callers {
+		group.Go(func() {
+			for i := range calls {
+				want := Message{Number: n*calls + i, Text: "text", Data: bytes.Repeat([]byte{byte(n)}, i)}
+				var got Message
+				assert.Check(t, caller.Call(ctx, address, "Test.Echo", &want, &got))
+				assert.Check(t, got.Number == want.Number && bytes.Equal(got.Data, want.Data))
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestSlowCallHoldsUpNone(t *testing.T) {
+	service := newService()
+	address, _ := start(t, service, link.Limits{})
+	caller := pool(t, link.Options{})
+	ctx := patient(t)
+	held := make(chan error, 1)
+	var late Message
+	go func() { held <- caller.Call(ctx, address, "Test.Hold", Message{Number: 1}, &late) }()
+	<-service.entered
+	var got Message
+	assert.NilError(t, caller.Call(ctx, address, "Test.Echo", Message{Number: 2}, &got))
+	assert.Equal(t, got.Number, 2)
+	close(service.release)
+	assert.NilError(t, <-held)
+	assert.Equal(t, late.Number, 1)
+}
+
+func TestRemoteError(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	reply := Message{Number: 7}
+	err := caller.Call(patient(t), address, "Test.Fail", Message{Number: 1, Text: "why"}, &reply)
+	var failure *link.RemoteError
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.DeepEqual(t, *failure, link.RemoteError{Address: address, Method: "Test.Fail", Text: "refused: why"})
+	assert.Equal(t, reply.Number, 7)
+	err = caller.Call(patient(t), address, "Test.Missing", Message{}, &reply)
+	assert.Assert(t, remote(err), "%v", err)
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: 3}, &reply))
+	assert.Equal(t, reply.Number, 3)
+}
+
+func TestReplies(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: 1}, nil))
+	var missing *Message
+	for _, reply := range []any{Message{}, missing, 5} {
+		err := caller.Call(patient(t), address, "Test.Echo", Message{}, reply)
+		assert.ErrorIs(t, err, link.ErrReplyType)
+	}
+	var other struct{ Number string }
+	err := caller.Call(patient(t), address, "Test.Echo", Message{Number: 1}, &other)
+	assert.Assert(t, uncertain(err), "a reply of another type was carried out: %v", err)
+	var got Message
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: 2}, &got))
+	assert.Equal(t, got.Number, 2)
+}
+
+func TestRefusedIsUnreachable(t *testing.T) {
+	listener, err := link.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	err = pool(t, link.Options{}).Call(patient(t), address, "Test.Echo", Message{}, nil)
+	assert.ErrorIs(t, err, link.ErrUnreachable)
+	var failure *link.UnreachableError
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Address, address)
+}
+
+// raw listens on loopback and hands each connection to a function.
+func raw(t *testing.T, each func(socket net.Conn)) (address string) {
+	t.Helper()
+	listener, err := link.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer socket.Close()
+				each(socket)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func greet(socket net.Conn) { _, _ = io.WriteString(socket, greeting) }
+
+func drain(socket net.Conn) { _, _ = io.Copy(io.Discard, socket) }
+
+func TestNoGreetingIsUnreachable(t *testing.T) {
+	cases := map[string]func(socket net.Conn){
+		"silent": drain,
+		"closed": func(net.Conn) {},
+		"other":  func(socket net.Conn) { _, _ = io.WriteString(socket, "HTTP/1.1 400 Bad Request\r\n") },
+	}
+	for name, each := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := raw(t, each)
+			caller := pool(t, link.Options{DialTimeout: 30 * time.Millisecond})
+			err := caller.Call(patient(t), address, "Test.Echo", Message{}, nil)
+			assert.ErrorIs(t, err, link.ErrUnreachable)
+		})
+	}
+}
+
+func TestServerClosesAfterReading(t *testing.T) {
+	var taken atomic.Int32
+	address := raw(t, func(socket net.Conn) {
+		greet(socket)
+		_, _ = socket.Read(make([]byte, 1<<16))
+		taken.Add(1)
+	})
+	err := pool(t, link.Options{}).Call(patient(t), address, "Test.Echo", Message{Number: 1}, nil)
+	var failure *link.UncertainError
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.Equal(t, failure.Address, address)
+	assert.Equal(t, failure.Method, "Test.Echo")
+	assert.Assert(t, !errors.Is(err, link.ErrUnreachable))
+	assert.Equal(t, taken.Load(), int32(1), "a call that may have been carried out isn't made again")
+}
+
+func TestContextEnds(t *testing.T) {
+	service := newService()
+	address, _ := start(t, service, link.Limits{})
+	caller := pool(t, link.Options{})
+	ctx, cancel := context.WithCancel(patient(t))
+	left := make(chan error, 1)
+	reply := Message{Number: 7}
+	go func() { left <- caller.Call(ctx, address, "Test.Hold", Message{Number: 1}, &reply) }()
+	<-service.entered
+	cancel()
+	err := <-left
+	assert.Assert(t, uncertain(err), "%v", err)
+	assert.ErrorIs(t, err, context.Canceled)
+	reply.Number = 8 // the caller's again: -race watches
+	close(service.release)
+	var got Message
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: 2}, &got))
+	assert.Equal(t, got.Number, 2)
+	assert.Equal(t, reply.Number, 8)
+	err = caller.Call(ctx, address, "Test.Echo", Message{}, nil)
+	assert.ErrorIs(t, err, link.ErrUnreachable)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+// TestLateReplies has callers leave at all moments about their answers'.
+func TestLateReplies(t *testing.T) {
+	const callers, calls = 8, 150
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	var group sync.WaitGroup
+	for n := range callers {
+		group.Go(func() {
+			for i := range calls {
+				ctx, cancel := context.WithTimeout(patient(t), time.Duration(n*i)*time.Microsecond)
+				reply := Message{Number: -1}
+				err := caller.Call(ctx, address, "Test.Echo", Message{Number: i}, &reply)
+				cancel()
+				left := errors.Is(err, context.DeadlineExceeded)
+				assert.Check(t, (err == nil && reply.Number == i) || (left && reply.Number == -1), "%v %d", err, reply.Number)
+				reply.Number = 0
+			}
+		})
+	}
+	group.Wait()
+	var got Message
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: 5}, &got))
+	assert.Equal(t, got.Number, 5)
+}
+
+func TestTooLargeRequest(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{MessageBytes: 10_000})
+	err := caller.Call(patient(t), address, "Test.Echo", Message{Data: make([]byte, 10_000)}, nil)
+	assert.ErrorIs(t, err, link.ErrTooLarge)
+	assert.Assert(t, !uncertain(err))
+	err = caller.Call(patient(t), address, "Test.Echo", Unsendable{}, nil)
+	assert.ErrorContains(t, err, "encode")
+	assert.Assert(t, !uncertain(err) && !remote(err))
+	for number := range 3 {
+		var got Message
+		assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: number}, &got))
+		assert.Equal(t, got.Number, number)
+	}
+}
+
+func TestTooLargeAtTheServer(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{MessageBytes: 10_000})
+	caller := pool(t, link.Options{})
+	err := caller.Call(patient(t), address, "Test.Swell", Message{Number: 20_000}, nil)
+	assert.Assert(t, remote(err), "%v", err)
+	assert.ErrorContains(t, err, "too large")
+	for number := range 3 {
+		var got Message
+		assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Number: number}, &got))
+		assert.Equal(t, got.Number, number)
+	}
+	err = caller.Call(patient(t), address, "Test.Echo", Message{Data: make([]byte, 20_000)}, nil)
+	assert.Assert(t, uncertain(err), "the server ends the connection: %v", err)
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{}, nil))
+}
+
+func TestNoArguments(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	err := caller.Call(patient(t), address, "Test.Echo", nil, nil)
+	assert.Assert(t, remote(err), "%v", err)
+	assert.ErrorContains(t, err, "no body")
+	assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{}, nil))
+}
+
+// TestMalformedAnswer has a peer answer with a body of no stream.
+func TestMalformedAnswer(t *testing.T) {
+	address := raw(t, func(socket net.Conn) {
+		greet(socket)
+		_, _ = socket.Read(make([]byte, 1<<16))
+		_, _ = socket.Write([]byte{0, 0, 0, 4, 0, 1, 0, 0})
+		drain(socket)
+	})
+	err := pool(t, link.Options{}).Call(patient(t), address, "Test.Echo", Message{}, nil)
+	assert.Assert(t, uncertain(err), "%v", err)
+	assert.ErrorIs(t, err, link.ErrMalformed)
+}
+
+func TestLargeMessages(t *testing.T) {
+	address, _ := start(t, newService(), link.Limits{})
+	caller := pool(t, link.Options{})
+	data := bytes.Repeat([]byte("0123456789"), 300_000)
+	for range 3 {
+		var got Message
+		assert.NilError(t, caller.Call(patient(t), address, "Test.Echo", Message{Data: data}, &got))
+		assert.Assert(t, bytes.Equal(got.Data, data))
+	}
+}
+
+func TestPort(t *testing.T) {
+	cases := []struct{ first, last, offset, want int }{
+		{7380, 7395, 0, 7380},
+		{7380, 7395, 15, 7395},
+		{7380, 7395, 16, 0},
+		{7380, 7395, -1, 0},
+		{7380, 7380, 0, 7380},
+	}
+	for _, c := range cases {
+		assert.Equal(t, link.Port([2]int{c.first, c.last}, c.offset), c.want, "%+v", c)
+	}
+}
+
+func TestListenFails(t *testing.T) {
+	_, err := link.Listen("127.0.0.1:not-a-port")
+	assert.ErrorContains(t, err, "listen")
+}
+
+func BenchmarkCall(b *testing.B) {
+	address, _ := start(b, newService(), link.Limits{})
+	caller := pool(b, link.Options{})
+	message := Message{Data: make([]byte, 400)}
+	b.Run("one", func(b *testing.B) {
+		b.ReportAllocs()
+		var reply Message
+		for b.Loop() {
+			assert.NilError(b, caller.Call(context.Background(), address, "Test.Echo", &message, &reply))
+		}
+	})
+	b.Run("many", func(b *testing.B) {
+		b.ReportAllocs()
+		b.SetParallelism(8)
+		b.RunParallel(func(running *testing.PB) {
+			var reply Message
+			for running.Next() {
+				assert.Check(b, caller.Call(context.Background(), address, "Test.Echo", &message, &reply))
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/station/link/stream.go
@@ -0,0 +1,138 @@
+package link
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+
+	"github.com/go-faster/errors"
+)
+
+// encoder makes the frames of one direction of a connection.
+type encoder struct {
+	limit int // of a frame's bytes after the prefix
+
+	buffer bytes.Buffer
+	head   []byte
+	stream *gob.Encoder // nil where the next frame is to start a stream
+}
+
+// frame makes a frame, which is good until the next call. A nil body makes a
+// frame without one. After an error the next frame starts a new stream, as what
+// the failed one described doesn't reach the peer.
+func (e *encoder) frame(h header, body any) ([]byte, error) {
+	e.release()
+	if body == nil {
+		h.flags |= flagBodiless
+	} else if e.stream == nil {
+		h.flags |= flagRestart
+		e.stream = gob.NewEncoder(&e.buffer)
+	}
+	e.head = appendHeader(append(e.head[:0], 0, 0, 0, 0), h)
+	e.buffer.Write(e.head)
+	if err := e.encode(body); err != nil {
+		e.restart()
+		return nil, err
+	}
+	frame := e.buffer.Bytes()
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-prefixBytes))
+	return frame, nil
+}
+
+func (e *encoder) encode(body any) error {
+	if body != nil {
+		if err := e.stream.Encode(body); err != nil {
+			return errors.Wrap(err, "link: encode")
+		}
+	}
+	if e.buffer.Len()-prefixBytes > e.limit {
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// restart makes the next frame start a new stream: the last one wasn't sent.
+func (e *encoder) restart() { e.stream = nil }
+
+// release empties the buffer, and gives a large one's memory back.
+func (e *encoder) release() {
+	if e.buffer.Cap() > keepBytes {
+		e.buffer = bytes.Buffer{}
+		return
+	}
+	e.buffer.Reset()
+}
+
+// decoder reads the bodies of one direction of a connection.
+type decoder struct {
+	body   bytes.Reader
+	stream *gob.Decoder
+}
+
+// decode reads a frame's body into a pointer; nil reads over it. It must be
+// called for each frame, in their order. After ErrMalformed the rest of the
+// connection can't be read.
+func (d *decoder) decode(flags byte, body []byte, into any) error {
+	if flags&flagBodiless != 0 {
+		if into != nil {
+			return errNoBody
+		}
+		return nil
+	}
+	if err := checkSegments(body); err != nil {
+		return err
+	}
+	if flags&flagRestart != 0 {
+		d.stream = gob.NewDecoder(&d.body)
+	}
+	if d.stream == nil {
+		return errors.Wrap(ErrMalformed, "no stream")
+	}
+	d.body.Reset(body)
+	defer d.body.Reset(nil)
+	return decodeNext(d.stream, into)
+}
+
+// decodeNext reads a stream's next value. gob panics on some bytes that it
+// should refuse, such as the ids of types that were never described.
+func decodeNext(stream *gob.Decoder, into any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Wrapf(ErrMalformed, "body: %v", cause)
+		}
+	}()
+	if err := stream.Decode(into); err != nil {
+		return errors.Wrap(err, "link: decode")
+	}
+	return nil
+}
+
+// checkSegments checks that the lengths of the gob messages in a body are of
+// bytes that are there, as gob makes room by what a length claims.
+func checkSegments(body []byte) error {
+	for len(body) > 0 {
+		length, width, ok := segmentLength(body)
+		if !ok || length > uint64(len(body)-width) {
+			return errors.Wrap(ErrMalformed, "body")
+		}
+		body = body[width+int(length):]
+	}
+	return nil
+}
+
+// segmentLength reads gob's form of an unsigned number: a byte of up to 127, or
+// the negated count of the big-endian bytes that follow.
+func segmentLength(from []byte) (length uint64, width int, ok bool) {
+	first := from[0]
+	if first < 1<<7 {
+		return uint64(first), 1, true
+	}
+	count := -int(int8(first))
+	if count > 8 || len(from) < 1+count {
+		return 0, 0, false
+	}
+	for _, b := range from[1 : 1+count] {
+		length = length<<8 | uint64(b)
+	}
+	return length, 1 + count, true
+}
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -192,6 +192,7 @@
 	Attempt  string
 	Previous string // "" at the start of a line
 	Imported bool   // what was said before is known from another partition
+	Known    bool   // what was said before is at hand: only whether the turn is kept is asked
 	Budget   uint64
 	Most     uint64 // tokens that the turn may put out
 	Keep     time.Duration
