Split clients' connections from the node's request format: internal/ingress

Cause: a second program is to serve clients on the same connections (limits, framing in doubt, bodies at a client's pace, coming and going) with another request format, and internal/session held both in one package.

Change: the connections move to internal/ingress (Server, Conn, Body, Pass), which is told its handler and its times and knows no format; internal/session keeps the node's requests and answers. The times of the life cycle become lifecycle.Timing: NodeTiming holds the node's values as they were, TierTiming those of a machine behind a balancer that asks every second. The pump of long bodies moves from internal/message to internal/relay. Times and the longest head can be changed while the server serves. The tests of the connections move along, with moved identifiers alone.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pipitmux/internal/message"
+	"pipitmux/internal/relay"
 )
 
 const (
@@ -114,7 +115,7 @@
 	if !u.call.Rest.Claim() {
 		return fmt.Errorf("%w: another attempt has it", errClient)
 	}
-	toBackend, fromClient := message.Pass(put, u.call.Rest)
+	toBackend, fromClient := relay.Pass(put, u.call.Rest)
 	switch {
 	case fromClient != nil:
 		return fmt.Errorf("%w: %w", errClient, fromClient)
--- a/internal/session/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -1,4 +1,4 @@
-package session
+package ingress_test
 
 import (
 	"bufio"
@@ -19,7 +19,9 @@
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
 	"pipitmux/internal/figures"
+	"pipitmux/internal/ingress"
 	"pipitmux/internal/message"
+	"pipitmux/internal/session"
 	"pipitmux/logic"
 )
 
@@ -38,16 +40,16 @@
 func (o noting) Ready() bool                    { return true }
 
 // front serves on real sockets until the test ends.
-func front(t *testing.T, sessions int) (*Front, noting, string) {
+func front(t *testing.T, sessions int) (*session.Front, noting, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	o := noting{make(chan core.Req, 1000), make(chan string, 1000)}
-	f := New(Options{Classes: []logic.Class{{Name: "lookup", Deadline: time.Minute}}, MaxSessions: sessions, MaxReqs: 1000,
+	f := session.New(session.Options{Classes: []logic.Class{{Name: "lookup", Deadline: time.Minute}}, MaxSessions: sessions, MaxReqs: 1000,
 		HeadWithin: time.Minute, BodyWithin: time.Minute, IdleFor: time.Minute,
 		Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
-	f.lingerFor = patience // no test hangs on how fast this machine is
+	f.SetLingerFor(patience) // no test hangs on how fast this machine is
 	go f.Serve()
-	t.Cleanup(func() { f.server.Close() })
+	t.Cleanup(func() { f.Close() })
 	return f, o, l.Addr().String()
 }
 
@@ -88,7 +90,7 @@
 }
 
 // resting is a session that has had its first answer.
-func resting(t *testing.T, f *Front, o noting, addr string) (*net.TCPConn, *counted) {
+func resting(t *testing.T, f *session.Front, o noting, addr string) (*net.TCPConn, *ingress.Conn) {
 	c := dial(t, addr)
 	write(t, c, get("first"))
 	wait(t, o.reqs, "the first req").Session.Answer(served("one"))
@@ -96,15 +98,13 @@
 	require.NoError(t, err)
 	_, err = io.ReadAll(res.Body)
 	require.NoError(t, err)
-	var s *counted
+	var s *ingress.Conn
 	until(t, "the session rests", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for k := range f.spare {
+		f.EachSpare(func(k *ingress.Conn) {
 			if k.RemoteAddr().String() == c.LocalAddr().String() {
 				s = k
 			}
-		}
+		})
 		return s != nil
 	})
 	return c, s
@@ -136,7 +136,7 @@
 				assert.Equal(t, "first", wait(t, o.gone, "the end of the req"))
 				assert.True(t, left(), "an attempt must not begin")
 				assert.Empty(t, o.reqs)
-				until(t, "its place is free", func() bool { return f.sessions.Load() == 0 })
+				until(t, "its place is free", func() bool { return f.Sessions() == 0 })
 			})
 		}
 	}
@@ -190,7 +190,7 @@
 	for range clients {
 		wait(t, o.gone, "the end of a req")
 	}
-	until(t, "all places are free", func() bool { return f.sessions.Load()+f.lingering.Load() == 0 })
+	until(t, "all places are free", func() bool { return f.Sessions()+f.Lingering() == 0 })
 }
 
 // What crosses the end of a resting session is neither answered nor sent on, and the client
@@ -200,21 +200,21 @@
 		t.Run("after it: "+name, func(t *testing.T) {
 			f, o, addr := front(t, 100)
 			c, s := resting(t, f, o, addr)
-			require.True(t, s.end())
+			require.True(t, s.End())
 			write(t, c, text)
 			rest, err := io.ReadAll(c)
 			assert.NoError(t, err, "an end, not a reset")
 			assert.Empty(t, rest)
 			assert.NoError(t, c.CloseWrite())
-			until(t, "its place is free", func() bool { return f.sessions.Load()+f.lingering.Load() == 0 })
+			until(t, "its place is free", func() bool { return f.Sessions()+f.Lingering() == 0 })
 			assert.Empty(t, o.reqs, "nothing was sent on")
 		})
 		t.Run("before it: "+name, func(t *testing.T) {
 			f, o, addr := front(t, 100)
 			c, s := resting(t, f, o, addr)
 			write(t, c, text)
-			until(t, "it has come", func() bool { return !s.between() })
-			assert.False(t, s.end())
+			until(t, "it has come", func() bool { return !s.Between() })
+			assert.False(t, s.End())
 			if name != "a whole req" {
 				write(t, c, get("late")[len(text):])
 			}
@@ -235,13 +235,11 @@
 		}()
 		defer close(o.reqs)
 		end := func(c net.Conn) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for k := range f.spare {
+			f.EachSpare(func(k *ingress.Conn) {
 				if k.RemoteAddr().String() == c.LocalAddr().String() {
-					k.end()
+					k.End()
 				}
-			}
+			})
 		}
 		var all sync.WaitGroup
 		for range 8 {
@@ -290,7 +288,7 @@
 	write(t, c, get("first"))
 	r := wait(t, o.reqs, "the req")
 	r.Session.Answer(served(body))
-	until(t, "the answer is written and the sending side ended", func() bool { return f.lingering.Load() == 1 })
+	until(t, "the answer is written and the sending side ended", func() bool { return f.Lingering() == 1 })
 	_, err := io.WriteString(c, strings.Repeat("x", 100<<10)) // nobody has read the answer yet
 	require.NoError(t, err)
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -312,8 +310,8 @@
 	_, err := other.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF, "what rests ends")
 	other.Close()
-	wait(t, f.closed, "the listener's end")
-	until(t, "nothing more is sent on", func() bool { return !f.takes() })
+	wait(t, f.Closed(), "the listener's end")
+	until(t, "nothing more is sent on", func() bool { return !f.Takes() })
 	write(t, c, get("half")[30:])
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
@@ -336,7 +334,7 @@
 	write(t, late, get("late"))
 	ended := make(chan error, 1)
 	go func() { ended <- f.End(patience) }()
-	until(t, "the listener is to close", f.last.Load)
+	until(t, "the listener is to close", f.Last)
 	first.Session.Answer(served("one"))
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
@@ -363,7 +361,7 @@
 	write(t, c, get("other"))
 	wait(t, o.reqs, "the other").Session.Answer(served("in time"))
 	const within = patience / 2
-	f.answerBy = within - 700*time.Millisecond
+	f.SetAnswerBy(within - 700*time.Millisecond)
 	began := time.Now()
 	ended := make(chan error, 1)
 	go func() { ended <- f.End(within) }()
--- a/internal/session/fuzz_test.go
+++ b/internal/ingress/fuzz_test.go
@@ -1,4 +1,4 @@
-package session
+package ingress
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 
 func (c bytesConn) Read(b []byte) (int, error) { return c.in.Read(b) }
 
-// FuzzFollow compares the heads that the front counts with those that net/http reads:
+// FuzzFollow compares the heads that the server counts with those that net/http reads:
 // each one that net/http hands out must have been seen, or be in doubt.
 func FuzzFollow(f *testing.F) {
 	for _, s := range []string{
@@ -31,7 +31,7 @@
 		f.Add([]byte(s), 1000)
 	}
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
-		c := newCounted(bytesConn{in: bytes.NewReader(text)}, nil)
+		c := newConn(bytesConn{in: bytes.NewReader(text)}, nil)
 		var whole bytes.Buffer
 		buf := make([]byte, max(size, 1)%4096+1)
 		for {
@@ -51,7 +51,7 @@
 				return // turned down, with all behind it
 			}
 			if c.heads.Load() < n {
-				t.Fatalf("net/http reads req %d of %q, and the front saw %d", n, text, c.heads.Load())
+				t.Fatalf("net/http reads request %d of %q, and the server saw %d", n, text, c.heads.Load())
 			}
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,6 +1,6 @@
 // Package lifecycle decides how a node comes and goes: whether it is ready, when
 // answers end their client sessions, which of the idle ones end now, and whether a
-// req that comes late is still taken. It is pure: the clock is handed in, and it
+// request that comes late is still taken. It is pure: the clock is handed in, and it
 // must not know of sockets, signals or consoles.
 package lifecycle
 
@@ -25,37 +25,21 @@
 // String gives the phase's name.
 func (p Phase) String() string { return names[p] }
 
-const (
-	// After the first no of a node that drains, at most 0.1 s after the call, new
-	// connections come for 0.2 s. From then on idle sessions end, evenly, so that
-	// their clients don't all connect elsewhere in one instant.
-	drainFrom  = 350 * time.Millisecond
-	drainUntil = 1600 * time.Millisecond
-	// What came more than 2 s after the call must not be open 4 s after it, and may take
-	// as long as its class lets it. Only a slow head or body on a session that could not
-	// be ended brings a req so late.
-	drainTakes = 1900 * time.Millisecond
-
-	// After SIGTERM new connections come for 0.2 to 0.4 s, and a req found unanswered at
-	// the end is lost if it came 0.7 s after it or later.
-	stopFrom  = 450 * time.Millisecond
-	stopUntil = 620 * time.Millisecond
-	// What is taken has to be answered by the earliest moment at which the process may be
-	// killed: the longest deadline and 0.7 s after SIGTERM. A req that comes later is refused.
-	stopTakes = 600 * time.Millisecond
-)
-
 // ErrStopping tells that a node that ends can't be told anything else.
 var ErrStopping = errors.New("the node is stopping")
 
 // Node is the life cycle of one process. It is not safe for concurrent use.
 type Node struct {
-	phase Phase
-	since time.Time
-	step  time.Time // up to which idle sessions have been ended
-	begun bool      // it has served, or would but for a drain
+	timing Timing
+	phase  Phase
+	since  time.Time
+	step   time.Time // up to which idle sessions have been ended
+	begun  bool      // it has served, or would but for a drain
 }
 
+// New returns the life cycle of a process that starts.
+func New(timing Timing) *Node { return &Node{timing: timing} }
+
 // Phase returns where the node stands.
 func (n *Node) Phase() Phase { return n.phase }
 
@@ -101,32 +85,36 @@
 	}
 }
 
-// Leaving tells whether an answer ends its client session.
+// Leaving tells whether the clients are sent away.
 func (n *Node) Leaving() bool { return n.phase >= Draining }
 
-// Takes tells whether a req that has come now is taken.
-func (n *Node) Takes(now time.Time) bool {
-	switch n.phase {
-	case Draining:
-		return now.Sub(n.since) < drainTakes
-	case Stopping:
-		return now.Sub(n.since) < stopTakes
+// leave is how the clients are sent away in this phase.
+func (n *Node) leave() Leave {
+	if n.phase == Stopping {
+		return n.timing.Stop
 	}
-	return true
+	return n.timing.Drain
+}
+
+// Closes tells whether an answer that is given now ends its client session.
+func (n *Node) Closes(now time.Time) bool {
+	return n.Leaving() && now.Sub(n.since) >= n.leave().Closes
+}
+
+// Takes tells whether a request that has come now is taken.
+func (n *Node) Takes(now time.Time) bool {
+	takes := n.leave().Takes
+	return !n.Leaving() || takes == 0 || now.Sub(n.since) < takes
 }
 
 // End returns how many of so many idle client sessions are to end now. Asked again
 // and again, it ends them in even steps.
 func (n *Node) End(now time.Time, idle int) int {
-	from, until := drainFrom, drainUntil
-	switch n.phase {
-	case Stopping:
-		from, until = stopFrom, stopUntil
-	case Draining:
-	default:
+	if !n.Leaving() {
 		return 0
 	}
-	begin, end := n.since.Add(from), n.since.Add(until)
+	leave := n.leave()
+	begin, end := n.since.Add(leave.From), n.since.Add(leave.Until)
 	if n.step.Before(begin) {
 		n.step = begin
 	}
--- /dev/null
+++ b/internal/session/request.go
@@ -0,0 +1,131 @@
+package session
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/ingress"
+	"pipitmux/internal/message"
+	"pipitmux/logic"
+)
+
+const (
+	// maxID is the longest id, in bytes.
+	maxID = 256
+	// perByte is how long a client may take for each byte of a body, beyond BodyWithin:
+	// somewhat longer than the 64 kB a second that are owed patience.
+	perByte = time.Second / 48000
+)
+
+// read takes a request and takes out what the decisions need. All else stays the bytes that
+// came. A body up to what is held is read whole; a longer one goes on as it comes.
+func (f *Front) read(w http.ResponseWriter, r *http.Request, conn *ingress.Conn, c *client) (*core.Req, *ingress.Body, error) {
+	for _, h := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key", "X-Repeat", "X-Account"} {
+		if len(r.Header[h]) > 1 {
+			return nil, nil, errors.New(h + ": given more than once") // which one would be meant?
+		}
+	}
+	id, name, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("X-Service-Class"), r.Header.Get("Idempotency-Key")
+	if id == "" || !word(id) {
+		return nil, nil, errors.New("X-Correlation-Id: missing, too long or not plain text")
+	}
+	if !word(key) {
+		return nil, nil, errors.New("Idempotency-Key: too long or not plain text")
+	}
+	class, ok := f.classes[name]
+	if !ok {
+		return nil, nil, errors.New("X-Service-Class: unknown")
+	}
+	method := http.MethodPost
+	if class.Effect == logic.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		return nil, nil, &malformed{http.StatusMethodNotAllowed, "the class takes " + method}
+	}
+	if class.Effect == logic.Keyed && key == "" {
+		return nil, nil, errors.New("Idempotency-Key: missing")
+	}
+	wait, err := timeLeft(r.Header.Get("X-Time-Left"))
+	if err != nil {
+		return nil, nil, err
+	}
+	request := &core.Req{ID: id, Class: name, Retry: r.Header.Get("X-Repeat") == "1", Wait: wait,
+		Tenant: r.Header.Get("X-Account"), Hint: hint(r.Header.Get("X-Weight-Hint"))}
+	in := ingress.NewBody(w, r, ingress.BodyLimits{Within: f.opt.BodyWithin, PerByte: perByte,
+		Held: message.Held, Longest: message.Longest, Budget: f.opt.Budget})
+	body, long, err := in.First(r.ContentLength)
+	if err != nil {
+		in.Close()
+		var large *http.MaxBytesError
+		switch {
+		case errors.Is(err, ingress.ErrNoRoom):
+			return request, in, err
+		case errors.As(err, &large):
+			return nil, nil, &malformed{http.StatusRequestEntityTooLarge, "the body is over 32 MiB"}
+		}
+		return nil, nil, fmt.Errorf("body: %w", err)
+	}
+	request.Arrived = time.Now() // a request's time starts at its last byte
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI() // the absolute form, which backends are not sent
+	}
+	call := &message.Call{
+		Method: r.Method, Target: target, Host: r.Host, ID: id, Key: key,
+		ContentType: r.Header.Get("Content-Type"), Body: body, Length: int64(len(body)),
+	}
+	if !long {
+		call.Left = conn.Gone
+	}
+	if long {
+		http.NewResponseController(w).EnableFullDuplex()
+		request.Open, call.Length = true, r.ContentLength
+		call.Rest = message.NewStream(in, func() {
+			c.take(f.opt.Figures)
+			f.owner.Whole(id, c)
+		})
+	}
+	request.Call = call
+	return request, in, nil
+}
+
+// word tells whether a value may go on raw, in a head and in a log line.
+func word(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return len(s) <= maxID
+}
+
+// timeLeft reads a number and its unit, m for milliseconds or u for
+// microseconds. It is 0 where the client says nothing.
+func timeLeft(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	unit := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[text[len(text)-1]]
+	n, err := strconv.ParseUint(text[:len(text)-1], 10, 40)
+	if err != nil || unit == 0 || n == 0 || n > uint64(24*time.Hour/unit) {
+		return 0, errors.New("X-Time-Left: not a time above 0 in m or u")
+	}
+	return time.Duration(n) * unit, nil
+}
+
+// hint reads a guess at a request's work, in microseconds. What is no time above 0 counts as
+// not told: nobody is turned away for a guess.
+func hint(text string) time.Duration {
+	us, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(us > 0 && us <= float64(time.Hour/time.Microsecond)) {
+		return 0
+	}
+	return time.Duration(us * float64(time.Microsecond))
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -34,7 +34,7 @@
 	f := New(Options{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Deadline: time.Minute}},
 		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxReqs: 2, BodyWithin: time.Minute, Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
 	go f.Serve()
-	defer f.server.Close()
+	defer f.Close()
 	for range 4 {
 		c, err := net.Dial("tcp", l.Addr().String())
 		require.NoError(t, err)
