--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pipitmux/internal/message"
+	"pipitmux/internal/relay"
 )
 
 // stallFor ends a body on which a server gives, or takes, nothing for so long.
@@ -113,7 +114,7 @@
 	if !u.call.Rest.Claim() {
 		return fmt.Errorf("%w: another attempt has it", errClient)
 	}
-	toServer, fromClient := message.Pass(put, u.call.Rest)
+	toServer, fromClient := relay.Pass(put, u.call.Rest)
 	switch {
 	case fromClient != nil:
 		return fmt.Errorf("%w: %w", errClient, fromClient)
