--- /dev/null
+++ b/cmd/anemometer/main.go
@@ -0,0 +1,66 @@
+// Command anemometer is the data plane of the serving tier.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"pipitmux/internal/anemometer/edge"
+	"pipitmux/internal/barograph/node"
+	"pipitmux/internal/station/journal"
+	"pipitmux/internal/station/process"
+	"pipitmux/internal/station/settings"
+)
+
+// version is what the version command prints.
+const version = "0.1"
+
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Serve clients until told to end (SIGTERM)."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file and say what is wrong with it."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type serveCommand struct {
+	LogLevel slog.Level `default:"info" help:"Least level of log lines: debug, info, warn or error."`
+}
+
+// Run implements the command.
+func (c *serveCommand) Run() error {
+	s, ctx, err := process.Start(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	n, err := edge.New(s, process.InternalSeeds(s, node.CorePort), journal.Logger())
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file (TOML)." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run() error {
+	_, err := settings.Read(c.File)
+	return err
+}
+
+type versionCommand struct{}
+
+// Run implements the command.
+func (versionCommand) Run() error {
+	fmt.Println("anemometer", version)
+	return nil
+}
+
+func main() {
+	var c commands
+	parser := kong.Must(&c, kong.Name("anemometer"), kong.Description("Data plane of the serving tier."), kong.UsageOnError())
+	os.Exit(process.Execute(parser, os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/barograph/main.go
@@ -0,0 +1,172 @@
+// Command barograph is the control plane of the serving tier.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync/atomic"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/barograph/coordinator"
+	"pipitmux/internal/barograph/keeper"
+	"pipitmux/internal/barograph/node"
+	"pipitmux/internal/barograph/operators"
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/platform"
+	"pipitmux/internal/station/process"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+	"pipitmux/internal/station/settings"
+)
+
+// version is what the version command prints.
+const version = "0.1"
+
+type commands struct {
+	Coordinate coordinateCommand `cmd:"" help:"Keep configuration, services and duties, and answer the operators (core machines)."`
+	Keep       keepCommand       `cmd:"" help:"Keep turns and budgets (storage machines)."`
+	Check      checkCommand      `cmd:"" help:"Check a settings file or an operators' configuration and say what is wrong with it."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
+}
+
+type coordinateCommand struct {
+	LogLevel slog.Level `default:"info" help:"Least level of log lines: debug, info, warn or error."`
+}
+
+// Run implements the command.
+func (c *coordinateCommand) Run() error {
+	s, ctx, err := process.Start(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	options, err := nodeOptions(s, protocol.Core, node.CorePort)
+	if err != nil {
+		return err
+	}
+	n, err := node.Open(options)
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	core, err := coordinator.New(coordinator.Options{Node: n, Losses: s.FaultTolerance.MachineLosses, First: options.First, Seeds: options.Seeds})
+	if err != nil {
+		return err
+	}
+	api, err := net.Listen("tcp", s.BindAddresses.ControlPlane)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	l, err := link.Listen(options.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
+	server := operators.NewServer(operators.Options{Authority: core})
+	defer server.Close()
+	go server.Serve(api)
+	klog.InfoS("Keeps configuration and services", "id", n.Self.ID, "address", options.Address, "first", options.First)
+	return ended(ctx, core.Run(ctx, l, platform.New(s.CloudAPI.Address)))
+}
+
+type keepCommand struct {
+	LogLevel slog.Level `default:"info" help:"Least level of log lines: debug, info, warn or error."`
+}
+
+// Run implements the command.
+func (c *keepCommand) Run() error {
+	s, ctx, err := process.Start(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	options, err := nodeOptions(s, protocol.Storage, node.StoragePort)
+	if err != nil {
+		return err
+	}
+	var keeping atomic.Pointer[keeper.Keeper]
+	options.Unknown = func(group replica.GroupID) bool {
+		k := keeping.Load()
+		return k != nil && k.Follow(group)
+	}
+	n, err := node.Open(options)
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	k, err := keeper.New(keeper.Options{Node: n, Name: s.NodeName, Losses: s.FaultTolerance.MachineLosses, Seeds: options.Seeds})
+	if err != nil {
+		return err
+	}
+	keeping.Store(k)
+	l, err := link.Listen(options.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
+	klog.InfoS("Keeps turns", "id", n.Self.ID, "address", options.Address)
+	return ended(ctx, k.Run(ctx, l))
+}
+
+// ended tells an end that was asked for from a failure.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func nodeOptions(s *settings.Settings, class protocol.Class, offset int) (node.Options, error) {
+	if s.DataDir == "" {
+		return node.Options{}, &settings.FieldError{File: settings.Path(), Key: "dataDir", Reason: "must be given: this role keeps data"}
+	}
+	if err := os.MkdirAll(s.DataDir, 0o755); err != nil {
+		return node.Options{}, errors.Wrap(err, "data folder")
+	}
+	return node.Options{
+		Name: s.NodeName, Zone: s.Zone, Class: class, Address: process.InternalAddress(s, offset), DataDir: s.DataDir,
+		First: s.Bootstrap, Seeds: process.InternalSeeds(s, node.CorePort),
+	}, nil
+}
+
+type checkCommand struct {
+	Settings      string `help:"Settings file (TOML)." type:"existingfile"`
+	Configuration string `help:"Operators' configuration (JSON)." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run() error {
+	if c.Settings != "" {
+		if _, err := settings.Read(c.Settings); err != nil {
+			return err
+		}
+	}
+	if c.Configuration == "" {
+		return nil
+	}
+	body, err := os.ReadFile(c.Configuration)
+	if err != nil {
+		return err
+	}
+	if _, err = routing.Parse(body); err != nil {
+		return errors.Wrap(err, c.Configuration)
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+// Run implements the command.
+func (versionCommand) Run() error {
+	fmt.Println("barograph", version)
+	return nil
+}
+
+func main() {
+	var c commands
+	parser := kong.Must(&c, kong.Name("barograph"), kong.Description("Control plane of the serving tier."), kong.UsageOnError())
+	os.Exit(process.Execute(parser, os.Args[1:]))
+}
--- /dev/null
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -0,0 +1,260 @@
+// Package dispatch sends requests to the servers of services. Each service has an owner
+// of the decision module, which chooses the server, the time-out and the retry; the
+// connections to servers are shared.
+package dispatch
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/counters"
+	"pipitmux/internal/message"
+	"pipitmux/internal/station/hashing"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+	"pipitmux/internal/upstream"
+	"pipitmux/logic"
+)
+
+const (
+	// worthMost is the worth of a request of the highest priority and usual size, the
+	// paper's example figure; each further rank is worth rankShare of the one before.
+	worthMost = 20.0
+	rankShare = 0.6
+	// crossCharge and connectCharge are the prices of a send into another zone and of a new
+	// connection, as parts of a usual request's worth.
+	crossCharge   = 0.03
+	connectCharge = 0.01
+	// retryAfter is what refused clients are told.
+	retryAfter = 300 * time.Millisecond
+	// idleFor is how long a connection to a server rests before it is closed, connectWithin
+	// how long one may take to come up, and userTimeout how long a dark server's lasts.
+	idleFor       = 4 * time.Second
+	connectWithin = 700 * time.Millisecond
+	userTimeout   = 3 * time.Second
+	// preferred is how many servers a program's turns keep to, best first.
+	preferred = 3
+	// defaultClass is what a service without a route is given: the module needs a class.
+	defaultClass = "none"
+)
+
+// Options are what a Dispatcher needs.
+type Options struct {
+	Zone   string
+	Conns  int // to servers, open at most
+	Budget *message.Budget
+	Count  *counters.Set
+	Log    *slog.Logger
+}
+
+// Dispatcher sends requests to servers.
+type Dispatcher struct {
+	opt  Options
+	pool *upstream.Pool
+	quit chan struct{}
+
+	mu       sync.Mutex
+	services map[string]*service
+	classes  map[string][]logic.Class
+	lists    map[string][]protocol.Server
+}
+
+// service is one service's owner and servers.
+type service struct {
+	core    *core.Core
+	servers []protocol.Server // that take requests
+}
+
+// New returns a Dispatcher without services.
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{opt: o, quit: make(chan struct{}), services: map[string]*service{}, classes: map[string][]logic.Class{}, lists: map[string][]protocol.Server{}}
+	d.pool = upstream.New(codec{}, upstream.Options{
+		ConnectTimeout: connectWithin, IdleFor: idleFor, MaxConns: o.Conns, UserTimeout: userTimeout, Budget: o.Budget,
+	}, o.Count, o.Log)
+	go d.pool.Reap(d.quit)
+	return d
+}
+
+// Close ends all owners.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.quit)
+	for _, s := range d.services {
+		s.core.Stop()
+	}
+	d.services = map[string]*service{}
+}
+
+// Configure takes a configuration on: requests that come later follow it.
+func (d *Dispatcher) Configure(c *routing.Configuration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.classes = classesOf(c)
+	for name, classes := range d.classes {
+		if s := d.services[name]; s != nil {
+			s.core.Reconfigure(classes)
+			continue
+		}
+		d.open(name, classes)
+	}
+}
+
+// open starts the owner of a service; d.mu is held.
+func (d *Dispatcher) open(name string, classes []logic.Class) {
+	settings := logic.Settings{
+		Zone: d.opt.Zone, Classes: classes, ReportFields: []string{logic.ReportHeld},
+		SecondCopies: true, CanCancel: true, MaxRetryAfter: retryAfter,
+		ConnIdle: idleFor, CrossCharge: crossCharge, ConnectCharge: connectCharge,
+	}
+	owner, err := core.New(settings, rand.Uint64(), d.opt.Count, d.opt.Log)
+	if err != nil {
+		klog.ErrorS(err, "A service can't be served", "service", name)
+		return
+	}
+	s := &service{core: owner}
+	d.services[name] = s
+	go owner.Run(d.pool, nil)
+	d.list(s, d.lists[name])
+}
+
+// Servers takes on the servers of all services of a partition.
+func (d *Dispatcher) Servers(partition int, lists []protocol.ServerList) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	told := map[string]bool{}
+	for _, l := range lists {
+		told[l.Service] = true
+		d.put(l.Service, l.Servers)
+	}
+	for name := range d.lists {
+		if !told[name] && protocol.ServicePartition(name) == partition {
+			d.put(name, nil)
+		}
+	}
+}
+
+func (d *Dispatcher) put(name string, servers []protocol.Server) {
+	if len(servers) == 0 {
+		delete(d.lists, name)
+	} else {
+		d.lists[name] = servers
+	}
+	if s := d.services[name]; s != nil {
+		d.list(s, servers)
+	}
+}
+
+// list hands a service's servers to its owner.
+func (d *Dispatcher) list(s *service, servers []protocol.Server) {
+	s.servers = slices.DeleteFunc(slices.Clone(servers), func(x protocol.Server) bool { return x.Draining })
+	entries := make([]core.Entry, 0, len(servers))
+	for _, x := range servers {
+		state := logic.Serving
+		if x.Draining {
+			state = logic.Draining
+		}
+		entries = append(entries, core.Entry{
+			Server:   logic.Server{ID: logic.ServerID(x.ID), Capacity: float64(max(x.Capacity, 1)), State: state, Zone: x.Zone},
+			Endpoint: x.Address,
+		})
+	}
+	s.core.List(logic.ListFull, entries)
+}
+
+// Ready tells whether some service has a server.
+func (d *Dispatcher) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		if len(s.servers) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Owner returns what requests of a service are submitted to, nil where there is none.
+func (d *Dispatcher) Owner(name string) *core.Core {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[name]; s != nil {
+		return s.core
+	}
+	return nil
+}
+
+// Prefer lists the servers to which the requests of one key keep: those of this node's
+// zone first, in the key's own order.
+func (d *Dispatcher) Prefer(name, key string) []logic.ServerID {
+	d.mu.Lock()
+	var servers []protocol.Server
+	if s := d.services[name]; s != nil {
+		servers = s.servers
+	}
+	d.mu.Unlock()
+	if key == "" || len(servers) == 0 {
+		return nil
+	}
+	ranked := hashing.Rank(key, servers, func(s protocol.Server) uint64 { return hashing.Sum64(s.ID) })
+	slices.SortStableFunc(ranked, func(a, b protocol.Server) int {
+		return remote(a, d.opt.Zone) - remote(b, d.opt.Zone)
+	})
+	ids := make([]logic.ServerID, 0, preferred)
+	for _, s := range ranked[:min(preferred, len(ranked))] {
+		ids = append(ids, logic.ServerID(s.ID))
+	}
+	return ids
+}
+
+func remote(s protocol.Server, zone string) int {
+	if s.Zone == zone {
+		return 0
+	}
+	return 1
+}
+
+// classesOf makes a class of each route for each service that it may go to.
+func classesOf(c *routing.Configuration) map[string][]logic.Class {
+	classes := map[string][]logic.Class{}
+	for i := range c.Routes {
+		class := classOf(&c.Routes[i])
+		for _, w := range c.Routes[i].Weights {
+			if w.Ratio > 0 {
+				classes[w.Pool] = append(classes[w.Pool], class)
+			}
+		}
+	}
+	for _, p := range c.Pools {
+		if len(classes[p.Name]) == 0 {
+			classes[p.Name] = []logic.Class{{Name: defaultClass, Aim: time.Second, Deadline: time.Second, Effect: logic.Unsafe}}
+		}
+	}
+	return classes
+}
+
+func classOf(r *routing.Route) logic.Class {
+	class := logic.Class{
+		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Worth: worthOf(r.Priority),
+		Effect: logic.Unsafe, MaxAttempts: max(r.RetryLimit, 1), Stream: r.Class == routing.Streaming,
+	}
+	if r.Class == routing.Idempotent {
+		class.Effect = logic.Safe
+	}
+	return class
+}
+
+// worthOf is the worth of a usual request of a rank, 0 being the highest.
+func worthOf(rank int) float64 {
+	worth := worthMost
+	for range min(max(rank, 0), 9) {
+		worth *= rankShare
+	}
+	return worth
+}
--- /dev/null
+++ b/internal/anemometer/gateway/answer.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/message"
+	"pipitmux/internal/station/routing"
+)
+
+// copySize is what a stream passes through.
+const copySize = 8 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
+// waiter waits for the one final answer of a request.
+type waiter struct {
+	answer chan core.Answer
+
+	mu   sync.Mutex
+	left bool
+}
+
+// Answer implements core.Session. What nobody waits for any more is closed.
+func (w *waiter) Answer(a core.Answer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.left {
+		discard(a)
+		return
+	}
+	w.answer <- a
+}
+
+// leave ends the wait.
+func (w *waiter) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = true
+	select {
+	case a := <-w.answer:
+		discard(a)
+	default:
+	}
+}
+
+func discard(a core.Answer) {
+	if c, ok := a.Reply.(io.Closer); ok {
+		c.Close()
+	}
+}
+
+// overdue is how long after the deadline an answer of the owner is waited for: it keeps
+// the deadline itself.
+const overdue = 300 * time.Millisecond
+
+// dispatch submits the request to its service's owner and waits for the answer. A client
+// that leaves ends it: the handler does not return then.
+func (x *exchange) dispatch(body []byte, affinity string, worth float64) core.Answer {
+	owner := x.gateway.opt.Dispatcher.Owner(x.service)
+	left := time.Until(x.deadline)
+	if owner == nil || left <= 0 {
+		return core.Answer{Kind: core.Refused, RetryAfter: pressedRetryAfter}
+	}
+	w := &waiter{answer: make(chan core.Answer, 1)}
+	defer w.leave()
+	request := core.Req{
+		ID: x.attempt, Class: x.route.Name, Arrived: time.Now(), Wait: left, Call: x.call(body), Session: w,
+		Worth: worth,
+	}
+	if x.route.Persistence || affinity != "" && x.route.Class == routing.Streaming {
+		request.Prefer = x.gateway.opt.Dispatcher.Prefer(x.service, affinity)
+	}
+	if err := owner.Submit(request); err != nil {
+		return core.Answer{Kind: core.Refused, RetryAfter: pressedRetryAfter}
+	}
+	late := time.NewTimer(left + overdue)
+	defer late.Stop()
+	select {
+	case a := <-w.answer:
+		return a
+	case <-late.C:
+		owner.Gone(x.attempt, w)
+		return core.Answer{Kind: core.Failed}
+	case <-x.request.Context().Done():
+		owner.Gone(x.attempt, w)
+		return core.Answer{Kind: gone}
+	}
+}
+
+// gone is the kind of answer to a client that has left.
+const gone core.Kind = 255
+
+// answer gives the final answer. Before the end of a whole stream, kept is asked where it
+// is not nil: without its consent the answer breaks off.
+func (x *exchange) answer(a core.Answer, kept func() bool) {
+	count := x.gateway.opt.Count
+	reply, _ := a.Reply.(*message.Reply)
+	switch {
+	case a.Kind == gone:
+		count.Add("client.gone")
+		panic(http.ErrAbortHandler)
+	case reply != nil:
+		defer reply.Close()
+		x.pass(reply, kept)
+	case a.Kind == core.Refused:
+		x.gateway.refuse(x.writer, max(a.RetryAfter, pressedRetryAfter), "answer.refused")
+	case a.Kind == core.Duplicate:
+		count.Add("answer.duplicate")
+		http.Error(x.writer, "the id is in use", http.StatusConflict)
+	case time.Now().Before(x.deadline):
+		count.Add("answer.failed")
+		http.Error(x.writer, "no server answered", http.StatusBadGateway)
+	default:
+		count.Add("answer.late")
+		http.Error(x.writer, "no server answered in time", http.StatusGatewayTimeout)
+	}
+}
+
+// pass hands a server's answer on, unchanged but for what concerns the connection.
+func (x *exchange) pass(reply *message.Reply, kept func() bool) {
+	h := x.writer.Header()
+	for name, values := range reply.Header {
+		if !connectionHeaders[name] {
+			h[name] = values
+		}
+	}
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // nothing is guessed about a server's bytes
+	}
+	if _, dated := reply.Header["Date"]; !dated {
+		h["Date"] = nil
+	}
+	if reply.Length != message.Unknown && kept == nil {
+		h.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	}
+	x.writer.WriteHeader(max(reply.Status, http.StatusOK))
+	if reply.Rest == nil {
+		x.writer.Write(reply.Body)
+	} else if !x.passStream(reply) {
+		x.gateway.opt.Count.Add("answer.broken")
+		panic(http.ErrAbortHandler) // net/http's way to end a session short of its answer
+	}
+	if kept != nil && !kept() {
+		x.gateway.opt.Count.Add("answer.not-kept")
+		panic(http.ErrAbortHandler)
+	}
+	x.gateway.opt.Count.Add("answer.served")
+}
+
+// passStream passes a long answer on, each piece as it comes, and tells whether it was whole.
+func (x *exchange) passStream(reply *message.Reply) bool {
+	control := http.NewResponseController(x.writer)
+	stop := closeWhenGone(x.request, reply)
+	defer stop()
+	buffer := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(buffer)
+	if len(reply.Body) == 0 {
+		control.Flush()
+	} else if _, err := x.writer.Write(reply.Body); err != nil || control.Flush() != nil {
+		return false
+	}
+	for {
+		n, err := reply.Rest.Read(buffer[:])
+		if n > 0 {
+			if _, failed := x.writer.Write(buffer[:n]); failed != nil || control.Flush() != nil {
+				return false
+			}
+		}
+		if err == io.EOF {
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
+
+// closeWhenGone ends a server's answer when its client leaves.
+func closeWhenGone(r *http.Request, reply *message.Reply) (stop func()) {
+	over := make(chan struct{})
+	go func() {
+		select {
+		case <-r.Context().Done():
+			reply.Rest.Close()
+		case <-over:
+		}
+	}()
+	return func() { close(over) }
+}
--- /dev/null
+++ b/internal/anemometer/gateway/gateway.go
@@ -0,0 +1,161 @@
+// Package gateway answers clients: it finds a request's route, has it sent to a server of
+// the route's service and passes the answer on. Turns of programs go by way of the
+// storage nodes that keep them.
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"pipitmux/internal/anemometer/dispatch"
+	"pipitmux/internal/anemometer/history"
+	"pipitmux/internal/anemometer/turnclient"
+	"pipitmux/internal/counters"
+	"pipitmux/internal/ingress"
+	"pipitmux/internal/message"
+	"pipitmux/internal/station/routing"
+)
+
+const (
+	// bodyWithin is how long a client may take for a body, and perByte how much longer for
+	// each byte that has come.
+	bodyWithin = 3 * time.Second
+	perByte    = time.Second / 48000
+	// startingWait is how long a request waits for the first configuration after a start, and
+	// startingRetryAfter what is told then. pressedRetryAfter is told where this node is at a
+	// limit of its own.
+	startingRetryAfter = 500 * time.Millisecond
+	startingWait       = 1500 * time.Millisecond
+	pressedRetryAfter  = 300 * time.Millisecond
+	// identifierMost is the longest id of a try, in bytes.
+	identifierMost = 256
+	// historyBytes is how much of what was said lately is kept in memory.
+	historyBytes = 12 << 20
+)
+
+// Options are what a Gateway needs.
+type Options struct {
+	Dispatcher *dispatch.Dispatcher
+	Turns      *turnclient.Client
+	Budget     *message.Budget
+	Count      *counters.Set
+	MaxOpen    int // requests that may be open at once
+}
+
+// Gateway answers clients' requests.
+type Gateway struct {
+	opt   Options
+	table atomic.Pointer[tables]
+	open  atomic.Int64
+
+	history    *history.Cache
+	configured chan struct{} // closed once a configuration is known
+}
+
+// tables are what a configuration says.
+type tables struct {
+	configuration *routing.Configuration
+	routes        *routing.Table
+	strides       map[string]uint64 // tokens in each event, by service
+}
+
+// New returns a Gateway that knows no configuration yet.
+func New(o Options) *Gateway {
+	return &Gateway{opt: o, history: history.New(historyBytes), configured: make(chan struct{})}
+}
+
+// Configure takes a configuration on: requests that come later follow it.
+func (g *Gateway) Configure(c *routing.Configuration) {
+	t := &tables{configuration: c, routes: routing.NewTable(c), strides: map[string]uint64{}}
+	for i := range c.Pools {
+		if e := c.Pools[i].Engine; e != nil {
+			t.strides[c.Pools[i].Name] = uint64(max(e.StreamChunk, 1))
+		}
+	}
+	if g.table.Swap(t) == nil {
+		close(g.configured)
+	}
+}
+
+// Configured tells whether a configuration is known.
+func (g *Gateway) Configured() bool { return g.table.Load() != nil }
+
+// exchange is one request on its way.
+type exchange struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	request  *http.Request
+	conn     *ingress.Conn
+	route    *routing.Route
+	tables   *tables
+	service  string
+	attempt  string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time // the final answer goes out by then
+}
+
+// Handle answers a request. It is for ingress.Options.Handler.
+func (g *Gateway) Handle(w http.ResponseWriter, r *http.Request, c *ingress.Conn) {
+	arrived := time.Now()
+	defer g.open.Add(-1)
+	over := g.open.Add(1) > int64(g.opt.MaxOpen)
+	if over {
+		g.refuse(w, pressedRetryAfter, "answer.pressed")
+		return
+	}
+	t := g.known(r)
+	if t == nil {
+		g.refuse(w, startingRetryAfter, "answer.starting")
+		return
+	}
+	route, ok := t.routes.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		g.opt.Count.Add("answer.no-route")
+		http.Error(w, "no route", http.StatusNotFound)
+		return
+	}
+	x := &exchange{gateway: g, writer: w, request: r, conn: c, route: route, tables: t, arrived: arrived}
+	if fault := x.read(); fault != nil {
+		g.opt.Count.Add("answer.malformed")
+		w.Header().Set("Connection", "close")
+		http.Error(w, fault.Error(), fault.Status)
+		return
+	}
+	x.service = route.Pick(rand.Float64())
+	x.serve()
+}
+
+// known returns what the configuration says. A process that has just started waits a while
+// for its first one: what it needs is on its way, and the client's tries are few.
+func (g *Gateway) known(r *http.Request) *tables {
+	if t := g.table.Load(); t != nil {
+		return t
+	}
+	wait := time.NewTimer(startingWait)
+	defer wait.Stop()
+	select {
+	case <-g.configured:
+	case <-wait.C:
+	case <-r.Context().Done():
+	}
+	return g.table.Load()
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, after time.Duration, why string) {
+	g.opt.Count.Add(why)
+	w.Header().Set("Retry-After", seconds(after))
+	http.Error(w, "try again", http.StatusServiceUnavailable)
+}
+
+// serve has a request that came whole carried out and answered.
+func (x *exchange) serve() {
+	if x.isTurn() {
+		x.serveTurn()
+		return
+	}
+	a := x.dispatch(x.body, x.request.Header.Get(sessionHeader), 0)
+	x.answer(a, nil)
+}
--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -63,7 +63,7 @@
 		options options
 	}{
 		{"vote after a wipe under the old id", options{forgetful: true}},
-		{"answer before the write is durable", options{flaws: replica.FlawAnswerEarly}},
+		{"answer before the write is durable", options{flaws: replica.FlawAnswerEarly, frequent: true, startNodes: 3, faults: 4}},
 		{"lease not checked after a freeze", options{flaws: replica.FlawCachedLease}},
 		{"older terms committed by counting", options{flaws: replica.FlawCountOldTerms, frequent: true, startNodes: 5, faults: 10}},
 		{"votes given while a lease may run", options{flaws: replica.FlawNoRefusal}},
--- a/internal/barograph/replica/simulation_world_test.go
+++ b/internal/barograph/replica/simulation_world_test.go
@@ -112,7 +112,7 @@
 	if w.frequent {
 		longest = 30 * time.Millisecond
 		w.batch = 1
-		w.delay = 15 * time.Millisecond
+		w.delay = 30 * time.Millisecond
 	}
 	w.every(5*time.Millisecond, longest, w.fault)
 	w.healAt = time.Duration(max(1, w.faults)) * faultyFor
