--- a/internal/anemometer/gateway/turn.go
+++ b/internal/anemometer/gateway/turn.go
@@ -45,7 +45,6 @@
 	previous string
 	most     uint64
 	imported []byte // what was said before, where another partition keeps it
-	admitted bool
 	gathered events.Gatherer
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -56,7 +56,7 @@
 		case "broken":
 			panic(http.ErrAbortHandler)
 		case "moved":
-			http.Redirect(w, r, "/elsewhere", 302)
+			http.Redirect(w, r, "/elsewhere", http.StatusFound)
 		}
 	}))
 	defer s.Close()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -299,7 +299,7 @@
 // entry reads an M line: capacity, state, born, kind, zone, server, cell.
 func entry(f []string) (s logic.Server, err error) {
 	if f[0] != "M" || len(f) != 8 {
-		return s, errors.New("M with 7 values wanted")
+		return s, errors.New("an M line with 7 values wanted")
 	}
 	s.Capacity = 1
 	if f[1] != "-" {
