Learn once from a streamed answer, when it begins

Cause: the first event of a stream taught its latency and the end taught the whole stream's again, so the curves took long answers for slow servers; a stream cut or left by its client counted as work that goes on; and each stream longer than its aim counted as missed.

Change: an attempt learnt from at Started tells at its Outcome only of a break: Failed and Reset blame the server, unless the client has left. Whether it was in time is judged by when it began. Started counts once, for an attempt that is out; any outcome of a begun attempt ends its request.

--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -24,14 +24,21 @@
 		return
 	}
 	t := &r.tries[o.Attempt]
-	t.open, t.mayRun, r.idle = false, !o.Result.NeverRan(), o.Result == ConnectFailed || o.Result >= Canceled
+	cut := o.Result == TimedOut || o.Result == Canceled
+	t.open, t.mayRun = false, !o.Result.NeverRan()
+	r.idle = o.Result == ConnectFailed || o.Result >= Canceled || t.begun && cut
 	t.s.inflight -= r.work
 	r.open--
-	if o.Result == TimedOut || o.Result == Canceled {
+	if cut && !t.begun {
 		// A cut may not stop the work: the longer an attempt took, the longer it may still take.
 		t.s.ghosts = append(t.s.ghosts, b.now+o.Latency)
 	}
-	b.learn(r, t, o)
+	b.reported(t.s, o.Report)
+	if !t.begun {
+		b.learn(r, t, o)
+	} else if !r.closed && (o.Result == Failed || o.Result == Reset) {
+		b.blame(t.s, t)
+	}
 	if b.cfg.ConnectCharge == 0 && t.s.inflight == 0 {
 		// Many nodes' idle connections fill a server's table, which slows it. A new one has no price here.
 		b.do(CloseIdle{Server: t.s.ID})
@@ -39,7 +46,7 @@
 	switch {
 	case r.closed:
 		b.forget(r)
-	case o.Final:
+	case o.Final || t.begun:
 		b.close(r, o.Result == OK)
 	case !r.streaming && r.open == 0 && !b.retry(r):
 		b.finish(r)
@@ -69,14 +76,16 @@
 	return true
 }
 
-// stream notes that an answer has begun: it has no deadline any more.
+// stream learns from an answer that has begun. It has no deadline any more; its end tells only of a break.
 func (b *Balancer) stream(e Started) {
 	r := b.reqs[e.ID]
-	if r == nil || r.closed || e.Attempt < 0 || e.Attempt >= len(r.tries) {
+	if r == nil || r.closed || r.streaming || e.Attempt < 0 || e.Attempt >= len(r.tries) ||
+		!r.tries[e.Attempt].open {
 		return
 	}
-	r.streaming = true
-	b.learn(r, &r.tries[e.Attempt], Outcome{Result: OK, Latency: e.Latency})
+	t := &r.tries[e.Attempt]
+	r.streaming, r.began, r.idle, t.begun = true, b.now, true, true
+	b.learn(r, t, Outcome{Result: OK, Latency: e.Latency})
 }
 
 // finish gives the final answer of a request that was not served.
@@ -93,21 +102,24 @@
 
 // close ends a request and calls off what is still out for it.
 func (b *Balancer) close(r *request, served bool) {
-	r.closed, r.closedAt = true, b.now
+	at := b.now // of the answer
+	if r.closed, r.closedAt = true, b.now; r.streaming {
+		at = r.began
+	}
 	if served && !r.brief {
 		r.class.lost = max(r.class.lost-missStep, 0)
 	}
-	if !served && r.idle && b.now < r.aim-b.cfg.Tick { // its client left, or no connection came up: no jam
+	if !served && r.idle && at < r.aim-b.cfg.Tick { // its client left, or no connection came up: no jam
 		b.room += float64(r.open)
 	} else if len(r.tries) > 0 {
 		miss := 1.0
-		if served && b.now <= r.aim {
+		if served && at <= r.aim {
 			miss = 0
 			b.room += roomGain / b.usual
 			b.budget = min(b.budget+retryShare, retryBurst)
 		}
 		step := borneStep
-		if !served || r.aim-b.now < r.class.Aim/2 {
+		if !served || r.aim-at < r.class.Aim/2 {
 			step = -borneFall // it waited: let in more, and what is left is crowded
 		}
 		b.borne = max(b.borne+(1-b.left)*step, 0)
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -88,12 +88,12 @@
 }
 
 type attempt struct {
-	s            *server
-	zone         string
-	cell         int
-	queue        float64 // logarithm of the reported queue against the mean one
-	sent         time.Duration
-	open, mayRun bool
+	s                   *server
+	zone                string
+	cell                int
+	queue               float64 // logarithm of the reported queue against the mean one
+	sent                time.Duration
+	open, mayRun, begun bool // begun: its answer streams
 }
 
 // request is a client's request that is owed an answer or an outcome.
@@ -113,7 +113,7 @@
 	retried, closed, streaming bool
 	brief                      bool // its client waits so briefly that, were it late, its aim is over
 	idle                       bool // the end of its last attempt, or that there was none, tells of no load
-	closedAt                   time.Duration
+	closedAt, began            time.Duration
 }
 
 // New returns a Balancer for one node. Equal seeds and events give equal actions.
--- a/logic/learn.go
+++ b/logic/learn.go
@@ -38,7 +38,6 @@
 
 func (b *Balancer) learn(r *request, t *attempt, o Outcome) {
 	s := t.s
-	b.reported(s, o.Report)
 	x := o.Latency.Seconds() / r.unit
 	switch done := o.Result == OK; o.Result {
 	case OK, TimedOut, Canceled:
