Send a request that was turned away to a server not tried yet

Cause: a retry left out only the last server. A request whose attempts never ran went round: with six full servers and no limit, twelve sends, each server twice; with two and a limit of four, back and forth.

Change: mayRepeat takes only servers that the request has not been sent to, so the limit on attempts is one on servers.

--- a/logic/guard.go
+++ b/logic/guard.go
@@ -30,14 +30,14 @@
 	return s.serves() && (free || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
 }
 
-// mayRepeat tells whether a further attempt to s can double no effect.
+// mayRepeat tells whether a further attempt goes to a server not tried yet and can double no effect.
 func (b *Balancer) mayRepeat(r *request, s *server) bool {
 	if r.most > 0 && len(r.tries) >= r.most || r.open > 0 && !b.cfg.SecondCopies {
 		return false
 	}
 	c := r.class
 	return !slices.ContainsFunc(r.tries, func(t attempt) bool {
-		return t.mayRun && (c.Effect == Unsafe ||
+		return t.s == s || t.mayRun && (c.Effect == Unsafe ||
 			c.Effect == Keyed && (b.now-t.sent >= c.Window || !c.sees(t.zone, t.cell, s)))
 	})
 }
