Prefer servers that hold part of a prompt, and let a request state its worth

Cause: servers keep the prompts that they worked on; one that holds the first part of a new one answers it sooner, but the pick knew only loads and latencies. And requests of one class may differ in what they earn.

Change: Request.Prefer names such servers, best first. After the usual pick and the early refusal, the first of them takes the first send that may be sent to, is not set aside, holds at most 4 requests and 1.5 times its part of this node's by capacity, and whose chance is at most 0.05 below the best's; θ and the alternative are then its own. After a promise of not having run the next such server is asked, else the alternative.

--- a/logic/api.go
+++ b/logic/api.go
@@ -182,7 +182,8 @@
 	Servers []Server
 }
 
-// Request is a client's request. The node owes it one final answer.
+// Request is a client's request. The node owes it one final answer. The Balancer keeps
+// Prefer until then.
 type Request struct {
 	ID      RequestID
 	Class   string
@@ -191,6 +192,8 @@
 	Tenant  string        // "" where there are no tenants
 	Hint    time.Duration // expected work on a standard core, 0: not known
 	Coming  bool          // its last byte has not come: one attempt can be made, which is no load yet
+	Worth   float64       // of this request, above 0 and finite; 0: its class's
+	Prefer  []ServerID    // servers known to hold part of its prompt, best first
 }
 
 // Whole tells that the last byte has come of a request that was told as Coming: its time
--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -11,9 +11,9 @@
 		s.tokens -= r.cost
 	}
 	t := attempt{s: s, zone: s.Zone, cell: s.Cell, queue: b.queue(s), sent: b.now, open: true, mayRun: true}
+	r.tries = append(r.tries, t)
 	s.report, s.sent = s.report+1, b.now
 	b.room = max(b.room-1, -2*roomMost)
-	r.tries = append(r.tries, t)
 	r.open++
 	b.do(Send{ID: r.id, Server: s.ID, Within: within})
 }
@@ -67,6 +67,9 @@
 	if alt == nil || b.gain(r, alt, 0) < realChance {
 		return false
 	}
+	if s := b.preferred(r, max(b.gain(r, alt, 0)-clearBeat, realChance)); s != nil && !last.mayRun {
+		alt = s
+	}
 	r.alt = nil
 	if last.mayRun {
 		r.retried = true
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -79,8 +79,7 @@
 	reported      time.Duration // when that came
 	tokens        float64       // cold budget left
 	filled        time.Duration // when tokens was brought up to date
-	mark          uint64
-	place         uint64 // on the ring
+	mark, place   uint64        // seen by the present search; on the ring
 	// Where requests tell their work, what this node may have out to it (0: none learned): less while
 	// it takes twice that or more, as with two requests a core, which soon slows it further; else more.
 	limit, slow float64 // and the logarithm of its latency against that work lately
@@ -106,10 +105,9 @@
 	cost                       float64       // its work against a usual one's
 	worth                      float64       // what it earns, within its tenant's share or beyond
 	tries                      []attempt
-	open                       int
-	most                       int // attempts allowed, 0: no limit
-	work                       int // an attempt's load on its server: none while the request still comes
+	open, most, work           int // attempts out, allowed (0: any); load of each, none while it comes
 	alt                        *server
+	prefer                     []ServerID
 	retried, closed, streaming bool
 	brief                      bool // its client waits so briefly that, were it late, its aim is over
 	idle                       bool // the end of its last attempt, or that there was none, tells of no load
@@ -240,7 +238,7 @@
 
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
-	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true}
+	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true, prefer: q.Prefer}
 	if r.most, r.work = cmp.Or(c.MaxAttempts, b.cfg.MaxAttempts), 1; q.Coming {
 		r.most, r.work = 1, 0
 	}
@@ -255,7 +253,7 @@
 	}
 	expires := min(q.Expires, c.Deadline)
 	aim -= c.passed(r, expires, aim)
-	if r.worth = c.r; b.overShare(q.Tenant) {
+	if r.worth = cmp.Or(max(q.Worth, 0), c.r); b.overShare(q.Tenant) {
 		r.worth *= b.cfg.OverShareWorth
 	}
 	b.worth = cmp.Or(b.worth, c.r)
--- a/logic/choose.go
+++ b/logic/choose.go
@@ -44,10 +44,9 @@
 	// same, or a class refused once would be refused for ever; fewer the more was sent in vain.
 	need := b.enough(r)*(r.class.r+r.class.v) - r.class.v
 	b.room, b.roomAt = min(b.room+roomLeast*(b.now-b.roomAt).Seconds(), roomMost), b.now
-	// Where capacity has gone and this node's part of the load is thin, what is left is not known to bear the
-	// load, and crowded it stays slow: less is let in at once, least of what is worth much, then more as what
-	// is let in comes back soon. So it is where many nodes share each server and all answers take over twice
-	// their work: a limit of one from each node is more than a server bears.
+	// Where capacity has gone and this node's load is thin, what is left may not bear it, and crowded it
+	// stays slow: less is let in at once, by worth, then more as that comes back soon. So it is where many
+	// nodes share each server and answers take twice their work: one from each is more than it bears.
 	b.borne = min(b.borne, 1-b.left)
 	shared := min(float64(len(b.ring)-len(b.near)), 1)
 	over := max(1-b.left-b.borne, (b.strain-math.Ln2)*shared)
@@ -72,6 +71,9 @@
 			return nil, 0, nil
 		}
 	}
+	if s := b.preferred(r, (bestPay+r.class.v)/(r.class.r+r.class.v)-clearBeat); s != nil {
+		pick = s
+	}
 	theta, alt, pay := b.theta(r, pick, left)
 	if bestPay > pay+clearBeat*(r.class.r+r.class.v) {
 		// Any of the candidates that are about as good as the best, drawn by capacity.
@@ -84,6 +86,19 @@
 	return pick, theta, alt
 }
 
+// preferred returns the first server known to hold part of the prompt that may be sent to, promises at least
+// such a gain and is neither set aside nor crowded.
+func (b *Balancer) preferred(r *request, least float64) *server {
+	for _, id := range r.prefer {
+		s := b.servers[id]
+		if s != nil && !s.aside(b.now) && b.maySend(r, s) && b.gain(r, s, 0) >= least &&
+			s.load(b.now) <= heldLeast+heldTimes*float64(len(b.bySeq))*s.Capacity/b.nearSum {
+			return s
+		}
+	}
+	return nil
+}
+
 // enough is the chance below which a request is refused. In a jam the work that is let in displaces other
 // work, so it has to earn what other work would: a class worth little is refused sooner than one worth much,
 // and altogether where that much worth is missed among what was let in.
--- a/logic/constants.go
+++ b/logic/constants.go
@@ -17,6 +17,8 @@
 	thetaSpread = 0.10 // a chosen time-out is spread by up to this part, against retry waves
 	subsetLeast = 8    // servers that a node of a large fleet sends to, at least,
 	coverLeast  = 4    // and so many that each server has this many nodes on the mean
+	heldLeast   = 4.0  // a server that holds part of a prompt may have so many requests of this node,
+	heldTimes   = 1.5  // and so many times its part of them, by capacity, and still be preferred
 	scanAll     = 16   // up to this many servers are all looked at, else a sample of that size
 	drawTries   = 6    // draws by capacity before the last one is taken as it is
 
--- a/logic/curve.go
+++ b/logic/curve.go
@@ -30,15 +30,12 @@
 }
 
 func (c *curve) age(now, life time.Duration) {
-	if now <= c.aged {
-		return
-	}
-	f := math.Exp2(-float64(now-c.aged) / float64(life))
+	f := math.Exp2(-float64(max(now-c.aged, 0)) / float64(life))
 	for i := range c.done {
 		c.done[i] *= f
 		c.cut[i] *= f
 	}
-	c.aged = now
+	c.aged = max(c.aged, now)
 }
 
 // survival is the chance to take longer than x.
--- a/logic/guard.go
+++ b/logic/guard.go
@@ -6,7 +6,6 @@
 	"time"
 )
 
-// serves tells whether the server was not said to drain or be gone.
 func (s *server) serves() bool { return s.listed && s.State == Serving }
 
 // load is the work that the server has of this node: what is out, and what was cut and may go on.
@@ -15,7 +14,6 @@
 	return float64(s.inflight + len(s.ghosts))
 }
 
-// aside tells whether the server is set aside as an outlier.
 func (s *server) aside(now time.Duration) bool { return s.bad >= outlierAfter && now < s.until }
 
 // mayRetry tells whether the class lets a request go again that may have run.
@@ -61,10 +59,9 @@
 	return min(max(b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(age, 0), 0.01), 1)
 }
 
-// mayTake tells whether a ready server may be sent something now. A cold one is held to this node's share of
-// what the server can do: a warm server of its size was seen to serve so much of this node, and that, times
-// the warmth, is safe however many nodes there are. What is served in a jam tells nothing of that: by it,
-// cold servers would stand idle while the warm ones are overrun.
+// mayTake tells whether a ready server may be sent something now. A cold one is held to what a warm server of
+// its size was seen to serve of this node, times the warmth, which is safe however many nodes there are. What
+// is served in a jam tells nothing of that: cold servers would stand idle while the warm ones are overrun.
 func (b *Balancer) mayTake(s *server) bool {
 	w := b.warmth(s)
 	if w >= 1 {
--- a/logic/list.go
+++ b/logic/list.go
@@ -133,7 +133,6 @@
 // askLimit is the longest pause between calls while there is no subscription.
 func (b *Balancer) askLimit() time.Duration { return min(askMost, cmp.Or(b.cfg.AskWithin/2, askMost)) }
 
-// askDue calls discovery where there is no subscription and no call is out.
 func (b *Balancer) askDue() {
 	if b.ask.subscribed || b.ask.pending && b.now-b.ask.since < askPatience {
 		return
--- a/logic/stream_test.go
+++ b/logic/stream_test.go
@@ -108,12 +108,14 @@
 		require.NoError(t, b.SetClasses(b.cfg.Classes))
 		b.budget = 0
 		begin(t, b, 0, "r", tt.begins)
+		b.left = 0.5 // of the capacity: that an answer came soon shows that the loss is borne
 		out := b.Handle(20*time.Second, tt.end)
 		assert.Empty(t, of[Send](out), "%s: it goes to no other server", tt.name)
 		assert.Empty(t, of[Fail](out), "%s: a begun answer is the client's", tt.name)
 		assert.Empty(t, of[Refuse](out), "%s: a begun answer is the client's", tt.name)
 		assert.Equal(t, tt.missed, b.missed > 0, tt.name)
 		assert.Equal(t, tt.earned, b.budget > 0, tt.name)
+		assert.Equal(t, tt.earned, b.borne > 0, tt.name)
 		assert.Empty(t, b.bySeq, tt.name)
 	}
 }
@@ -133,6 +135,21 @@
 	assert.Len(t, of[Send](third), 1)
 }
 
+// A client that leaves a stream which began in time has missed nothing, also where another server had turned
+// its request away.
+func TestALeftStreamIsNoMissAfterARetry(t *testing.T) {
+	cfg := testSettings()
+	cfg.Classes = []Class{{Name: "c", Aim: 300 * ms, Deadline: 600 * ms, Stream: true}}
+	b := newNode(t, cfg, alike(4)...)
+	first := of[Send](b.Handle(0, Request{ID: "r", Class: "c", Expires: 600 * ms}))
+	require.Len(t, first, 1)
+	second := of[Send](b.Handle(ms, Outcome{ID: "r", Result: QueueFull, Server: first[0].Server, Latency: ms}))
+	require.Len(t, second, 1)
+	b.Handle(20*ms, Started{ID: "r", Attempt: 1, Server: second[0].Server, Latency: 19 * ms})
+	b.Handle(20*time.Second, ClientGone{ID: "r"})
+	assert.Zero(t, b.missed)
+}
+
 // One stream after the other that breaks sets its server aside, though each began well.
 func TestStreamsThatBreakAtOnceSetTheirServerAside(t *testing.T) {
 	b := streamNode(t)
