Carry attempts to servers in internal/upstream, with streams and failures passed on

Cause: a further program is to speak another protocol with servers over the same connections, with answers that stream and failures that go to the client unchanged. The pool held the backends' header names, and the core knew whole answers only.

Change: pool, gates, upload and reading of answers move from internal/backend to internal/upstream, which asks a Codec for heads and verdicts; internal/backend keeps the codec of the backends. New there: answers to other reqs are dropped (two at most), streamed answers are handed out by their head, bounded as a whole by the attempt's time and freed as soon as their reader leaves, a limit of connections by place, and TCP_USER_TIMEOUT. The core is told Begun and the end of a stream, passes the newest failure marked Pass on, takes other classes on, and does without a director.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -23,6 +23,7 @@
 	"pipitmux/internal/message"
 	"pipitmux/internal/peers"
 	"pipitmux/internal/session"
+	"pipitmux/internal/upstream"
 	"pipitmux/logic"
 )
 
@@ -63,10 +64,10 @@
 		place.recall(disk, time.Now())
 	}
 	budget := message.NewBudget(0)
-	pool := backend.New(backend.Options{
+	pool := upstream.New(backend.Codec{Fields: c.Settings.ReportFields}, upstream.Options{
 		ConnectTimeout: c.ConnectTimeout,
 		IdleFor:        time.Duration(float64(c.Settings.ConnIdle) * c.Own.Backend.IdleShare),
-		Fields:         c.Settings.ReportFields, Relayed: fig.Relayed, Budget: budget,
+		Bare:           true, Relayed: fig.Relayed, Budget: budget,
 	}, count, log)
 	front := session.New(session.Options{
 		Classes: c.Settings.Classes, RetryAfter: c.RetryAfter,
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"time"
 
-	"pipitmux/internal/backend"
 	"pipitmux/internal/cli"
 	"pipitmux/internal/config"
 	"pipitmux/internal/core"
@@ -19,6 +18,7 @@
 	"pipitmux/internal/logging"
 	"pipitmux/internal/message"
 	"pipitmux/internal/session"
+	"pipitmux/internal/upstream"
 )
 
 const (
@@ -181,7 +181,7 @@
 // while another process of the node runs.
 type shares struct {
 	c      *config.Config
-	pool   *backend.Pool
+	pool   *upstream.Pool
 	front  *session.Front
 	budget *message.Budget
 	log    *slog.Logger
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,11 +1,8 @@
 package backend
 
 import (
-	"context"
-	"errors"
-	"io"
+	"bytes"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -13,6 +10,7 @@
 
 	"pipitmux/internal/core"
 	"pipitmux/internal/message"
+	"pipitmux/internal/upstream"
 	"pipitmux/logic"
 )
 
@@ -35,72 +33,47 @@
 		{"", []string{"pending"}, nil},
 		{"queue=2", nil, nil},
 	} {
-		p := New(Options{Fields: tt.fields}, nil, nil)
-		assert.Equal(t, tt.want, p.report(tt.text), "%q as %v", tt.text, tt.fields)
+		c := Codec{Fields: tt.fields}
+		assert.Equal(t, tt.want, c.report(tt.text), "%q as %v", tt.text, tt.fields)
 	}
 }
 
-// Only what proves that an attempt never ran may be called so.
-func TestStagesDecideTheResult(t *testing.T) {
-	timeout, off, broke := context.DeadlineExceeded, context.Canceled, errors.Join(io.EOF)
+// The head of a req, to the byte.
+func TestHead(t *testing.T) {
+	const start = "POST /api/x HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: i\r\n"
 	for _, tt := range []struct {
-		stage Stage
-		err   error
-		want  logic.Result
+		call message.Call
+		left time.Duration
+		want string
 	}{
-		{NotConnected, broke, logic.ConnectFailed}, {NotConnected, timeout, logic.ConnectFailed},
-		{PartlyWritten, broke, logic.ConnectFailed}, {PartlyWritten, timeout, logic.ConnectFailed},
-		{WrittenWhole, broke, logic.Reset}, {WrittenWhole, timeout, logic.TimedOut},
-		{AnswerBegun, broke, logic.Reset}, {AnswerBegun, timeout, logic.TimedOut},
-		{NotConnected, off, logic.Canceled}, {AnswerBegun, off, logic.Canceled},
+		{message.Call{}, 5 * time.Millisecond, "X-Time-Left: 5000u\r\nContent-Length: 0\r\n\r\n"},
+		{message.Call{Key: "k", ContentType: "text/plain", Length: 3}, -1,
+			"X-Time-Left: 1u\r\nIdempotency-Key: k\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n"},
+		{message.Call{Length: message.Unknown, Header: http.Header{"More": {"1"}}}, time.Second,
+			"X-Time-Left: 1000000u\r\nTransfer-Encoding: chunked\r\n\r\n"},
 	} {
-		assert.Equal(t, tt.want, (&Error{tt.stage, tt.err}).result(), "%s, %v", stageNames[tt.stage], tt.err)
+		tt.call.Method, tt.call.Target, tt.call.Host, tt.call.ID = "POST", "/api/x", "h", "i"
+		var out bytes.Buffer
+		Codec{}.Head(&out, &tt.call, core.Place{}, tt.left)
+		assert.Equal(t, start+tt.want, out.String())
 	}
+	var out bytes.Buffer
+	Codec{}.Head(&out, &message.Call{Method: "GET", Target: "/", Host: "h", ID: "i"}, core.Place{}, time.Second)
+	assert.NotContains(t, out.String(), "Content-Length")
 }
 
-// attempt makes one attempt at a backend and waits for its only end.
-func attempt(p *Pool, at string, call any) logic.Result {
-	ends := make(chan core.Ended, 2)
-	p.Start(core.Attempt{Call: call, Place: core.Place{ID: logic.ServerID(at), Endpoint: at}, Until: time.Now().Add(20 * time.Second)},
-		func(e core.Ended) { ends <- e })
-	return (<-ends).Result
-}
-
-// A node that runs out of sockets gives up idle connections first, and then
-// says that it could not connect: nothing of the req has run.
-func TestSocketLimit(t *testing.T) {
-	release, arrived := make(chan struct{}), make(chan struct{}, 10)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if arrived <- struct{}{}; r.URL.Path == "/wait" {
-			<-release
-		}
-	})
-	one, two := httptest.NewServer(handler), httptest.NewServer(handler)
-	defer one.Close()
-	defer two.Close()
-	p := poolOf(1)
-	call := &message.Call{Method: "GET", Target: "/", Host: "h", ID: "i"}
-	assert.Equal(t, logic.OK, attempt(p, one.Listener.Addr().String(), call))
-	assert.Equal(t, logic.OK, attempt(p, two.Listener.Addr().String(), call), "the idle connection made room")
-	busy := make(chan logic.Result, 1)
-	go func() {
-		busy <- attempt(p, one.Listener.Addr().String(), &message.Call{Method: "GET", Target: "/wait", Host: "h", ID: "j"})
-	}()
-	for range 3 {
-		<-arrived
-	}
-	assert.Equal(t, logic.ConnectFailed, attempt(p, two.Listener.Addr().String(), call))
-	close(release)
-	assert.Equal(t, logic.OK, <-busy)
-}
-
-// A panic ends its attempt, as one that may have run, and gives its socket back.
-func TestPanicStopsAtTheConnection(t *testing.T) {
-	s := httptest.NewServer(http.NotFoundHandler())
-	defer s.Close()
-	p := poolOf(1)
-	for range 2 {
-		assert.Equal(t, logic.Reset, attempt(p, s.Listener.Addr().String(), "no call"))
+// Only what a backend marks as unprocessed never ran, and nothing is handed on but a 200.
+func TestJudge(t *testing.T) {
+	for _, tt := range []struct {
+		status      int
+		unprocessed string
+		want        logic.Result
+	}{
+		{200, "", logic.OK}, {200, "1", logic.OK}, {201, "", logic.Failed}, {500, "1", logic.Failed},
+		{503, "", logic.Failed}, {503, "1", logic.QueueFull}, {503, "0", logic.Failed}, {504, "1", logic.QueueFull},
+	} {
+		header := http.Header{"X-Unprocessed": {tt.unprocessed}, "X-Backend-Load": {"queue=2"}}
+		got := Codec{Fields: []string{"pending"}}.Judge(&message.Call{}, &http.Response{StatusCode: tt.status, Header: header})
+		assert.Equal(t, upstream.Verdict{Result: tt.want, Report: []float64{2}}, got, "%d, unprocessed %q", tt.status, tt.unprocessed)
 	}
-	assert.Zero(t, p.open)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,7 +44,7 @@
 const (
 	Served    Kind = iota // Reply is a backend's answer
 	Refused               // a synthetic answer: trying again is harmless
-	Failed                // an answer that promises nothing
+	Failed                // an answer that promises nothing; a Reply is a backend's own failure, to be passed on
 	Duplicate             // the id belongs to a req that is still held
 )
 
@@ -52,7 +52,11 @@
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration
-	Reply      any
+	// Reply is set where Kind is Served. Where Kind is Failed it may be: it then is the newest
+	// failure that a backend answered with and that goes to the client unchanged, in the place
+	// of a refusal too. Only a carrier that ends attempts with Pass brings such ones. Who gets
+	// a Reply that is an io.Closer closes it.
+	Reply any
 }
 
 // Place is where a backend's present process is reached.
@@ -66,23 +70,28 @@
 type Attempt struct {
 	Call   any
 	Place  Place
-	Until  time.Time     // zero for a req whose last byte has not come
+	Until  time.Time     // for the whole answer, streamed ones too; zero for a req whose last byte has not come
 	Within time.Duration // and then it has so long from that byte
 	Before time.Time     // its first byte has to be written before then; zero: whenever
 }
 
-// Ended is how an attempt ended.
+// Ended is how an attempt ended, or that its streamed answer has begun.
 type Ended struct {
 	Result logic.Result
-	Reply  any       // of an OK; an io.Closer is closed where nobody gets it
+	Reply  any       // of an OK, or with Pass; an io.Closer is closed where nobody gets it
 	Report []float64 // nil: none came
 	At     time.Time
 	Left   bool // it was not begun, since the client has left
+	Begun  bool // an OK whose Reply is still coming: the attempt's end is told once the Reply is closed
+	Pass   bool // the Reply is a backend's own failure: it is the req's answer where no other attempt serves it
 }
 
 // Backends carries attempts. Its methods must not block.
 type Backends interface {
-	// Start begins an attempt, calls done once, and returns what calls it off.
+	// Start begins an attempt, calls done once, and returns what calls it off. Of a streamed
+	// answer done is called twice: with Begun when it comes, and without when its Reply was
+	// closed. Then the Result is OK if the Reply was read whole, Reset if the backend broke it,
+	// TimedOut if Until passed, and Canceled if it was closed or called off before its end.
 	Start(a Attempt, done func(Ended)) (cancel func())
 	// Withdraw ends the attempts to a place that have not begun, as Moot. None begins after it.
 	Withdraw(Place)
@@ -90,7 +99,8 @@
 }
 
 // Director brings the list of backends. Its methods must not block; each call
-// is answered by exactly one List.
+// is answered by exactly one List. A core whose settings don't say MustSubscribe may have
+// none: nil.
 type Director interface {
 	Subscribe()
 	Fetch()
@@ -217,6 +227,11 @@
 	c.urgent <- func() { c.owner.Learn(text, whole) }
 }
 
+// Reconfigure has the core take on other classes, for reqs that come later.
+func (c *Core) Reconfigure(classes []logic.Class) {
+	c.urgent <- func() { c.owner.Reconfigure(classes) }
+}
+
 // Ready tells whether the node knows a backend that takes reqs.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"runtime/debug"
@@ -63,6 +62,8 @@
 	attempts []sent
 	open     int
 	over     bool             // answered, or its client has gone
+	streams  bool             // the answer still comes
+	failure  any              // the newest Reply that is passed on where no attempt serves the req, nil: none
 	timers   []logic.SetTimer // which start with its last byte
 }
 
@@ -73,6 +74,7 @@
 	server logic.ServerID
 	cancel func()
 	never  bool // it has ended and did not run
+	stream stream
 }
 
 // NewOwner returns an Owner of the module, which must have been made for the
@@ -183,8 +185,11 @@
 		// The module's last timer for a req and the time-out of its attempt fall due together.
 		// An attempt whose time is over ends as timed out: called off, a backend that hangs
 		// would bear no blame, or would by chance.
-		if r := o.reqs[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && o.at.Before(r.attempts[a.Attempt].until) {
-			r.attempts[a.Attempt].cancel()
+		// A stream that answers its req ends with its reader.
+		if r := o.reqs[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+			if t := &r.attempts[a.Attempt]; o.at.Before(t.until) && !t.stream.answers {
+				t.cancel()
+			}
 		}
 	case logic.Refuse:
 		o.answer(a.ID, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
@@ -193,9 +198,13 @@
 	case logic.SetTimer:
 		heap.Push(&o.timers, timer{at: o.at.Add(a.After), token: a.Token})
 	case logic.Subscribe:
-		o.world.Director.Subscribe()
+		if o.world.Director != nil {
+			o.world.Director.Subscribe()
+		}
 	case logic.Fetch:
-		o.world.Director.Fetch()
+		if o.world.Director != nil {
+			o.world.Director.Fetch()
+		}
 	case logic.CloseIdle:
 		if p, ok := o.places[a.Server]; ok {
 			o.world.Backends.CloseIdle(p)
@@ -274,6 +283,7 @@
 func (o *Owner) gone(id logic.RequestID, r *held) {
 	o.world.Count.Add("client.gone")
 	r.over = true
+	r.dropFailure()
 	o.tell(id, logic.ClientGone{ID: id})
 }
 
@@ -284,6 +294,11 @@
 		return
 	}
 	r.over = true
+	if f := r.failure; f != nil && a.Kind != Served {
+		a, r.failure = Answer{Kind: Failed, Reply: f}, nil
+		o.world.Count.Add("answer.passed")
+	}
+	r.dropFailure()
 	o.world.Count.Add(answerCounts[a.Kind])
 	if a.Kind != Served && o.world.Log.Enabled(context.Background(), slog.LevelDebug) {
 		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "req not served", slog.String(logging.Req, string(id)),
@@ -358,6 +373,10 @@
 
 // ended takes the end of an attempt. The first OK answers the req.
 func (o *Owner) ended(id logic.RequestID, n int, e Ended) {
+	if e.Begun {
+		o.begun(id, n, e)
+		return
+	}
 	o.world.Count.Add(outcomeCounts[e.Result])
 	r := o.reqs[id]
 	if r == nil {
@@ -379,15 +398,26 @@
 			slog.String(logging.Backend, string(t.server)), slog.Int(logging.Attempt, n),
 			slog.String(logging.Cause, outcomeCounts[e.Result][len("outcome."):]), slog.Duration("took", e.At.Sub(t.at)))
 	}
-	switch c, ok := e.Reply.(io.Closer); {
+	switch {
 	case e.Result == logic.OK && !r.over:
 		o.answer(id, Answer{Kind: Served, Reply: e.Reply})
-	case ok:
-		c.Close()
+	case e.Pass && !r.over:
+		r.dropFailure()
+		r.failure = e.Reply
+	default:
+		discard(e.Reply)
+	}
+	latency := max(e.At.Sub(t.at), 0)
+	if t.stream.begun {
+		latency = t.stream.latency
+	}
+	if t.stream.answers {
+		r.streams = false
 	}
+	// While the answer streams, the end of a second copy does not finish the req.
 	o.tell(id, logic.Outcome{
-		ID: id, Attempt: n, Result: e.Result, Final: r.over, Server: t.server,
-		Latency: max(e.At.Sub(t.at), 0), Report: e.Report,
+		ID: id, Attempt: n, Result: e.Result, Final: r.over && !r.streams, Server: t.server,
+		Latency: latency, Report: e.Report,
 	})
 	o.forget(id, r)
 }
@@ -444,43 +474,3 @@
 		o.world.Backends.CloseIdle(p)
 	}
 }
-
-// Wake tells the timers that are due. Before each, ahead is called where it is
-// not nil: what may not wait for a timer goes there.
-func (o *Owner) Wake(ahead func()) {
-	for now := o.world.Now(); len(o.timers) > 0 && !o.timers[0].at.After(now); {
-		t := heap.Pop(&o.timers).(timer)
-		if ahead != nil {
-			ahead()
-		}
-		o.tell("", logic.Wake{Token: t.token})
-	}
-}
-
-// Next returns when the next timer is due, false where none is set.
-func (o *Owner) Next() (time.Time, bool) {
-	if len(o.timers) == 0 {
-		return time.Time{}, false
-	}
-	return o.timers[0].at, true
-}
-
-// timer is a Wake that is to come.
-type timer struct {
-	at    time.Time
-	token uint64
-}
-
-// timers is a heap by time.
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
--- /dev/null
+++ b/internal/core/stream.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"io"
+	"slices"
+	"time"
+
+	"pipitmux/internal/logging"
+	"pipitmux/logic"
+)
+
+// stream is what an attempt's streamed answer has come to.
+type stream struct {
+	begun   bool
+	answers bool // it is the req's answer
+	// latency is of its begin. The module learns from it then and once more from the attempt's
+	// Outcome, which so tells it again: how long an answer streams says nothing of a backend.
+	latency time.Duration
+}
+
+// begun takes the begin of a streamed answer. The first one answers the req; its attempt
+// stays open until the answer is closed.
+func (o *Owner) begun(id logic.RequestID, n int, e Ended) {
+	o.world.Count.Add("stream.begun")
+	r := o.reqs[id]
+	if r == nil {
+		discard(e.Reply)
+		o.world.Log.Error("a stream began of a req that is not held", logging.Req, id, logging.Attempt, n)
+		return
+	}
+	t := &r.attempts[n]
+	if r.Open {
+		t.at = e.At // no backend has begun on it
+	}
+	t.stream = stream{begun: true, answers: !r.over, latency: max(e.At.Sub(t.at), 0)}
+	if r.over {
+		discard(e.Reply)
+		return
+	}
+	r.streams = true
+	server, latency := t.server, t.stream.latency
+	o.answer(id, Answer{Kind: Served, Reply: e.Reply})
+	o.tell(id, logic.Started{ID: id, Attempt: n, Server: server, Latency: latency})
+	if e.Report != nil { // told now: at the stream's end it would be old
+		o.tell(id, logic.Probed{Server: server, Result: logic.OK, Latency: latency, Report: e.Report})
+	}
+}
+
+// dropFailure closes the failure that would have been passed on.
+func (r *held) dropFailure() {
+	discard(r.failure)
+	r.failure = nil
+}
+
+// discard closes a reply that nobody gets.
+func discard(reply any) {
+	if c, ok := reply.(io.Closer); ok {
+		c.Close()
+	}
+}
+
+// reconfigurable is a module that takes on other classes.
+type reconfigurable interface {
+	SetClasses([]logic.Class)
+}
+
+// Reconfigure takes on other classes for reqs that come later, and has the module do so
+// where it can.
+func (o *Owner) Reconfigure(classes []logic.Class) {
+	o.settings.Classes = slices.Clone(classes)
+	if m, ok := o.module.(reconfigurable); ok {
+		m.SetClasses(slices.Clone(classes))
+	}
+}
--- /dev/null
+++ b/internal/core/stream_test.go
@@ -0,0 +1,200 @@
+package core
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pipitmux/logic"
+)
+
+// closing is a reply that counts how often it was closed.
+type closing struct{ closed int }
+
+func (c *closing) Close() error { c.closed++; return nil }
+
+// streamed is an owner round a module that sends each req twice, to a and b, and otherwise
+// does what reply says.
+type streamed struct {
+	*hand
+	o   *Owner
+	at  time.Time
+	off []int // attempts called off
+}
+
+func (s *streamed) Start(a Attempt, done func(Ended)) func() {
+	n := len(s.started)
+	s.hand.Start(a, done)
+	return func() { s.off = append(s.off, n) }
+}
+
+func newStreamed(reply func(ev logic.Event) []logic.Action) *streamed {
+	s := &streamed{at: time.Unix(1000, 0)}
+	s.hand = &hand{do: func(ev logic.Event) []logic.Action {
+		if _, ok := ev.(logic.Request); ok {
+			return []logic.Action{logic.Send{ID: "r", Server: "a"}, logic.Send{ID: "r", Server: "b"}}
+		}
+		if reply == nil {
+			return nil
+		}
+		return reply(ev)
+	}}
+	s.o = s.play(logic.Class{Name: "c", Deadline: 5 * time.Second}, &s.at)
+	s.o.world.Backends = s
+	s.o.Request(Req{ID: "r", Class: "c", Arrived: s.at, Session: s.hand})
+	s.told = nil
+	return s
+}
+
+func (s *streamed) later(d time.Duration) time.Time {
+	s.at = s.at.Add(d)
+	return s.at
+}
+
+// A stream's begin answers the req and is told once, its end is told once and is final, with
+// the latency of its begin; the second copy's end between them finishes nothing.
+func TestStreamIsToldTwice(t *testing.T) {
+	for name, result := range map[string]logic.Result{"whole": logic.OK, "broken": logic.Reset, "left": logic.Canceled, "out of time": logic.TimedOut} {
+		s, reply, copied := newStreamed(nil), &closing{}, &closing{}
+		s.ends[0](Ended{Result: logic.OK, Begun: true, Reply: reply, Report: []float64{2}, At: s.later(time.Second)})
+		require.Equal(t, []Answer{{Kind: Served, Reply: reply}}, s.answers, name)
+		assert.Equal(t, []logic.Event{
+			logic.Started{ID: "r", Server: "a", Latency: time.Second},
+			logic.Probed{Server: "a", Latency: time.Second, Report: []float64{2}},
+		}, s.told, name)
+		s.told = nil
+
+		s.ends[1](Ended{Result: logic.OK, Begun: true, Reply: copied, At: s.later(time.Second)})
+		assert.Equal(t, 1, copied.closed, "%s: nobody reads a second one", name)
+		assert.Empty(t, s.told, name)
+		s.ends[1](Ended{Result: logic.Canceled, At: s.later(time.Second)})
+		assert.Equal(t, []logic.Event{logic.Outcome{ID: "r", Attempt: 1, Result: logic.Canceled, Server: "b", Latency: 2 * time.Second}}, s.told, name)
+		s.told = nil
+		assert.NotEmpty(t, s.o.reqs, name)
+
+		s.ends[0](Ended{Result: result, At: s.later(time.Minute)})
+		assert.Equal(t, []logic.Event{logic.Outcome{ID: "r", Result: result, Final: true, Server: "a", Latency: time.Second}}, s.told, name)
+		assert.Len(t, s.answers, 1, name)
+		assert.Zero(t, reply.closed, "%s: its session closes it", name)
+		assert.Empty(t, s.o.reqs, name)
+	}
+}
+
+// A stream that begins for nobody, since the client has left, is closed.
+func TestStreamForNobody(t *testing.T) {
+	s, reply := newStreamed(nil), &closing{}
+	s.o.Gone("r", s.hand)
+	s.ends[0](Ended{Result: logic.OK, Begun: true, Reply: reply, At: s.at})
+	assert.Equal(t, 1, reply.closed)
+	assert.Empty(t, s.answers)
+	assert.Equal(t, []logic.Event{logic.ClientGone{ID: "r"}}, s.told)
+}
+
+// What the module calls off is the copies, never the stream that is the answer.
+func TestModuleCallsOffNoStream(t *testing.T) {
+	s := newStreamed(func(ev logic.Event) []logic.Action {
+		if _, ok := ev.(logic.Started); ok {
+			return []logic.Action{logic.Cancel{ID: "r", Attempt: 0}, logic.Cancel{ID: "r", Attempt: 1}}
+		}
+		return nil
+	})
+	s.ends[0](Ended{Result: logic.OK, Begun: true, Reply: &closing{}, At: s.at})
+	assert.Equal(t, []int{1}, s.off)
+}
+
+// The newest failure that is to be passed on is the answer where the module gives the req up,
+// and is closed where it does not come to that.
+func TestFailureIsPassedOn(t *testing.T) {
+	giveUp := func(action logic.Action) func(ev logic.Event) []logic.Action {
+		return func(ev logic.Event) []logic.Action {
+			if e, ok := ev.(logic.Outcome); ok && e.Attempt == 1 {
+				return []logic.Action{action}
+			}
+			return nil
+		}
+	}
+	for name, tt := range map[string]struct {
+		action logic.Action
+		pass   bool
+		second Ended
+		want   Answer // whose Reply is filled in: the second failure, where it is passed on
+	}{
+		"fails":            {logic.Fail{ID: "r"}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
+		"refuses":          {logic.Refuse{ID: "r", RetryAfter: time.Second}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
+		"the other served": {logic.Fail{ID: "r"}, true, Ended{Result: logic.OK}, Answer{Kind: Served}},
+		"nothing to pass":  {logic.Refuse{ID: "r", RetryAfter: time.Second}, false, Ended{Result: logic.Failed}, Answer{Kind: Refused, RetryAfter: time.Second}},
+	} {
+		s := newStreamed(giveUp(tt.action))
+		first, second := &closing{}, &closing{}
+		s.ends[0](Ended{Result: logic.Failed, Pass: tt.pass, Reply: first, At: s.at})
+		assert.Empty(t, s.answers, name)
+		tt.second.Reply, tt.second.At = second, s.at
+		s.ends[1](tt.second)
+		if tt.want.Kind != Refused {
+			tt.want.Reply = second
+		}
+		assert.Equal(t, []Answer{tt.want}, s.answers, name)
+		assert.Equal(t, 1, first.closed, "%s: the older one", name)
+		closed := 0
+		if tt.want.Kind == Refused {
+			closed = 1
+		}
+		assert.Equal(t, closed, second.closed, name)
+		assert.Empty(t, s.o.reqs, name)
+	}
+}
+
+// The older failure is the answer where the last attempt brought none, and is closed where
+// the client leaves.
+func TestFailureOutlivesItsAttempt(t *testing.T) {
+	s, first := newStreamed(func(ev logic.Event) []logic.Action {
+		if e, ok := ev.(logic.Outcome); ok && e.Result == logic.TimedOut {
+			return []logic.Action{logic.Fail{ID: "r"}}
+		}
+		return nil
+	}), &closing{}
+	s.ends[0](Ended{Result: logic.Failed, Pass: true, Reply: first, At: s.at})
+	s.ends[1](Ended{Result: logic.TimedOut, At: s.at})
+	assert.Equal(t, []Answer{{Kind: Failed, Reply: first}}, s.answers)
+	assert.Zero(t, first.closed)
+
+	s, first = newStreamed(nil), &closing{}
+	s.ends[0](Ended{Result: logic.Failed, Pass: true, Reply: first, At: s.at})
+	s.o.Gone("r", s.hand)
+	assert.Equal(t, 1, first.closed)
+	assert.Empty(t, s.answers)
+}
+
+// learner is a module that takes on classes and asks for a list, which nobody can bring.
+type learner struct {
+	hand
+	classes []logic.Class
+}
+
+func (l *learner) SetClasses(c []logic.Class) { l.classes = c }
+
+// New classes hold for reqs that come later; a core without a director asks none.
+func TestReconfigureWithoutDirector(t *testing.T) {
+	at := time.Unix(1000, 0)
+	l := &learner{hand: hand{do: func(ev logic.Event) []logic.Action {
+		if q, ok := ev.(logic.Request); ok {
+			return []logic.Action{logic.Subscribe{}, logic.Fetch{}, logic.Send{ID: q.ID, Server: "a", Within: time.Hour}}
+		}
+		return nil
+	}}}
+	class := func(deadline time.Duration) []logic.Class { return []logic.Class{{Name: "c", Deadline: deadline}} }
+	o := NewOwner(l, logic.Settings{Classes: class(time.Second)}, World{Now: func() time.Time { return at },
+		Post: func(ev func()) { ev() }, Backends: l, Count: stub{}, Log: slog.New(slog.DiscardHandler)})
+	o.List(logic.ListFull, []Entry{{Server: logic.Server{ID: "a"}, Endpoint: "x:1"}})
+	o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: l})
+	o.Reconfigure(class(time.Minute))
+	assert.Equal(t, class(time.Minute), l.classes)
+	o.Request(Req{ID: "s", Class: "c", Arrived: at, Session: l})
+	if assert.Len(t, l.started, 2) {
+		assert.Equal(t, at.Add(time.Second), l.started[0].Until)
+		assert.Equal(t, at.Add(time.Minute), l.started[1].Until)
+	}
+}
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -11,7 +11,7 @@
 )
 
 // node is one balancer: a core.Owner round a module, and a model of what
-// internal/backend and the platform's network do for it.
+// internal/upstream and the platform's network do for it.
 type node struct {
 	w       *world
 	no      int
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 )
@@ -22,14 +23,17 @@
 type Call struct {
 	Method, Target, Host string
 	ID, Key, ContentType string
+	Header               http.Header // further header to hand on, nil: none
 	Body                 []byte      // whole, or where there is a Rest its first part
 	Length               int64       // of the whole body, or Unknown
 	Rest                 *Stream     // what follows Body, nil: nothing
 	Left                 func() bool // tells whether the client has left by now, nil: not known
 }
 
-// Reply is a backend's 200 answer.
+// Reply is a server's answer.
 type Reply struct {
+	Status      int         // 0: 200
+	Header      http.Header // as the server gave it, framing and connection included; nil: nothing is handed on
 	ContentType string
 	Body        []byte        // whole, or where there is a Rest its first part
 	Length      int64         // of the whole body, or Unknown
@@ -37,7 +41,8 @@
 	Release     func()        // gives back what Body takes of the budget, nil: nothing
 }
 
-// Close ends the reply. Who gets one closes it once.
+// Close ends the reply. Who gets one closes it once. The Rest of a streamed answer may be
+// closed besides, at any time and from any goroutine.
 func (r *Reply) Close() error {
 	if r.Release != nil {
 		r.Release()
--- /dev/null
+++ b/internal/upstream/attempt_test.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/message"
+	"pipitmux/logic"
+)
+
+// Only what proves that an attempt never ran may be called so.
+func TestStagesDecideTheResult(t *testing.T) {
+	timeout, off, broke := context.DeadlineExceeded, context.Canceled, errors.Join(io.EOF)
+	for _, tt := range []struct {
+		stage Stage
+		err   error
+		want  logic.Result
+	}{
+		{NotConnected, broke, logic.ConnectFailed}, {NotConnected, timeout, logic.ConnectFailed},
+		{PartlyWritten, broke, logic.ConnectFailed}, {PartlyWritten, timeout, logic.ConnectFailed},
+		{WrittenWhole, broke, logic.Reset}, {WrittenWhole, timeout, logic.TimedOut},
+		{AnswerBegun, broke, logic.Reset}, {AnswerBegun, timeout, logic.TimedOut},
+		{NotConnected, off, logic.Canceled}, {AnswerBegun, off, logic.Canceled},
+	} {
+		assert.Equal(t, tt.want, (&Error{tt.stage, tt.err}).result(), "%s, %v", stageNames[tt.stage], tt.err)
+	}
+}
+
+// attempt makes one attempt at a backend and waits for its only end.
+func attempt(p *Pool, at string, call any) logic.Result {
+	ends := make(chan core.Ended, 2)
+	p.Start(core.Attempt{Call: call, Place: core.Place{ID: logic.ServerID(at), Endpoint: at}, Until: time.Now().Add(20 * time.Second)},
+		func(e core.Ended) { ends <- e })
+	return (<-ends).Result
+}
+
+// A node that runs out of sockets gives up idle connections first, and then
+// says that it could not connect: nothing of the req has run.
+func TestSocketLimit(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 10)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if arrived <- struct{}{}; r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	one, two := httptest.NewServer(handler), httptest.NewServer(handler)
+	defer one.Close()
+	defer two.Close()
+	p := poolOf(1)
+	call := &message.Call{Method: "GET", Target: "/", Host: "h", ID: "i"}
+	assert.Equal(t, logic.OK, attempt(p, one.Listener.Addr().String(), call))
+	assert.Equal(t, logic.OK, attempt(p, two.Listener.Addr().String(), call), "the idle connection made room")
+	busy := make(chan logic.Result, 1)
+	go func() {
+		busy <- attempt(p, one.Listener.Addr().String(), &message.Call{Method: "GET", Target: "/wait", Host: "h", ID: "j"})
+	}()
+	for range 3 {
+		<-arrived
+	}
+	assert.Equal(t, logic.ConnectFailed, attempt(p, two.Listener.Addr().String(), call))
+	close(release)
+	assert.Equal(t, logic.OK, <-busy)
+}
+
+// A panic ends its attempt, as one that may have run, and gives its socket back.
+func TestPanicStopsAtTheConnection(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	p := poolOf(1)
+	for range 2 {
+		assert.Equal(t, logic.Reset, attempt(p, s.Listener.Addr().String(), "no call"))
+	}
+	assert.Zero(t, p.open)
+}
--- /dev/null
+++ b/internal/upstream/codec_test.go
@@ -0,0 +1,32 @@
+package upstream
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"time"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/message"
+	"pipitmux/logic"
+)
+
+// plain is a protocol in which an answer's header says what is to be judged of it.
+type plain struct{}
+
+func (plain) Head(dst *bytes.Buffer, call *message.Call, at core.Place, _ time.Duration) {
+	fmt.Fprintf(dst, "%s %s HTTP/1.1\r\nHost: %s\r\nTo: %s\r\n", call.Method, call.Target, call.Host, at.ID)
+	Frame(dst, call)
+	dst.WriteString("\r\n")
+}
+
+func (plain) Judge(call *message.Call, res *http.Response) Verdict {
+	v := Verdict{Result: logic.OK, Pass: res.Header.Get("Pass") != "", Stream: res.Header.Get("Stream") != ""}
+	if res.StatusCode != http.StatusOK {
+		v.Result = logic.Failed
+	}
+	if id := res.Header.Get("For"); id != "" && id != call.ID {
+		v.Foreign = true
+	}
+	return v
+}
--- a/internal/backend/gate.go
+++ b/internal/upstream/gate.go
@@ -1,4 +1,4 @@
-package backend
+package upstream
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 // Why an attempt that waited for its connection does not begin.
 var (
-	errWithdrawn = errors.New("withdrawn: its backend leaves")
+	errWithdrawn = errors.New("withdrawn: its server leaves")
 	errLeft      = errors.New("the client has left")
 	errWindow    = errors.New("the time in which its repeats are dropped is over")
 )
--- a/internal/backend/gate_test.go
+++ b/internal/upstream/gate_test.go
@@ -1,4 +1,4 @@
-package backend
+package upstream
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 
 // poolOf is a Pool of so many connections at most, none of which times out in a test.
 func poolOf(most int) *Pool {
-	return New(Options{ConnectTimeout: 10 * time.Second, IdleFor: time.Hour, MaxConns: most, Budget: message.NewBudget(1 << 20)},
+	return New(plain{}, Options{ConnectTimeout: 10 * time.Second, IdleFor: time.Hour, MaxConns: most, Budget: message.NewBudget(1 << 20), Bare: true},
 		counters.New(), slog.New(slog.DiscardHandler))
 }
 
--- a/internal/backend/pool.go
+++ b/internal/upstream/pool.go
@@ -1,4 +1,4 @@
-package backend
+package upstream
 
 import (
 	"bufio"
@@ -15,14 +15,15 @@
 	"pipitmux/internal/counters"
 )
 
-// restFor is how long a connection rests before it is used again. A backend that answers
+// restFor is how long a connection rests before it is used again. A server that answers
 // twice does so within some milliseconds: what came meanwhile is seen before the next req is
 // written, and is not taken for its answer.
 const restFor = 10 * time.Millisecond
 
-// Pool holds the connections to all backends. Idle ones are kept by place, so
-// that none to an earlier process of a backend is used for its successor.
+// Pool holds the connections to all servers. Idle ones are kept by place, so
+// that none to an earlier process of a server is used for its successor.
 type Pool struct {
+	codec Codec
 	opt   Options
 	count *counters.Set
 	log   *slog.Logger
@@ -33,6 +34,7 @@
 	mu   sync.Mutex
 	open int                    // connections open or opening
 	idle map[core.Place][]*conn // the latest used last
+	at   map[core.Place]int     // connections open or opening, by place
 
 	gatesMu sync.Mutex
 	gates   map[core.Place]map[*gate]struct{} // of attempts that have not begun
@@ -44,6 +46,7 @@
 	left  int // bytes that may still be read of the present answer
 	place core.Place
 	since time.Time // idle since
+	stray bool      // an answer to another req came on it
 }
 
 // Read reads what the present answer may still bring.
@@ -65,7 +68,7 @@
 		if c == nil {
 			break
 		}
-		// A connection that the backend has closed would take the req and lose it: a
+		// A connection that the server has closed would take the req and lose it: a
 		// harmless failure would turn into a Reset, which an unsafe class can't repeat.
 		if time.Since(c.since) < p.opt.IdleFor && c.quiet() {
 			p.count.Add("conn.reused")
@@ -73,12 +76,12 @@
 		}
 		p.give(c, false)
 	}
-	if !p.reserve() {
+	if !p.reserve(at) {
 		return nil, errNoSockets
 	}
 	nc, err := p.dial(ctx, "tcp", at.Endpoint)
 	if err != nil {
-		p.release()
+		p.release(at)
 		return nil, err
 	}
 	p.count.Add("conn.opened")
@@ -101,22 +104,43 @@
 	return nil
 }
 
-// reserve books a socket; where none is left, the longest idle connection goes.
-func (p *Pool) reserve() bool {
+// reserve books a socket; where none is left, the longest idle connection goes, to the same
+// place where that has its most.
+func (p *Pool) reserve(at core.Place) bool {
 	p.mu.Lock()
-	if p.open < p.opt.MaxConns {
+	oldest, booked := (*conn)(nil), true
+	switch {
+	case p.full(at):
+		oldest = p.popFirst(at)
+		booked = oldest != nil
+	case p.open >= p.opt.MaxConns:
+		oldest = p.popOldest()
+		booked = oldest != nil
+	}
+	if oldest != nil {
+		p.unbook(oldest.place) // its socket is the one booked
+	}
+	if booked {
 		p.open++
-		p.mu.Unlock()
-		return true
+		p.at[at]++
 	}
-	oldest := p.popOldest() // its socket is the one booked
 	p.mu.Unlock()
-	if oldest == nil {
+	if oldest != nil {
+		oldest.Close()
+	}
+	if !booked {
 		p.count.Add("conn.limit")
+	}
+	return booked
+}
+
+// full tells whether a place has its most connections; p.mu is held.
+func (p *Pool) full(at core.Place) bool {
+	if p.opt.MaxPerPlace == nil {
 		return false
 	}
-	oldest.Close()
-	return true
+	most := p.opt.MaxPerPlace(at)
+	return most > 0 && p.at[at] >= most
 }
 
 // Limit changes how many connections may be open. The longest idle over it are closed.
@@ -143,25 +167,44 @@
 			oldest = list[0]
 		}
 	}
-	if oldest != nil {
-		p.idle[oldest.place] = p.idle[oldest.place][1:]
+	if oldest == nil {
+		return nil
+	}
+	return p.popFirst(oldest.place)
+}
+
+// popFirst takes the longest idle connection to a place; p.mu is held.
+func (p *Pool) popFirst(at core.Place) *conn {
+	list := p.idle[at]
+	if len(list) == 0 {
+		return nil
 	}
-	return oldest
+	p.idle[at] = list[1:]
+	return list[0]
 }
 
-func (p *Pool) release() {
+func (p *Pool) release(at core.Place) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unbook(at)
+}
+
+// unbook gives a socket back; p.mu is held.
+func (p *Pool) unbook(at core.Place) {
 	p.open--
-	p.mu.Unlock()
+	if p.at[at]--; p.at[at] == 0 {
+		delete(p.at, at)
+	}
 }
 
 // give takes a connection back: to be used again, or to be closed.
 func (p *Pool) give(c *conn, reusable bool) {
 	if !reusable {
 		c.Close()
-		p.release()
+		p.release(c.place)
 		return
 	}
+	c.SetDeadline(time.Time{}) // what bounded a long body
 	c.since = time.Now()
 	p.mu.Lock()
 	p.idle[c.place] = append(p.idle[c.place], c)
@@ -185,7 +228,7 @@
 	}
 }
 
-// Reap closes idle connections clearly before the backends would, until quit is closed.
+// Reap closes idle connections clearly before the servers would, until quit is closed.
 func (p *Pool) Reap(quit <-chan struct{}) {
 	tick := time.NewTicker(max(p.opt.IdleFor/10, time.Millisecond))
 	defer tick.Stop()
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,205 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/message"
+	"pipitmux/internal/standin"
+	"pipitmux/logic"
+)
+
+// ask makes one attempt at a place and returns its only end.
+func ask(t *testing.T, p *Pool, at core.Place, path string) core.Ended {
+	t.Helper()
+	ends := make(chan core.Ended, 2)
+	call := &message.Call{Method: "GET", Target: path, Host: "h", ID: "i"}
+	p.Start(core.Attempt{Call: call, Place: at, Until: time.Now().Add(patience)}, func(e core.Ended) { ends <- e })
+	e := wait(t, ends)
+	assert.Equal(t, len(ends), 0)
+	return e
+}
+
+// Answers to other reqs are dropped, two at most, and their connection serves no further req.
+func TestForeignAnswers(t *testing.T) {
+	for foreign, want := range []logic.Result{logic.OK, logic.OK, logic.OK, logic.Reset} {
+		t.Run(fmt.Sprint(foreign), func(t *testing.T) {
+			b, err := standin.NewBackend(func(c *net.TCPConn, _ standin.Req) bool {
+				text := ""
+				for i := range foreign {
+					framing := "Content-Length: 5\r\n\r\nother"
+					if i == 1 {
+						framing = "Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n"
+					}
+					text += "HTTP/1.1 500 x\r\nFor: j\r\n" + framing
+				}
+				fmt.Fprint(c, text+"HTTP/1.1 200 x\r\nFor: i\r\nContent-Length: 3\r\n\r\nown")
+				return true
+			})
+			assert.NilError(t, err)
+			defer b.Close()
+			p, at := poolOf(2), core.Place{ID: "b", Endpoint: b.Addr}
+			p.restFor = 0
+			for round := range 2 {
+				e := ask(t, p, at, "/")
+				assert.Equal(t, e.Result, want)
+				if want == logic.OK {
+					assert.Equal(t, string(e.Reply.(*message.Reply).Body), "own")
+				}
+				opened := 1
+				if foreign > 0 {
+					opened = round + 1
+				}
+				assert.Equal(t, int(b.Opened.Load()), opened)
+			}
+		})
+	}
+}
+
+// A server's own failure is handed on with its status, header and body where the codec says
+// so, and only then.
+func TestFailureIsHandedOn(t *testing.T) {
+	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Req) bool {
+		header := "Content-Type: text/plain\r\nHint: full\r\n"
+		if r.URL.Path == "/pass" {
+			header += "Pass: 1\r\n"
+		}
+		return standin.Say(c, 507, header, "no room")
+	})
+	assert.NilError(t, err)
+	defer b.Close()
+	p, at := poolOf(2), core.Place{ID: "b", Endpoint: b.Addr}
+	for _, bare := range []bool{false, true} {
+		p.opt.Bare = bare
+		e := ask(t, p, at, "/pass")
+		assert.Equal(t, e.Result, logic.Failed)
+		assert.Check(t, e.Pass)
+		r := e.Reply.(*message.Reply)
+		assert.Equal(t, string(r.Body), "no room")
+		assert.Equal(t, r.ContentType, "text/plain")
+		if bare {
+			assert.Equal(t, r.Status, 0)
+			assert.Check(t, r.Header == nil)
+		} else {
+			assert.Equal(t, r.Status, http.StatusInsufficientStorage)
+			assert.Equal(t, r.Header.Get("Hint"), "full")
+		}
+		e = ask(t, p, at, "/drop")
+		assert.Equal(t, e.Result, logic.Failed)
+		assert.Check(t, !e.Pass && e.Reply == nil)
+	}
+}
+
+// A place with its most connections gets no further one while all are in use; an idle one
+// makes room, and other places have their own.
+func TestMostConnectionsOfAPlace(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	script := func(c *net.TCPConn, r standin.Req) bool {
+		if r.URL.Path == "/wait" {
+			arrived <- struct{}{}
+			<-release
+		}
+		return standin.Say(c, 200, "", "done")
+	}
+	one, err := standin.NewBackend(script)
+	assert.NilError(t, err)
+	defer one.Close()
+	two, err := standin.NewBackend(script)
+	assert.NilError(t, err)
+	defer two.Close()
+	first, other := core.Place{ID: "1", Endpoint: one.Addr}, core.Place{ID: "2", Endpoint: two.Addr}
+	p := poolOf(10)
+	p.restFor = time.Hour // no idle connection is used again
+	p.opt.MaxPerPlace = func(at core.Place) int {
+		if at == first {
+			return 1
+		}
+		return 0
+	}
+	busy := make(chan core.Ended, 1)
+	p.Start(core.Attempt{Call: &message.Call{Method: "GET", Target: "/wait", Host: "h", ID: "j"}, Place: first, Until: time.Now().Add(patience)},
+		func(e core.Ended) { busy <- e })
+	wait(t, arrived)
+	assert.Equal(t, ask(t, p, first, "/").Result, logic.ConnectFailed)
+	assert.Equal(t, ask(t, p, other, "/").Result, logic.OK)
+	assert.Equal(t, ask(t, p, other, "/").Result, logic.OK)
+	close(release)
+	assert.Equal(t, wait(t, busy).Result, logic.OK)
+	assert.Equal(t, ask(t, p, first, "/").Result, logic.OK)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, p.at[first], 1)
+	assert.Equal(t, p.at[other], 2)
+	assert.Equal(t, p.open, 3)
+}
+
+// The kernel's own time-out is set on connections where one is asked for, and Nagle's delay
+// is off on all.
+func TestSocketOptions(t *testing.T) {
+	b, err := standin.NewBackend(standin.OK)
+	assert.NilError(t, err)
+	defer b.Close()
+	for _, within := range []time.Duration{0, 3 * time.Second} {
+		p := New(plain{}, Options{ConnectTimeout: patience, MaxConns: 1, UserTimeout: within}, nil, nil)
+		c, err := p.dial(t.Context(), "tcp", b.Addr)
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.Equal(t, option(t, c, unix.TCP_USER_TIMEOUT), int(within.Milliseconds()))
+		assert.Equal(t, option(t, c, unix.TCP_NODELAY) != 0, true)
+	}
+}
+
+func option(t *testing.T, c net.Conn, name int) (value int) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	var failed error
+	assert.NilError(t, raw.Control(func(fd uintptr) { value, failed = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
+	assert.NilError(t, failed)
+	return value
+}
+
+// watched is a connection that notes until when it may be written.
+type watched struct {
+	*net.TCPConn
+	until atomic.Pointer[time.Time]
+}
+
+func (w *watched) SetDeadline(t time.Time) error { w.until.Store(&t); return w.TCPConn.SetDeadline(t) }
+func (w *watched) SetWriteDeadline(t time.Time) error {
+	w.until.Store(&t)
+	return w.TCPConn.SetWriteDeadline(t)
+}
+
+// What bounds a long body's writing doesn't bound the next req on its connection.
+func TestLongBodyLeavesNoDeadline(t *testing.T) {
+	b, err := standin.NewBackend(standin.OK)
+	assert.NilError(t, err)
+	defer b.Close()
+	p, c := poolOf(1), &watched{}
+	dial := p.dial
+	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err == nil {
+			c.TCPConn = nc.(*net.TCPConn)
+		}
+		return c, err
+	}
+	ends := make(chan core.Ended, 1)
+	call := &message.Call{Method: "POST", Target: "/", Host: "h", ID: "i", Body: []byte("be"), Length: 5,
+		Rest: message.NewStream(strings.NewReader("gun"), func() {})}
+	p.Start(core.Attempt{Call: call, Place: core.Place{ID: "b", Endpoint: b.Addr}, Within: patience}, func(e core.Ended) { ends <- e })
+	assert.Equal(t, wait(t, ends).Result, logic.OK)
+	assert.Equal(t, (<-b.Seen).Body, "begun")
+	assert.Check(t, c.until.Load().IsZero())
+}
--- a/internal/backend/stream.go
+++ b/internal/upstream/reply.go
@@ -1,14 +1,9 @@
-package backend
+package upstream
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"pipitmux/internal/message"
@@ -18,120 +13,13 @@
 	// holdFor is how long the first bytes of an answer of unknown length are held, so that
 	// a short one that breaks can still be sent for again.
 	holdFor = 50 * time.Millisecond
-	// stallFor ends a body on which a backend gives, or takes, nothing for so long.
-	stallFor = 15 * time.Second
 	// framing is what chunks may add to each byte of a long body: one of a byte is six.
 	framing = 8
 	// pieceSize is what an answer of unknown length is read by.
 	pieceSize = 16 << 10
 )
 
-// errClient tells that a req's body broke on the client's side.
-var errClient = errors.New("the client did not send its req whole")
-
-// upload writes a req to a backend.
-type upload struct {
-	pool *Pool
-	c    *conn
-	call *message.Call
-	at   atomic.Uint32 // Stage: WrittenWhole as soon as the backend may have it all
-
-	mu  sync.Mutex
-	err error // of the client, or of the backend's connection
-}
-
-func (u *upload) stage() Stage { return Stage(u.at.Load()) }
-
-// cause returns what broke the writing, or else err, with which the reading ended.
-func (u *upload) cause(err error) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if errors.Is(u.err, errClient) {
-		return u.err
-	}
-	return err
-}
-
-// plain writes a req that is held whole.
-func (u *upload) plain(left time.Duration) *Error {
-	out := head(u.call, left)
-	out.Write(u.call.Body)
-	u.at.Store(uint32(PartlyWritten))
-	n, err := u.c.Write(out.Bytes())
-	if n == out.Len() {
-		u.at.Store(uint32(WrittenWhole))
-	}
-	if err != nil {
-		return &Error{u.stage(), err}
-	}
-	u.pool.opt.Relayed()
-	return nil
-}
-
-// long writes a req as it comes. Its attempt has so long from the last byte on. Where it
-// breaks, who reads the answer is woken.
-func (u *upload) long(within time.Duration, timer *time.Timer) {
-	if err := u.pass(within); err != nil {
-		u.mu.Lock()
-		u.err = err
-		u.mu.Unlock()
-		if errors.Is(err, errClient) {
-			u.c.SetDeadline(time.Unix(1, 0))
-		}
-		return // else the backend's answer or its close is read
-	}
-	timer.Reset(within)
-	u.pool.opt.Relayed()
-}
-
-func (u *upload) pass(within time.Duration) error {
-	u.at.Store(uint32(PartlyWritten))
-	written := int64(0)
-	chunked := u.call.Length == message.Unknown
-	var chunk bytes.Buffer
-	put := func(b []byte) error {
-		if written += int64(len(b)); written == u.call.Length {
-			u.at.Store(uint32(WrittenWhole)) // with these bytes the backend may begin
-		}
-		u.c.SetWriteDeadline(time.Now().Add(stallFor))
-		if !chunked {
-			_, err := u.c.Write(b)
-			return err
-		}
-		chunk.Reset()
-		fmt.Fprintf(&chunk, "%x\r\n", len(b))
-		chunk.Write(b)
-		chunk.WriteString("\r\n")
-		_, err := u.c.Write(chunk.Bytes())
-		return err
-	}
-	if _, err := u.c.Write(head(u.call, within).Bytes()); err != nil {
-		return err
-	}
-	if err := put(u.call.Body); err != nil {
-		return err
-	}
-	if !u.call.Rest.Claim() {
-		return fmt.Errorf("%w: another attempt has it", errClient)
-	}
-	toBackend, fromClient := message.Pass(put, u.call.Rest)
-	switch {
-	case fromClient != nil:
-		return fmt.Errorf("%w: %w", errClient, fromClient)
-	case toBackend != nil:
-		return toBackend
-	case !chunked:
-		if written != u.call.Length {
-			return fmt.Errorf("%w: %d bytes of %d", errClient, written, u.call.Length)
-		}
-		return nil
-	}
-	u.at.Store(uint32(WrittenWhole))
-	_, err := u.c.Write([]byte("0\r\n\r\n"))
-	return err
-}
-
-// reply reads a 200 answer: whole, up to what is held of one. Of a longer one it returns
+// reply reads an answer: whole, up to what is held of one. Of a longer one it returns
 // what has come, and passedOn: its connection then goes with the reply.
 func (p *Pool) reply(ctx context.Context, c *conn, res *http.Response, unhook func() bool, again bool) (r *message.Reply, passedOn bool, err error) {
 	n := res.ContentLength
@@ -230,9 +118,6 @@
 		close(r.pump.quit)
 	}
 	reusable := r.whole && r.again && r.c.in.Buffered() == 0
-	if reusable {
-		r.c.SetDeadline(time.Time{})
-	}
 	r.p.give(r.c, reusable)
 	return nil
 }
