--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -238,7 +238,8 @@
 		h.Arrived = o.world.Now()
 		h.until = h.Arrived.Add(openMost)
 	}
-	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open}
+	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open,
+		Prefer: r.Prefer, Worth: r.Worth}
 	if !r.Open {
 		// What the req waited for its turn is gone from the client's patience.
 		q.Expires = h.until.Sub(o.world.Now())
@@ -331,7 +332,7 @@
 	r.attempts = append(r.attempts, sent{at: now, until: until, within: a.Within, server: a.Server, cancel: func() {}})
 	r.open++
 	place, known := o.places[a.Server]
-	if r.over || !known || !until.After(now) || o.settings.MaxAttempts > 0 && n >= o.settings.MaxAttempts {
+	if most := o.most(r); r.over || !known || !until.After(now) || most > 0 && n >= most {
 		o.local = append(o.local, func() { o.ended(a.ID, n, Ended{Result: logic.Moot, At: now}) })
 		return
 	}
@@ -345,6 +346,14 @@
 	})
 }
 
+// most is how many attempts a request may have, 0: any number.
+func (o *Owner) most(r *held) int {
+	if r.class != nil && r.class.MaxAttempts > 0 {
+		return r.class.MaxAttempts
+	}
+	return o.settings.MaxAttempts
+}
+
 // before returns until when a further attempt of a keyed req may begin: backends drop its
 // repeats for a while only, and a connection that comes up late may use all of that up.
 func (r *held) before() (until time.Time) {
