Mend the merge of the server connections, and take its last test in

Cause: the merge before held conflict marks in internal/core. Measured: tests of core and upstream pass.

--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -61,7 +61,6 @@
 
 // reconfigurable is a module that takes on other classes.
 type reconfigurable interface {
-<<<<<<< HEAD
 	SetClasses([]logic.Class) error
 }
 
@@ -77,16 +76,4 @@
 		}
 	}
 	o.settings.Classes = slices.Clone(classes)
-=======
-	SetClasses([]logic.Class)
-}
-
-// Reconfigure takes on other classes for reqs that come later, and has the module do so
-// where it can.
-func (o *Owner) Reconfigure(classes []logic.Class) {
-	o.settings.Classes = slices.Clone(classes)
-	if m, ok := o.module.(reconfigurable); ok {
-		m.SetClasses(slices.Clone(classes))
-	}
->>>>>>> upstream
 }
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -174,11 +174,7 @@
 	classes []logic.Class
 }
 
-<<<<<<< HEAD
 func (l *learner) SetClasses(c []logic.Class) error { l.classes = c; return nil }
-=======
-func (l *learner) SetClasses(c []logic.Class) { l.classes = c }
->>>>>>> upstream
 
 // New classes hold for reqs that come later; a core without a director asks none.
 func TestReconfigureWithoutDirector(t *testing.T) {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -213,12 +213,16 @@
 	assert.Equal(t, p.opened(), 0)
 }
 
-// The time counts also where nobody reads.
+// The time counts also where nobody reads, and what had come before is not handed out after.
 func TestStreamPastItsTimeUnread(t *testing.T) {
 	s, p := newStreaming(t), poolOf(2)
-	rest, ends, _ := s.start(t, p, framings["chunks"], time.Now().Add(time.Second))
+	both := framed{head: framings["length"].head, before: event} // the second one comes with the first
+	rest, ends, _ := s.start(t, p, both, time.Now().Add(time.Second))
 	s.free()
 	assert.Check(t, wait(t, s.freed) != nil)
+	n, err := rest.Read(make([]byte, len(event)))
+	assert.Equal(t, n, 0)
+	assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 	assert.Equal(t, ended(t, rest, ends), logic.TimedOut)
 }
 
