--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -86,7 +86,7 @@
 	Reject         bool
 	Hint           uint64        // of a rejecting AppendReply: the receiver's newest index that may match, at most Index
 	Forced         bool          // of a Vote: the owner gave its lease up, so voters needn't keep it
-	Sent           time.Duration // on the owner's clock, given back in the reply: the lease counts from it
+	Sent           time.Duration // on the owner's clock, given back in replies of its term: the lease counts from it
 	Snapshot       *Snapshot
 }
 
--- a/internal/barograph/replica/owner.go
+++ b/internal/barograph/replica/owner.go
@@ -181,6 +181,9 @@
 	if r.role != owner || p == nil {
 		return
 	}
+	if m.Sent == never || m.Sent > r.now {
+		return // to a message of an older term
+	}
 	p.heard = r.now
 	p.answered = max(p.answered, m.Sent)
 	if m.Reject {
@@ -262,9 +265,10 @@
 	return times[len(times)-members.Quorum()]
 }
 
-// Leased tells whether this node is sure to be the group's only owner until now+0: it is
-// settled, and a majority of the voters answered what was sent less than Lease ago.
-// What was committed by then is then what any reader may be given.
+// Leased tells whether this node is certain to be the group's only owner at now: it is settled,
+// and a majority of the voters, itself among them, answered what was sent less than Lease ago.
+// A reader may then be given the state after all that is committed, once it is applied. It is
+// to be asked anew for each reader, with the time of the asking.
 func (r *Replica) Leased(now time.Duration) bool {
 	if r.flaws.cachedLease && now > r.now {
 		return r.role == owner && r.leased
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -181,16 +181,22 @@
 	}
 }
 
-// refuseOld lets a sender of an older term know the newer one, so that it steps down.
+// refuseOld lets a sender of an older term know the newer one, so that it steps down. It gives
+// no sending time back: the sender may own the newer term by now, and may have started with
+// another clock since, so that the answer would stand for a lease that was never promised.
 func (r *Replica) refuseOld(m Message) {
+	refusal := Message{To: m.From, Term: r.hard.Term, Reject: true, Sent: never}
 	switch m.Kind {
 	case Append, Install:
-		r.reply(m, Message{Kind: AppendReply, Reject: true, Index: m.Index})
+		refusal.Kind = AppendReply
 	case Canvass:
-		r.reply(m, Message{Kind: CanvassReply, Reject: true})
+		refusal.Kind = CanvassReply
 	case Vote:
-		r.reply(m, Message{Kind: VoteReply, Reject: true})
+		refusal.Kind = VoteReply
+	default:
+		return
 	}
+	r.send(refusal)
 }
 
 // acceptTerm takes in the newer term of a message, and tells whether the message counts.
--- a/internal/barograph/replica/simulation_book_test.go
+++ b/internal/barograph/replica/simulation_book_test.go
@@ -39,6 +39,7 @@
 	if b.owners[term] == 0 {
 		b.owners[term] = n.id
 		b.newest = max(b.newest, term)
+		n.world.counts.owners++
 		b.checkLeases(n.world)
 		n.world.beset(n)
 	}
@@ -115,12 +116,14 @@
 			n.world.fail("entry %d: %v", entry.Index, err)
 		}
 		b.members = members
+		n.world.counts.changes++
 	}
 }
 
 // restored checks that a snapshot holds the state that the entries lead to.
 func (b *book) restored(n *node) {
 	index := n.machine.index
+	n.world.counts.restored++
 	if index > uint64(len(b.states)) || b.states[index-1] != n.machine {
 		n.world.fail("node %d takes a snapshot at %d that is not the group's state", n.id, index)
 	}
--- a/internal/barograph/replica/simulation_client_test.go
+++ b/internal/barograph/replica/simulation_client_test.go
@@ -150,6 +150,7 @@
 		return
 	}
 	call := c.tick()
+	c.world.counts.reads++
 	c.seen = n.machine.value
 	c.history = append(c.history, &operation{kind: read, value: c.seen, call: call, done: c.tick(), known: true})
 }
@@ -175,6 +176,7 @@
 		return
 	}
 	o.succeeded = succeeded
+	c.world.counts.writes++
 	c.doneAt = c.world.now
 	if succeeded {
 		c.seen = o.value
--- a/internal/barograph/replica/simulation_faults_test.go
+++ b/internal/barograph/replica/simulation_faults_test.go
@@ -74,6 +74,9 @@
 		return
 	}
 	w.after(w.between(0, 2*w.delay), func() {
+		if !w.faulty {
+			return
+		}
 		w.net.clear()
 		for _, other := range w.nodes {
 			w.net.cutBoth(lone.id, other.id)
@@ -152,6 +155,7 @@
 		return
 	}
 	lost.gone = true
+	w.counts.wipes++
 	w.addNode(replica.Stored{})
 }
 
@@ -169,7 +173,9 @@
 	for _, n := range w.owners() {
 		n.act(func() {
 			voters := n.replica.Status(n.clock()).Members.Voters
-			_ = n.replica.Handover(n.clock(), voters[w.random.IntN(len(voters))])
+			if n.replica.Handover(n.clock(), voters[w.random.IntN(len(voters))]) == nil {
+				w.counts.handovers++
+			}
 		})
 	}
 }
--- a/internal/barograph/replica/simulation_network_test.go
+++ b/internal/barograph/replica/simulation_network_test.go
@@ -11,12 +11,11 @@
 
 // network carries messages, unless it loses, doubles or holds them up.
 type network struct {
-	world     *world
-	cuts      map[link]bool
-	loss      float64
-	double    float64
-	slow      float64 // share of messages held up for long, so that others overtake them
-	reordered time.Duration
+	world  *world
+	cuts   map[link]bool
+	loss   float64
+	double float64
+	slow   float64 // share of messages held up for long, so that others overtake them
 }
 
 func (n *network) clear() {
@@ -26,9 +25,6 @@
 
 // send takes a message on its way.
 func (n *network) send(m replica.Message) {
-	if trace && n.world.now > 5500*time.Millisecond {
-		println(n.world.now.String(), m.Kind, m.From, m.To, m.Term, m.Index, m.LogTerm, m.Reject)
-	}
 	if n.cuts[link{m.From, m.To}] || n.world.chance(n.loss) {
 		return
 	}
--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -12,9 +12,9 @@
 	"pipitmux/internal/barograph/replica"
 )
 
-// simulateSeeds runs simulations on all processors until one fails, and returns that failure
-// and how many were run.
-func simulateSeeds(seeds uint64, o options) (failure error, runs uint64) {
+// simulateSeeds runs simulations on all processors until one fails, and returns how
+// many were run and that failure.
+func simulateSeeds(seeds uint64, o options) (runs uint64, failure error) {
 	var next, ran atomic.Uint64
 	var failed atomic.Pointer[error]
 	var workers sync.WaitGroup
@@ -32,9 +32,45 @@
 	}
 	workers.Wait()
 	if failure := failed.Load(); failure != nil {
-		return *failure, ran.Load()
+		return ran.Load(), *failure
 	}
-	return nil, ran.Load()
+	return ran.Load(), nil
+}
+
+// counts are of what happened in simulations: what never happens is not tested either.
+type counts struct {
+	owners, changes, restored, handovers, wipes, reads, writes uint64
+}
+
+// tally sums counts up over simulations that run at once.
+type tally struct {
+	lock   sync.Mutex
+	counts counts
+}
+
+func (t *tally) add(c counts) {
+	if t == nil {
+		return
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.counts.owners += c.owners
+	t.counts.changes += c.changes
+	t.counts.restored += c.restored
+	t.counts.handovers += c.handovers
+	t.counts.wipes += c.wipes
+	t.counts.reads += c.reads
+	t.counts.writes += c.writes
+}
+
+// checkSeen holds that the simulations did what they are for.
+func (t *tally) checkSeen(test *testing.T, seeds uint64) {
+	test.Helper()
+	c := t.counts
+	assert.Assert(test, c.owners > 2*seeds, "owners: %+v", c)
+	assert.Assert(test, c.changes > seeds && c.wipes > seeds/10, "changes of members: %+v", c)
+	assert.Assert(test, c.restored > seeds/10 && c.handovers > seeds/10, "snapshots, handovers: %+v", c)
+	assert.Assert(test, c.reads > 10*seeds && c.writes > 10*seeds, "operations: %+v", c)
 }
 
 func TestSimulation(t *testing.T) {
@@ -42,8 +78,11 @@
 	if testing.Short() {
 		seeds = 200
 	}
-	failure, _ := simulateSeeds(seeds, options{})
+	tally := &tally{}
+	runs, failure := simulateSeeds(seeds, options{tally: tally})
 	assert.NilError(t, failure)
+	t.Logf("%d seeds: %+v", runs, tally.counts)
+	tally.checkSeen(t, seeds)
 }
 
 func TestSimulationOfFrequentFaults(t *testing.T) {
@@ -51,7 +90,7 @@
 	if testing.Short() {
 		seeds = 50
 	}
-	failure, _ := simulateSeeds(seeds, options{frequent: true, startNodes: 5})
+	_, failure := simulateSeeds(seeds, options{frequent: true, startNodes: 5})
 	assert.NilError(t, failure)
 }
 
@@ -70,7 +109,7 @@
 	} {
 		t.Run(flawed.name, func(t *testing.T) {
 			flawed.options.safetyOnly = true
-			failure, runs := simulateSeeds(seeds, flawed.options)
+			runs, failure := simulateSeeds(seeds, flawed.options)
 			assert.Assert(t, failure != nil, "no seed of %d fails", runs)
 			assert.Assert(t, !errors.Is(failure, errNotJudged), "%v", failure)
 			t.Logf("after %d seeds: %v", runs, failure)
--- a/internal/barograph/replica/simulation_world_test.go
+++ b/internal/barograph/replica/simulation_world_test.go
@@ -15,9 +15,11 @@
 
 const (
 	simulatedGroup = replica.GroupID("simulated")
-	faultyFor      = 2 * time.Second // faults come and go for this long
-	healedFor      = 4 * time.Second // and the group must recover within this
-	mostEvents     = 2_000_000       // a simulation with more never comes to rest
+	faultyFor      = 2 * time.Second       // faults come and go for this long
+	healedFor      = 4 * time.Second       // and the group must recover within this
+	shortDelay     = 4 * time.Millisecond  // the most that a message takes, usually
+	longDelay      = 30 * time.Millisecond // and on a bad network
+	mostEvents     = 2_000_000             // a simulation with more never comes to rest
 )
 
 var simulatedTiming = replica.Timing{
@@ -36,7 +38,8 @@
 	frequent   bool // faults come faster, on a bad network, to members that stay the same
 	startNodes int  // 0: by lot
 	safetyOnly bool // a group that doesn't recover is no failure
-	faults     int  // how many times faultyFor the faults last; 0: once
+	tally      *tally
+	faults     int // how many times faultyFor the faults last; 0: once
 }
 
 type event struct {
@@ -76,6 +79,7 @@
 	net    network
 	book   *book
 	client *client
+	counts counts
 	faulty bool
 	healAt time.Duration // when the faults end
 	failed error
@@ -98,7 +102,7 @@
 	w.snapshotEvery = 3 + w.random.Uint64N(40)
 	w.tail = w.random.Uint64N(10)
 	w.batch = 1 + w.random.IntN(8)
-	w.delay = 4 * time.Millisecond
+	w.delay = shortDelay
 	return w
 }
 
@@ -112,7 +116,7 @@
 	if w.frequent {
 		longest = 30 * time.Millisecond
 		w.batch = 1
-		w.delay = 30 * time.Millisecond
+		w.delay = longDelay
 	}
 	w.every(5*time.Millisecond, longest, w.fault)
 	w.healAt = time.Duration(max(1, w.faults)) * faultyFor
@@ -121,12 +125,23 @@
 	if !w.run(w.healAt+healedFor, w.recovered) && w.failed == nil && !w.safetyOnly {
 		w.fail("the group did not recover: %s", w.describe())
 	}
+	w.checkContradictions()
 	if w.failed == nil {
 		w.failed = w.client.check()
 	}
+	o.tally.add(w.counts)
 	return w.failed
 }
 
+// checkContradictions holds that no node was sent what differs from its committed entries.
+func (w *world) checkContradictions() {
+	for _, n := range w.running() {
+		if n.replica.Status(n.clock()).Contradicted {
+			w.fail("node %d was contradicted", n.id)
+		}
+	}
+}
+
 // found starts the first nodes.
 func (w *world) found() {
 	count := w.startNodes
@@ -203,6 +218,7 @@
 // heal ends all faults.
 func (w *world) heal() {
 	w.faulty = false
+	w.delay = shortDelay
 	w.net.clear()
 	for _, n := range w.nodes {
 		if !n.gone && n.replica == nil {
