--- a/cmd/oaklab/main.go
+++ b/cmd/oaklab/main.go
@@ -21,6 +21,6 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(emulateCommand(), fleetCommand(), faultCommand(), loadCommand(), experimentCommand(), reportCommand())
+	c.AddCommand(emulateCommand(), fleetCommand(), faultCommand(), loadCommand(), experimentCommand(), reportCommand(), tierCommand())
 	return c
 }
--- a/internal/anemometer/turnclient/turnclient.go
+++ b/internal/anemometer/turnclient/turnclient.go
@@ -36,11 +36,13 @@
 
 	mu        sync.Mutex
 	directory protocol.Directory
-	owners    [protocol.TurnPartitions]replica.NodeID // as last seen
+	owners    map[int]replica.NodeID // of partitions, as last seen
 }
 
 // New returns a Client that knows no node yet.
-func New(pool *link.Pool) *Client { return &Client{pool: pool} }
+func New(pool *link.Pool) *Client {
+	return &Client{pool: pool, owners: map[int]replica.NodeID{}}
+}
 
 // Learn takes a directory on.
 func (c *Client) Learn(d protocol.Directory) {
@@ -53,7 +55,8 @@
 func (c *Client) Admit(ctx context.Context, args protocol.AdmitArgs) (protocol.AdmitReply, error) {
 	var last protocol.AdmitReply
 	args.Within = tryWithin
-	err := c.try(ctx, protocol.TurnPartition(args.Program), func(ctx context.Context, address string) (protocol.TurnOutcome, replica.NodeID) {
+	err := c.try(ctx, args.Program, func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID) {
+		args.Partition = partition
 		var reply protocol.AdmitReply
 		if err := c.pool.Call(ctx, address, "Turns.Admit", &args, &reply); err != nil {
 			return protocol.TurnUnknown, 0
@@ -68,7 +71,8 @@
 func (c *Client) Finish(ctx context.Context, args protocol.FinishArgs) (protocol.TurnOutcome, error) {
 	var last protocol.TurnOutcome
 	args.Within = tryWithin
-	err := c.try(ctx, protocol.TurnPartition(args.Program), func(ctx context.Context, address string) (protocol.TurnOutcome, replica.NodeID) {
+	err := c.try(ctx, args.Program, func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID) {
+		args.Partition = partition
 		var reply protocol.FinishReply
 		if err := c.pool.Call(ctx, address, "Turns.Finish", &args, &reply); err != nil {
 			return protocol.TurnUnknown, 0
@@ -79,11 +83,14 @@
 	return last, err
 }
 
-// try calls the partition's owner, whoever that turns out to be, until the call is
-// answered by it or ctx ends.
-func (c *Client) try(ctx context.Context, partition int, call func(context.Context, string) (protocol.TurnOutcome, replica.NodeID)) error {
+// caller makes one call at an address about a partition.
+type caller func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID)
+
+// try calls the owner of the program's partition, whoever that turns out to be, until the
+// call is answered by it or ctx ends.
+func (c *Client) try(ctx context.Context, program string, call caller) error {
 	for turn := 0; ; turn++ {
-		at, address, ok := c.target(partition, turn)
+		partition, at, address, ok := c.target(program, turn)
 		if !ok {
 			if !pause(ctx, tryPause) {
 				return ErrUnavailable
@@ -91,7 +98,7 @@
 			continue
 		}
 		one, cancel := context.WithTimeout(ctx, tryWithin)
-		outcome, owner := call(one, address)
+		outcome, owner := call(one, partition, address)
 		cancel()
 		switch outcome {
 		case protocol.TurnGranted, protocol.TurnSpent, protocol.TurnMissing, protocol.TurnClosed:
@@ -108,23 +115,24 @@
 	}
 }
 
-// target is the partition's owner as last seen, or one of its members in turn.
-func (c *Client) target(partition, turn int) (replica.NodeID, string, bool) {
+// target is the owner of the program's partition as last seen, or one of its members in
+// turn.
+func (c *Client) target(program string, turn int) (partition int, at replica.NodeID, address string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n, ok := follow.NodeAddress(&c.directory, c.owners[partition]); ok {
-		return n.ID, n.Address, true
+	if partition = c.directory.TurnPartition(program); partition < 0 {
+		return partition, 0, "", false
 	}
-	if partition >= len(c.directory.Partitions) {
-		return 0, "", false
+	if n, known := follow.NodeAddress(&c.directory, c.owners[partition]); known {
+		return partition, n.ID, n.Address, true
 	}
 	voters := c.directory.Partitions[partition].Voters
 	for i := range voters {
-		if n, ok := follow.NodeAddress(&c.directory, voters[(turn+i)%len(voters)]); ok {
-			return n.ID, n.Address, true
+		if n, known := follow.NodeAddress(&c.directory, voters[(turn+i)%len(voters)]); known {
+			return partition, n.ID, n.Address, true
 		}
 	}
-	return 0, "", false
+	return partition, 0, "", false
 }
 
 func (c *Client) owned(partition int, owner replica.NodeID) {
@@ -146,7 +154,7 @@
 				without[partition] = true
 			}
 		}
-		if len(without) == protocol.TurnPartitions {
+		if partitions := c.partitions(); partitions > 0 && len(without) == partitions {
 			return nil, false, nil
 		}
 		if !pause(ctx, tryPause) {
@@ -175,6 +183,12 @@
 	return replies
 }
 
+func (c *Client) partitions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.directory.Partitions)
+}
+
 func (c *Client) storages() []protocol.Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/barograph/coordinator/authority.go
+++ b/internal/barograph/coordinator/authority.go
@@ -72,7 +72,7 @@
 
 // RetireBegin implements operators.Authority.
 func (c *Coordinator) RetireBegin(ctx context.Context, name string, _ time.Duration) operators.RetireOutcome {
-	retirement := &revisions.Retirement{Node: name, Least: Voters(c.losses, protocol.TurnPartitions)}
+	retirement := &revisions.Retirement{Node: name, Least: VotersWanted(c.losses)}
 	switch c.order(ctx, &revisions.Command{Retire: retirement}) {
 	case revisions.Taken:
 		return operators.RetireAccepted
--- a/internal/barograph/coordinator/coordinator.go
+++ b/internal/barograph/coordinator/coordinator.go
@@ -197,7 +197,7 @@
 	if len(cores) < leastVoters && group != protocol.ConfigurationGroup || len(cores) == 0 {
 		return // the directory has yet to fill
 	}
-	view := repair.View{Status: status, Now: c.node.Now(), Silent: node.Timing.Silent, Nodes: c.withFirst(cores, status), Voters: Voters(c.losses, len(cores)), Everyone: true}
+	view := repair.View{Status: status, Now: c.node.Now(), Silent: node.Silent, Nodes: c.withFirst(cores, status), Voters: Voters(c.losses, len(cores)), Everyone: true}
 	next, ok := c.planners[group].Plan(view)
 	if !ok {
 		return
@@ -226,15 +226,12 @@
 	return slices.DeleteFunc(slices.Clone(d.Nodes), func(n protocol.Node) bool { return n.Class != class })
 }
 
-// Voters is how many voters a group has where so many nodes may be lost at once, and so
-// many nodes are there.
-func Voters(losses, nodes int) int {
-	want := max(2*losses+1, leastVoters)
-	if nodes < want {
-		return max(nodes, 1)
-	}
-	return want
-}
+// VotersWanted is how many voters a group should have where so many nodes may be lost at
+// once.
+func VotersWanted(losses int) int { return max(2*losses+1, leastVoters) }
+
+// Voters is how many voters a group can have of them where so many nodes are there.
+func Voters(losses, nodes int) int { return min(VotersWanted(losses), max(nodes, 1)) }
 
 // assign deals out the partitions of the turns once, when the storage nodes have come.
 func (c *Coordinator) assign(ctx context.Context, d protocol.Directory) {
@@ -247,7 +244,7 @@
 		return
 	}
 	assignment := &revisions.Assignment{}
-	for partition := range protocol.TurnPartitions {
+	for partition := range protocol.TurnPartitions(len(nodes)) {
 		ranked := hashingRank(protocol.TurnGroup(partition), nodes)
 		assignment.Partitions = append(assignment.Partitions, ranked[:Voters(c.losses, len(nodes))])
 	}
@@ -264,7 +261,7 @@
 	if nodes != c.seen {
 		c.seen, c.seenAt = nodes, now
 	}
-	enough := nodes >= Voters(c.losses, protocol.TurnPartitions)
+	enough := nodes >= VotersWanted(c.losses)
 	return now.Sub(c.seenAt) >= settledFor && (enough || now.Sub(c.began) >= settledMost)
 }
 
--- a/internal/barograph/keeper/calls.go
+++ b/internal/barograph/keeper/calls.go
@@ -19,7 +19,7 @@
 func (s *turnCalls) Admit(args *protocol.AdmitArgs, reply *protocol.AdmitReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
 	defer cancel()
-	group := protocol.TurnGroup(protocol.TurnPartition(args.Program))
+	group := protocol.TurnGroup(args.Partition)
 	admission := &turns.Admission{
 		Program: args.Program, Attempt: args.Attempt, Previous: args.Previous, Imported: args.Imported,
 		Budget: args.Budget, Most: args.Most, Keep: args.Keep,
@@ -43,7 +43,7 @@
 func (s *turnCalls) Finish(args *protocol.FinishArgs, reply *protocol.FinishReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
 	defer cancel()
-	group := protocol.TurnGroup(protocol.TurnPartition(args.Program))
+	group := protocol.TurnGroup(args.Partition)
 	ending := &turns.Ending{
 		Program: args.Program, Attempt: args.Attempt, Whole: args.Whole, Tokens: args.Tokens, Previous: args.Previous,
 		Imported: args.Imported, Input: args.Input, Output: args.Output, Keep: args.Keep,
--- a/internal/barograph/keeper/keeper.go
+++ b/internal/barograph/keeper/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -60,9 +61,9 @@
 func New(o Options) (*Keeper, error) {
 	k := &Keeper{node: o.Node, losses: o.Losses, held: map[int]bool{}, planners: map[int]*repair.Planner{}, reported: map[int]uint64{}}
 	k.follower = follow.New(follow.Options{Name: o.Name, Seeds: o.Seeds, Slots: o.Losses + 1, Pool: o.Node.Pool, Told: k.told})
-	restored := o.Node.Host.Held()
-	for partition := range protocol.TurnPartitions {
-		if !slices.Contains(restored, protocol.TurnGroup(partition)) {
+	for _, group := range o.Node.Host.Held() {
+		partition, ok := protocol.TurnPartitionOf(group)
+		if !ok {
 			continue
 		}
 		if err := k.open(partition, replica.Members{}); err != nil {
@@ -90,17 +91,15 @@
 // Follow opens the group of a partition that another member speaks of. It is for
 // host.Options.Unknown.
 func (k *Keeper) Follow(group replica.GroupID) bool {
-	for partition := range protocol.TurnPartitions {
-		if protocol.TurnGroup(partition) != group {
-			continue
-		}
-		if err := k.open(partition, replica.Members{}); err != nil {
-			klog.ErrorS(err, "A partition can't be followed", "partition", partition)
-			return false
-		}
-		return true
+	partition, ok := protocol.TurnPartitionOf(group)
+	if !ok {
+		return false
 	}
-	return false
+	if err := k.open(partition, replica.Members{}); err != nil {
+		klog.ErrorS(err, "A partition can't be followed", "partition", partition)
+		return false
+	}
+	return true
 }
 
 // told takes news of the control plane.
@@ -148,13 +147,7 @@
 func (k *Keeper) partitions() []int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var open []int
-	for partition := range protocol.TurnPartitions {
-		if k.held[partition] {
-			open = append(open, partition)
-		}
-	}
-	return open
+	return slices.Sorted(maps.Keys(k.held))
 }
 
 // tend sees to the members of the partitions that this node owns.
@@ -182,6 +175,9 @@
 	if k.handOver(status, d) {
 		return
 	}
+	if partition >= len(d.Partitions) {
+		return
+	}
 	k.report(ctx, partition, status, d)
 	nodes := coordinator.OfClass(d, protocol.Storage)
 	staying := 0
@@ -190,7 +186,7 @@
 			staying++
 		}
 	}
-	view := repair.View{Status: status, Now: k.node.Now(), Silent: node.Timing.Silent, Nodes: nodes, Retiring: d.Retiring, Voters: coordinator.Voters(k.losses, staying)}
+	view := repair.View{Status: status, Now: k.node.Now(), Silent: node.Silent, Nodes: nodes, Retiring: d.Retiring, Voters: coordinator.Voters(k.losses, staying)}
 	next, due := k.planner(partition).Plan(view)
 	if !due {
 		return
--- a/internal/barograph/node/calls.go
+++ b/internal/barograph/node/calls.go
@@ -38,7 +38,6 @@
 
 // Deliver takes messages of other members in.
 func (c *replicaCalls) Deliver(args *protocol.DeliverArgs, _ *protocol.Nothing) error {
-	c.node.learn(args.From)
 	c.node.Host.Deliver(args.Messages)
 	return nil
 }
--- a/internal/barograph/node/node.go
+++ b/internal/barograph/node/node.go
@@ -28,15 +28,22 @@
 	StoragePort = 1
 )
 
-// Timing is what all groups keep.
-var Timing = replica.Timing{
-	Heartbeat: 100 * time.Millisecond,
-	Election:  400 * time.Millisecond,
-	Spread:    150 * time.Millisecond,
-	Lease:     300 * time.Millisecond,
-	Silent:    1500 * time.Millisecond,
+// Timing is what the groups of a class of nodes keep. Followers of turns learn with the next
+// message what is committed; news of the configuration go out at once.
+func Timing(class protocol.Class) replica.Timing {
+	return replica.Timing{
+		Heartbeat: 100 * time.Millisecond,
+		Election:  400 * time.Millisecond,
+		Spread:    150 * time.Millisecond,
+		Lease:     300 * time.Millisecond,
+		Silent:    Silent,
+		Lazy:      class == protocol.Storage,
+	}
 }
 
+// Silent is how long a member may say nothing before it counts as lost.
+const Silent = 1500 * time.Millisecond
+
 // Options are what a Node is made of.
 type Options struct {
 	Name, Zone string
@@ -94,8 +101,8 @@
 	n.Addresses.Learn(n.Self)
 	n.Pool = link.NewPool(link.Options{})
 	n.Host, err = host.New(host.Options{
-		Self: id, Timing: Timing, Store: disk, Now: n.Now, Seed: rand.Uint64(), Unknown: o.Unknown,
-		Transport: &transport{self: n.Self, addresses: n.Addresses, pool: n.Pool, under: map[replica.NodeID]int{}},
+		Self: id, Timing: Timing(o.Class), Store: disk, Now: n.Now, Seed: rand.Uint64(), Unknown: o.Unknown,
+		Transport: &transport{addresses: n.Addresses, pool: n.Pool, under: map[replica.NodeID]int{}},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open groups")
--- a/internal/barograph/node/transport.go
+++ b/internal/barograph/node/transport.go
@@ -21,7 +21,6 @@
 // transport carries messages between members of groups. It never blocks, and loses what
 // can't be sent.
 type transport struct {
-	self      protocol.Node
 	addresses *Addresses
 	pool      *link.Pool
 
@@ -51,7 +50,7 @@
 func (t *transport) deliver(to protocol.Node, messages []replica.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), deliverWithin)
 	defer cancel()
-	args := protocol.DeliverArgs{From: t.self, Messages: messages}
+	args := protocol.DeliverArgs{Messages: messages}
 	var reply protocol.Nothing
 	// A delivery that fails is lost: the groups send again.
 	_ = t.pool.Call(ctx, to.Address, "Replica.Deliver", &args, &reply)
--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -115,6 +115,8 @@
 	Spread    time.Duration // added to Election by lot
 	Lease     time.Duration // below Election: an owner whose majority answered what was sent this long ago is alone
 	Silent    time.Duration // a member not heard from for this long counts as lost
+	// Lazy lets members learn what is committed with the next message that they get anyhow.
+	Lazy bool
 }
 
 // Stored is what a node kept of a group.
--- a/internal/barograph/replica/owner.go
+++ b/internal/barograph/replica/owner.go
@@ -82,7 +82,8 @@
 	if r.role != owner || r.now < r.heartbeatAt {
 		return
 	}
-	r.heartbeatAt = r.now + r.timing.Heartbeat
+	// All groups of a process beat at the same moments: their messages go out together.
+	r.heartbeatAt = (r.now/r.timing.Heartbeat + 1) * r.timing.Heartbeat
 	for _, node := range r.others() {
 		p := r.progress[node]
 		if len(p.flight) > 0 && r.now-p.moved >= r.timing.Heartbeat {
@@ -131,7 +132,7 @@
 	for _, node := range r.others() {
 		p := r.progress[node]
 		r.sendEntries(node, p)
-		if len(p.flight) == 0 && min(r.commit, p.matched) > p.told {
+		if !r.timing.Lazy && len(p.flight) == 0 && min(r.commit, p.matched) > p.told {
 			r.heartbeat(node, p)
 		}
 	}
--- a/internal/station/process/process.go
+++ b/internal/station/process/process.go
@@ -30,7 +30,7 @@
 // collectAt how much of what is in use may be added before it runs, in percent.
 const (
 	memoryShare = 0.7
-	collectAt   = 200
+	collectAt   = 100
 )
 
 // ErrNoSettings tells that the variable with the settings file's path isn't set.
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"pipitmux/internal/barograph/replica"
@@ -70,12 +72,23 @@
 const (
 	ConfigurationGroup replica.GroupID = "configuration"
 	ListerDuty         replica.GroupID = "duty-lister"
-	// ServicePartitions is how many partitions hold the services, TurnPartitions how many
-	// the turns and budgets. Both are fixed for the life of a deployment's disks.
+	// ServicePartitions is how many partitions hold the services.
 	ServicePartitions = 4
-	TurnPartitions    = 16
+	// turnGroupPrefix stands before a partition's number in the name of its group.
+	turnGroupPrefix = "turns-"
+	// The turns and budgets are cut into so many partitions for each storage node that is
+	// there at the first start, within these bounds. The number then stays: it stands in the
+	// directory.
+	partitionsPerNode = 2
+	partitionsLeast   = 8
+	partitionsMost    = 1024
 )
 
+// TurnPartitions is how many partitions of the turns so many storage nodes begin with.
+func TurnPartitions(nodes int) int {
+	return min(max(partitionsPerNode*nodes, partitionsLeast), partitionsMost)
+}
+
 // ServiceGroup names the group of a partition of the services.
 func ServiceGroup(partition int) replica.GroupID {
 	return replica.GroupID(fmt.Sprintf("services-%d", partition))
@@ -83,7 +96,17 @@
 
 // TurnGroup names the group of a partition of the turns.
 func TurnGroup(partition int) replica.GroupID {
-	return replica.GroupID(fmt.Sprintf("turns-%d", partition))
+	return replica.GroupID(turnGroupPrefix + strconv.Itoa(partition))
+}
+
+// TurnPartitionOf reads the name of a partition's group; false for any other group.
+func TurnPartitionOf(group replica.GroupID) (int, bool) {
+	number, ok := strings.CutPrefix(string(group), turnGroupPrefix)
+	if !ok {
+		return 0, false
+	}
+	partition, err := strconv.Atoi(number)
+	return partition, err == nil && partition >= 0 && partition < partitionsMost && TurnGroup(partition) == group
 }
 
 // ServicePartition is the partition of a service.
@@ -91,8 +114,14 @@
 	return hashing.Partition(service, ServicePartitions)
 }
 
-// TurnPartition is the partition of a program's turns and budget.
-func TurnPartition(program string) int { return hashing.Partition(program, TurnPartitions) }
+// TurnPartition is the partition of a program's turns and budget, -1 where the partitions
+// aren't dealt out yet.
+func (d *Directory) TurnPartition(program string) int {
+	if len(d.Partitions) == 0 {
+		return -1
+	}
+	return hashing.Partition(program, len(d.Partitions))
+}
 
 // HelloArgs introduces a process of the control plane to another.
 type HelloArgs struct{ Self Node }
@@ -104,10 +133,7 @@
 }
 
 // DeliverArgs brings messages between members of groups.
-type DeliverArgs struct {
-	From     Node
-	Messages []replica.Message
-}
+type DeliverArgs struct{ Messages []replica.Message }
 
 // Nothing is an empty message.
 type Nothing struct{}
@@ -188,15 +214,16 @@
 // AdmitArgs asks the owner of a program's partition to reserve a turn's tokens and to
 // tell what was said before.
 type AdmitArgs struct {
-	Program  string
-	Attempt  string
-	Previous string // "" at the start of a line
-	Imported bool   // what was said before is known from another partition
-	Known    bool   // what was said before is at hand: only whether the turn is kept is asked
-	Budget   uint64
-	Most     uint64 // tokens that the turn may put out
-	Keep     time.Duration
-	Within   time.Duration
+	Partition int // of the program
+	Program   string
+	Attempt   string
+	Previous  string // "" at the start of a line
+	Imported  bool   // what was said before is known from another partition
+	Known     bool   // what was said before is at hand: only whether the turn is kept is asked
+	Budget    uint64
+	Most      uint64 // tokens that the turn may put out
+	Keep      time.Duration
+	Within    time.Duration
 }
 
 // AdmitReply brings the text before the new input.
@@ -208,16 +235,17 @@
 
 // FinishArgs ends a try. A turn that was answered whole is kept.
 type FinishArgs struct {
-	Program  string
-	Attempt  string
-	Whole    bool
-	Tokens   uint64 // handed to the client
-	Previous string
-	Imported []byte // text before, where it came from another partition
-	Input    []byte
-	Output   []byte // the data of each event, a line feed behind each
-	Keep     time.Duration
-	Within   time.Duration
+	Partition int // of the program
+	Program   string
+	Attempt   string
+	Whole     bool
+	Tokens    uint64 // handed to the client
+	Previous  string
+	Imported  []byte // text before, where it came from another partition
+	Input     []byte
+	Output    []byte // the data of each event, a line feed behind each
+	Keep      time.Duration
+	Within    time.Duration
 }
 
 // FinishReply tells whether the end is durable.
