--- a/cmd/oaklab/fault.go
+++ b/cmd/oaklab/fault.go
@@ -41,8 +41,8 @@
 
 func powerLossCommand() *cobra.Command {
 	return lossCommand("power-loss", "Lose all power at once and start everything again",
-		"Plays a scenario in which every node is killed with -9 and every backend and the director fall silent, and\n"+
-			"all start again, in the same instant or in a random order, the director late. Prints how long it took until\n"+
+		"Plays a scenario in which every node is killed with -9 and every backend and the registry fall silent, and\n"+
+			"all start again, in the same instant or in a random order, the registry late. Prints how long it took until\n"+
 			"service was as before, and what was won in the first minute.",
 		fault.PowerKinds, func(sc *emulator.Scenario, r *emulator.Result, played string) (report, error) {
 			p, err := fault.Power(sc, r, played)
--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -98,8 +98,8 @@
 	t.Logf("most to a cold backend %.2f of %.2f", p.Overshoot, p.OvershootLimit)
 }
 
-// Four real nodes are killed with -9 in one instant and all backends and the director fall
-// silent; all start again, at once and then in a random order with the director late. No
+// Four real nodes are killed with -9 in one instant and all backends and the registry fall
+// silent; all start again, at once and then in a random order with the registry late. No
 // backend is felled, no rule broken, none that was gone is sent to, and service comes back.
 func TestPowerLossOfRealNodes(t *testing.T) {
 	sc, r := fourNodes(t, `
--- a/cmd/oaklab/fleet.go
+++ b/cmd/oaklab/fleet.go
@@ -21,7 +21,7 @@
 	c := &cobra.Command{
 		Use:   "fleet SCENARIO",
 		Short: "Play a scenario's day on loopback sockets, with real nodes",
-		Long: "Starts stand-in backends, a director for each node, the nodes themselves and the clients on 127.0.0.1,\n" +
+		Long: "Starts stand-in backends, a registry for each node, the nodes themselves and the clients on 127.0.0.1,\n" +
 			"plays the day in real time with its troubles, judges it as emulate does, and ends all it has started.\n" +
 			"Exit code 1 where a rule was broken or a node crashed.",
 		Args: cobra.ExactArgs(1),
--- a/cmd/oaklab/oaklab_test.go
+++ b/cmd/oaklab/oaklab_test.go
@@ -115,7 +115,7 @@
 }
 
 // Real nodes serve a day on loopback through vanished machines, a replacement,
-// kills of the nodes themselves and a director that fails; the auditor, which
+// kills of the nodes themselves and a registry that fails; the auditor, which
 // sees the sockets only, finds the rules kept.
 func TestFleetOnSockets(t *testing.T) {
 	sc, err := emulator.Parse("sockets.yaml", []byte(onSockets))
--- a/cmd/oakseam/bulk_test.go
+++ b/cmd/oakseam/bulk_test.go
@@ -167,7 +167,7 @@
 func TestMemoryHoldsUnderSlowReaders(t *testing.T) {
 	body := string(long(32 << 20))
 	b := newBackend(t, func(c *net.TCPConn, r req) bool { return say(c, 200, "", body) })
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
+	config := configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
 	config["limits"] = object{"cores": 1.0, "memory_mb": 32, "sockets": 256}
 	n := start(t, config)
 	const readers = 30
--- a/cmd/oakseam/console_test.go
+++ b/cmd/oakseam/console_test.go
@@ -19,7 +19,7 @@
 
 // operate starts a node with a console, which knows the backends.
 func operate(t *testing.T, addrs ...string) *node {
-	c := knowing(t, newDirector(t), addrs...)
+	c := knowing(t, newRegistry(t), addrs...)
 	c["console"] = freeAddr(t)
 	return start(t, c)
 }
--- a/cmd/oakseam/crossing_test.go
+++ b/cmd/oakseam/crossing_test.go
@@ -32,7 +32,7 @@
 			require.NoError(t, err)
 			defer slow.Close()
 			other := newBackend(t, ok)
-			d := newDirector(t)
+			d := newRegistry(t)
 			s := settings()
 			s["limits"].(object)["connect-timeout-us"] = 8000000
 			n := start(t, configure(t, freeAddr(t), d.Addr, list(7, true, target("s-0", slow.Addr, "in_service", 0)), s))
@@ -56,13 +56,13 @@
 	}
 }
 
-// TestIdleClientsFillTheDescriptors: while the director is down, clients that say nothing
+// TestIdleClientsFillTheDescriptors: while the registry is down, clients that say nothing
 // connect by the hundred to a node that may hold 128 descriptors. It is ready within 10 s of
-// its start all the same, reaches the director at its return, and serves.
+// its start all the same, reaches the registry at its return, and serves.
 func TestIdleClientsFillTheDescriptors(t *testing.T) {
 	one, two := newBackend(t, ok), newBackend(t, ok)
-	director := freeAddr(t)
-	config := configure(t, freeAddr(t), director, list(7, true, target("s-0", one.Addr, "in_service", 0)), settings())
+	registry := freeAddr(t)
+	config := configure(t, freeAddr(t), registry, list(7, true, target("s-0", one.Addr, "in_service", 0)), settings())
 	config["limits"].(object)["sockets"] = 128
 	began := time.Now()
 	n := start(t, config)
@@ -105,7 +105,7 @@
 	for range 4 {
 		assert.Equal(t, 200, n.ask("topup").status)
 	}
-	d, err := standin.NewScriptedDirectorAt(director)
+	d, err := standin.NewScriptedRegistryAt(registry)
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	back := time.Now()
@@ -122,7 +122,7 @@
 	assert.Equal(t, 200, a.status)
 }
 
-// TestReadyThoughCallsAreTurnedAway: ten processes start without a list while the director
+// TestReadyThoughCallsAreTurnedAway: ten processes start without a list while the registry
 // turns every call away for 6 s. All are ready within 10 s of their start.
 func TestReadyThoughCallsAreTurnedAway(t *testing.T) {
 	t.Parallel()
--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -16,7 +16,7 @@
 	"pipitmux/internal/console"
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
-	"pipitmux/internal/director"
+	"pipitmux/internal/discovery"
 	"pipitmux/internal/figures"
 	"pipitmux/internal/gossip"
 	"pipitmux/internal/logging"
@@ -28,7 +28,7 @@
 )
 
 const (
-	// For standard streams, the listener, the director, the poller, the configuration file,
+	// For standard streams, the listener, the registry, the poller, the configuration file,
 	// and client sessions over their limit while others are shed.
 	spareSockets = 64
 	// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which no more than
@@ -76,7 +76,7 @@
 	}, place.listener, owner, count)
 	lot := shares{c, pool, front, budget, log}
 	lot.set(place.before != nil)
-	d := director.New(c.Director, place.known, owner.List, log)
+	d := discovery.New(c.Discovery, place.known, owner.List, log)
 
 	known, err := place.known.Entries()
 	if err != nil {
@@ -139,16 +139,16 @@
 // Figures writes a line a figure.
 func (o operated) Figures(w io.Writer) { o.figures.Print(w) }
 
-// reload reads the configuration again and takes on the director that it names.
+// reload reads the configuration again and takes on the registry that it names.
 // One that can't be used changes nothing.
-func reload(d *director.Director, own string, log *slog.Logger) {
+func reload(d *discovery.Registry, own string, log *slog.Logger) {
 	c, err := config.Reload(os.Getenv, own)
 	if err != nil {
 		log.Error("reload: the configuration stays as it was", logging.Cause, err)
 		return
 	}
-	log.Info("reload", "discovery", c.Director)
-	d.Move(c.Director)
+	log.Info("reload", "discovery", c.Discovery)
+	d.Move(c.Discovery)
 }
 
 // end answers all that was taken, before the process may be killed.
--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -137,7 +137,7 @@
 	b := newBackend(t, ok)
 	s := settings()
 	s["charges"].(object)["handshake"] = 0.0 // else the module stays with the backend it has a connection to
-	n := start(t, configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", freeAddr(t), "in_service", 0),
+	n := start(t, configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", freeAddr(t), "in_service", 0),
 		target("s-1", b.Addr, "in_service", 0)), s))
 	n.until("the closed address was tried", func() bool {
 		assert.Equal(t, 200, n.ask("topup").status)
@@ -242,7 +242,7 @@
 	b := newBackend(t, ok)
 	s := settings()
 	s["limits"].(object)["conn-idle-us"] = 400000
-	d := newDirector(t)
+	d := newRegistry(t)
 	n := start(t, configure(t, freeAddr(t), d.Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), s))
 	require.Equal(t, 200, n.ask("topup").status)
 	n.until("the idle connection ended", func() bool { return b.Closed.Load() == 1 })
@@ -250,7 +250,7 @@
 	assert.EqualValues(t, 2, b.Opened.Load())
 }
 
-func TestDirectorChangesFlow(t *testing.T) {
+func TestRegistryChangesFlow(t *testing.T) {
 	one, two := newBackend(t, ok), newBackend(t, ok)
 	n, d := serve(t, one.Addr)
 	assert.Equal(t, "stream=1&index=7", receive(t, d.Calls, "the first watch"))
@@ -283,8 +283,8 @@
 	n.counts("list.failed", "1")
 }
 
-// TestDirectorGivenUp: a watch that has gone silent would hide every drain.
-func TestDirectorGivenUp(t *testing.T) {
+// TestRegistryGivenUp: a watch that has gone silent would hide every drain.
+func TestRegistryGivenUp(t *testing.T) {
 	for name, text := range map[string]string{
 		"silent": standin.FallSilent, "list without end": standin.Trickle, "not JSON": "no list\n", "unknown state": `{"rev":8,"targets":[{"uid":"s-0","endpoint":"a:1","state":"odd"}]}` + "\n",
 	} {
@@ -307,7 +307,7 @@
 	}
 }
 
-func TestNoDirector(t *testing.T) {
+func TestNoRegistry(t *testing.T) {
 	b := newBackend(t, ok)
 	n := start(t, configure(t, freeAddr(t), freeAddr(t), list(7, true, target("s-0", b.Addr, "in_service", 0)), settings()))
 	n.until("calls fail and go on", func() bool { return n.counter("list.failed") > "1" })
@@ -316,7 +316,7 @@
 
 // Where the module does not ask, the node watches by itself and tells it of no failure.
 func TestAutomaticRegistry(t *testing.T) {
-	b, d, s := newBackend(t, ok), newDirector(t), settings()
+	b, d, s := newBackend(t, ok), newRegistry(t), settings()
 	s["registry-mode"] = "automatic"
 	n := start(t, configure(t, freeAddr(t), d.Addr, list(7, true), s))
 	receive(t, d.Calls, "the first watch")
@@ -328,7 +328,7 @@
 
 	d.Close()
 	n.until("the outage is noticed", func() bool { return strings.Count(n.log.String(), "the watch broke") >= 3 })
-	back, err := standin.NewScriptedDirectorAt(d.Addr)
+	back, err := standin.NewScriptedRegistryAt(d.Addr)
 	require.NoError(t, err)
 	t.Cleanup(back.Close)
 	assert.Equal(t, "stream=1&index=8", receive(t, back.Calls, "a watch after the outage"))
@@ -516,7 +516,7 @@
 func TestSilentSessionsMakeRoom(t *testing.T) {
 	release := make(chan struct{})
 	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
+	config := configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
 	config["limits"].(object)["sockets"] = 128
 	n := start(t, config)
 	first := make(chan *answer, 1)
@@ -537,11 +537,11 @@
 	assert.Equal(t, 200, a.status)
 }
 
-// TestReload: the file's director takes over from that of the environment, with
+// TestReload: the file's registry takes over from that of the environment, with
 // one watch at a time and no backend lost between; a bad file changes nothing.
 func TestReload(t *testing.T) {
 	one, two := newBackend(t, ok), newBackend(t, ok)
-	before, after := newDirector(t), newDirector(t)
+	before, after := newRegistry(t), newRegistry(t)
 	config := configure(t, freeAddr(t), before.Addr, list(7, true, target("s-0", one.Addr, "in_service", 0)), settings())
 	n := start(t, config)
 	receive(t, before.Calls, "the first watch")
@@ -557,8 +557,8 @@
 
 	config["discovery"] = after.Addr
 	n.reload(line(t, config))
-	assert.Equal(t, "stream=1&index=8", receive(t, after.Calls, "a watch at the new director"))
-	lines := receive(t, after.Watch, "the watch at the new director")
+	assert.Equal(t, "stream=1&index=8", receive(t, after.Calls, "a watch at the new registry"))
+	lines := receive(t, after.Watch, "the watch at the new registry")
 	n.until("the old watch ended", func() bool { return before.Ended.Load() == 1 })
 	assert.Equal(t, 200, n.ask("topup").status)
 	lines <- line(t, list(9, true, target("s-1", two.Addr, "in_service", 0)))
@@ -575,7 +575,7 @@
 // one to a look at /ready always does.
 func TestSessionsMakeRoom(t *testing.T) {
 	b := newBackend(t, ok)
-	config := configure(t, freeAddr(t), newDirector(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
+	config := configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
 	config["limits"].(object)["sockets"] = 128
 	n := start(t, config)
 	ask := func() *http.Response {
--- a/cmd/oakseam/peers_test.go
+++ b/cmd/oakseam/peers_test.go
@@ -125,8 +125,8 @@
 	return held.Addr
 }
 
-func configure(t *testing.T, addr, director string, known, settings object) object {
-	return object{"name": "n0", "listen": addr, "discovery": director, "seed": "9392d72b8053217c",
+func configure(t *testing.T, addr, registry string, known, settings object) object {
+	return object{"name": "n0", "listen": addr, "discovery": registry, "seed": "9392d72b8053217c",
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}
 }
 
@@ -187,13 +187,13 @@
 }
 
 // serve starts a node that knows backends of the given addresses.
-func serve(t *testing.T, addrs ...string) (*node, *standin.ScriptedDirector) {
-	d := newDirector(t)
+func serve(t *testing.T, addrs ...string) (*node, *standin.ScriptedRegistry) {
+	d := newRegistry(t)
 	return start(t, knowing(t, d, addrs...)), d
 }
 
 // knowing configures a node that knows backends of the given addresses.
-func knowing(t *testing.T, d *standin.ScriptedDirector, addrs ...string) object {
+func knowing(t *testing.T, d *standin.ScriptedRegistry, addrs ...string) object {
 	var targets []object
 	for i, a := range addrs {
 		targets = append(targets, target(fmt.Sprint("s-", i), a, "in_service", 0))
@@ -289,9 +289,9 @@
 	return b
 }
 
-// newDirector runs a director, scripted by the test, until the test ends.
-func newDirector(t *testing.T) *standin.ScriptedDirector {
-	d, err := standin.NewScriptedDirector()
+// newRegistry runs a registry, scripted by the test, until the test ends.
+func newRegistry(t *testing.T) *standin.ScriptedRegistry {
+	d, err := standin.NewScriptedRegistry()
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	return d
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -13,7 +13,7 @@
 	"pipitmux/internal/cli"
 	"pipitmux/internal/config"
 	"pipitmux/internal/core"
-	"pipitmux/internal/director"
+	"pipitmux/internal/discovery"
 	"pipitmux/internal/handover"
 	"pipitmux/internal/logging"
 	"pipitmux/internal/message"
@@ -36,7 +36,7 @@
 	log      *slog.Logger
 	console  net.Listener // nil: none
 	listener *net.TCPListener
-	known    director.List
+	known    discovery.List
 	learned  []byte          // by the predecessor's module
 	before   *handover.Taken // nil: nobody handed this process its place
 	quit     chan struct{}
@@ -85,10 +85,10 @@
 	return p, nil
 }
 
-// handed is what a successor is handed: the list in the director's form, and what the
+// handed is what a successor is handed: the list in the registry's form, and what the
 // module learned.
 type handed struct {
-	List    director.List   `json:"list"`
+	List    discovery.List   `json:"list"`
 	Learned json.RawMessage `json:"learned,omitempty"`
 }
 
@@ -109,13 +109,13 @@
 
 // state is what a successor is handed. The version is read first: what is told twice
 // does no harm, what is missed does.
-func state(owner *core.Core, d *director.Director) (handed, error) {
+func state(owner *core.Core, d *discovery.Registry) (handed, error) {
 	rev := d.Rev()
 	known, ok := owner.Known(time.Second)
 	if !ok {
 		return handed{}, errors.New("the owner did not tell its list in time")
 	}
-	return handed{director.ListOf(rev, true, known.Entries), known.Learned}, nil
+	return handed{discovery.ListOf(rev, true, known.Entries), known.Learned}, nil
 }
 
 // offer tells the predecessor that this process serves, and waits for a successor once
--- a/cmd/oakseam/saved_test.go
+++ b/cmd/oakseam/saved_test.go
@@ -16,14 +16,14 @@
 )
 
 // Nodes that are killed with -9 together serve again from what each wrote down, while the
-// director says nothing; torn, foreign and other versions' files are refused by name, and
+// registry says nothing; torn, foreign and other versions' files are refused by name, and
 // what is from the future is not learned.
 func TestStateOutlivesAKill(t *testing.T) {
 	b := newBackend(t, ok)
 	dir := t.TempDir()
 	own := filepath.Join(dir, "own.yaml")
 	require.NoError(t, os.WriteFile(own, []byte("state: {dir: "+dir+"}\n"), 0o600))
-	d := newDirector(t)
+	d := newRegistry(t)
 	var configs []object
 	var nodes []*node
 	for range 3 {
--- a/cmd/oakseam/upgrade_test.go
+++ b/cmd/oakseam/upgrade_test.go
@@ -21,7 +21,7 @@
 
 // replaceable starts a node that a further process can take over from.
 func replaceable(t *testing.T, addr string) (*node, object) {
-	c := knowing(t, newDirector(t), addr)
+	c := knowing(t, newRegistry(t), addr)
 	c["tmp"] = t.TempDir()
 	c["console"] = freeAddr(t)
 	return start(t, c), c
--- a/internal/anemometer/gateway/answer.go
+++ b/internal/anemometer/gateway/answer.go
@@ -68,7 +68,7 @@
 	}
 	w := &waiter{answer: make(chan core.Answer, 1)}
 	defer w.leave()
-	request := core.Req{
+	request := core.Request{
 		ID: x.attempt, Class: x.route.Name, Arrived: time.Now(), Wait: left, Call: x.call(body), Session: w,
 		Worth: worth,
 	}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -1,5 +1,5 @@
 // Package audit judges whether nodes keep the rules, from the outside: it is
-// told what passed between clients, nodes, backends and the director, and knows
+// told what passed between clients, nodes, backends and the registry, and knows
 // nothing of how anyone decided. The emulator, the loopback fleet and tests use
 // the same Auditor. It does no I/O and reads no clock; times are handed in, on
 // any one clock, and must not go back.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,21 +19,21 @@
 	"strings"
 	"time"
 
-	"pipitmux/internal/director"
+	"pipitmux/internal/discovery"
 	"pipitmux/internal/wire"
 	"pipitmux/logic"
 )
 
 // Config is what a node is told at its start.
 type Config struct {
-	Name, Listen, Director string
+	Name, Listen, Discovery string
 	Console                string   // the operators' address, empty: none
 	PeerListen             string   // where datagrams of other nodes arrive, empty: nowhere
 	Peers                  []string // of all nodes in the order of their numbers, as this one reaches them
 	Seed                   uint64
 	Cores                  float64
 	MemoryMB, Sockets      int
-	Known                  director.List
+	Known                  discovery.List
 	Settings               logic.Settings
 	ConnectTimeout         time.Duration
 	RetryAfter             time.Duration // of a refusal, 0 where clients heed none
@@ -64,7 +64,7 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    director.List   `json:"known"`
+	Known    discovery.List   `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
 
@@ -83,7 +83,7 @@
 }
 
 // Reload reads the file again. The variables are as old as the start, so the
-// director is the one that the file names.
+// registry is the one that the file names.
 func Reload(getenv func(string) string, own string) (*Config, error) { return load(getenv, "", own) }
 
 func load(getenv func(string) string, discovery, own string) (*Config, error) {
@@ -190,12 +190,12 @@
 }
 
 func (f *file) check() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Director: f.Discovery, Console: f.Console, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Known: f.Known,
 		Cores:    cmp.Or(f.Limits.Cores, defaultCores),
 		MemoryMB: cmp.Or(f.Limits.MemoryMB, defaultMemoryMB),
 		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets),
 	}
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Director}, {"console", c.Console}} {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"console", c.Console}} {
 		if a.addr == "" && a.key == "console" {
 			continue
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,5 @@
 // Package core runs the decision module of one node. One goroutine owns the
-// module, the table of reqs and the timers; fronts, backends and the director
+// module, the table of reqs and the timers; fronts, backends and the registry
 // reach it through queues only, and it never waits for any of them. The steps
 // themselves are an Owner's, which the lab drives in virtual time.
 //
@@ -18,8 +18,8 @@
 	"pipitmux/logic"
 )
 
-// Req is a req that a front has taken whole.
-type Req struct {
+// Request is a req that a front has taken whole.
+type Request struct {
 	ID, Class string
 	Retry     bool
 	Tenant    string           // who the req belongs to, as the settings name them; empty: not told
@@ -100,10 +100,10 @@
 	CloseIdle(Place)
 }
 
-// Director brings the list of backends. Its methods must not block; each call
+// Registry brings the list of backends. Its methods must not block; each call
 // is answered by exactly one List. A core whose settings don't say MustSubscribe may have
 // none: nil.
-type Director interface {
+type Registry interface {
 	Subscribe()
 	Fetch()
 }
@@ -162,7 +162,7 @@
 const submitWithin = 100 * time.Millisecond
 
 // Submit hands in a req. Its Session gets one answer unless Gone comes first.
-func (c *Core) Submit(r Req) error {
+func (c *Core) Submit(r Request) error {
 	ev := func() { c.owner.Request(r) }
 	select {
 	case c.queue <- ev:
@@ -189,7 +189,7 @@
 	c.queue <- func() { c.owner.Whole(logic.RequestID(id), of) }
 }
 
-// List brings a list of the director. It is told ahead of everything that
+// List brings a list of the registry. It is told ahead of everything that
 // waits: a drain must not stand behind reqs that would be sent to the drained.
 func (c *Core) List(kind logic.ListKind, entries []Entry) {
 	c.urgent <- func() {
@@ -241,8 +241,8 @@
 func (c *Core) Stop() { close(c.quit) }
 
 // Run owns the module until Stop.
-func (c *Core) Run(b Backends, d Director) {
-	c.owner.world.Backends, c.owner.world.Director = b, d
+func (c *Core) Run(b Backends, d Registry) {
+	c.owner.world.Backends, c.owner.world.Registry = b, d
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,7 +15,7 @@
 	"pipitmux/logic"
 )
 
-// peers are backends and a director that note what they are asked.
+// peers are backends and a registry that note what they are asked.
 type peers struct {
 	mu   sync.Mutex
 	went []logic.ServerID
@@ -75,7 +75,7 @@
 	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), 100)}
 	answers := make(waiting, 100)
 	for i := range 50 {
-		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i), Class: "topup", Arrived: time.Now(), Session: answers}))
+		require.NoError(t, c.Submit(Request{ID: fmt.Sprint(i), Class: "topup", Arrived: time.Now(), Session: answers}))
 	}
 	c.List(logic.ListChanges, entries(logic.Serving, logic.Draining))
 	go c.Run(p, p)
@@ -99,7 +99,7 @@
 		go func() {
 			n := 0
 			for range reqs / cap(taken) {
-				r := Req{ID: fmt.Sprintf("%p-%d", &n, n), Class: "topup", Arrived: time.Now(), Session: answers}
+				r := Request{ID: fmt.Sprintf("%p-%d", &n, n), Class: "topup", Arrived: time.Now(), Session: answers}
 				if c.Submit(r) == nil {
 					n++
 				}
@@ -125,9 +125,9 @@
 func TestSubmitGivesUp(t *testing.T) {
 	c := newCore(t, 5*time.Second, logic.Serving)
 	for i := range queueLength {
-		require.NoError(t, c.Submit(Req{ID: fmt.Sprint(i)}))
+		require.NoError(t, c.Submit(Request{ID: fmt.Sprint(i)}))
 	}
-	assert.ErrorIs(t, c.Submit(Req{ID: "one more"}), ErrFull)
+	assert.ErrorIs(t, c.Submit(Request{ID: "one more"}), ErrFull)
 }
 
 // An attempt that lasts until its req's end has timed out: the module's timer
@@ -137,7 +137,7 @@
 	answers := make(waiting, 1)
 	go c.Run(p, p)
 	defer c.Stop()
-	require.NoError(t, c.Submit(Req{ID: "r", Class: "topup", Arrived: time.Now(), Session: answers}))
+	require.NoError(t, c.Submit(Request{ID: "r", Class: "topup", Arrived: time.Now(), Session: answers}))
 	receive(t, answers)
 	require.Len(t, p.ends, 1, "it was sent")
 	assert.Zero(t, p.off.Load(), "calls off")
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -30,7 +30,7 @@
 	Now      func() time.Time
 	Post     func(func()) // has the end of an attempt told to the owner; called from any goroutine
 	Backends Backends
-	Director Director
+	Registry Registry
 	Count    Counter
 	Log      *slog.Logger
 }
@@ -56,7 +56,7 @@
 
 // held is a req from its arrival until it is answered and its attempts have ended.
 type held struct {
-	Req
+	Request
 	class    *logic.Class // nil: not known
 	until    time.Time
 	attempts []sent
@@ -198,12 +198,12 @@
 	case logic.SetTimer:
 		heap.Push(&o.timers, timer{at: o.at.Add(a.After), token: a.Token})
 	case logic.Subscribe:
-		if o.world.Director != nil {
-			o.world.Director.Subscribe()
+		if o.world.Registry != nil {
+			o.world.Registry.Subscribe()
 		}
 	case logic.Fetch:
-		if o.world.Director != nil {
-			o.world.Director.Fetch()
+		if o.world.Registry != nil {
+			o.world.Registry.Fetch()
 		}
 	case logic.CloseIdle:
 		if p, ok := o.places[a.Server]; ok {
@@ -215,7 +215,7 @@
 }
 
 // Request takes a req. Its Session gets one answer unless Gone comes first.
-func (o *Owner) Request(r Req) {
+func (o *Owner) Request(r Request) {
 	id := logic.RequestID(r.ID)
 	o.world.Count.Add("req.taken")
 	if o.reqs[id] != nil {
@@ -232,7 +232,7 @@
 			}
 		}
 	}
-	h := &held{Req: r, class: class, until: r.Arrived.Add(r.Wait)}
+	h := &held{Request: r, class: class, until: r.Arrived.Add(r.Wait)}
 	o.reqs[id] = h
 	if r.Open {
 		h.Arrived = o.world.Now()
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -44,10 +44,10 @@
 	at := time.Unix(1, 0)
 	o := NewOwner(&sender{}, logic.Settings{Classes: []logic.Class{{Name: "topup", Deadline: time.Second}}}, World{
 		Now: func() time.Time { return at }, Post: func(ev func()) { later = append(later, ev) },
-		Backends: stub{}, Director: stub{}, Count: stub{}, Log: log})
+		Backends: stub{}, Registry: stub{}, Count: stub{}, Log: log})
 	o.List(logic.ListFull, []Entry{{Server: logic.Server{ID: "b"}, Endpoint: "x:1"}})
 	return func(id string) {
-		o.Request(Req{ID: id, Class: "topup", Arrived: at, Session: stub{}})
+		o.Request(Request{ID: id, Class: "topup", Arrived: at, Session: stub{}})
 		for _, ev := range later {
 			ev()
 		}
@@ -118,7 +118,7 @@
 func (h *hand) play(c logic.Class, at *time.Time) *Owner {
 	o := NewOwner(h, logic.Settings{Classes: []logic.Class{c}}, World{
 		Now: func() time.Time { return *at }, Post: func(ev func()) { ev() },
-		Backends: h, Director: stub{}, Count: stub{}, Log: slog.New(slog.DiscardHandler)})
+		Backends: h, Registry: stub{}, Count: stub{}, Log: slog.New(slog.DiscardHandler)})
 	o.List(logic.ListFull, []Entry{{Server: logic.Server{ID: "a"}, Endpoint: "x:1"}, {Server: logic.Server{ID: "b"}, Endpoint: "x:2"}})
 	return o
 }
@@ -144,7 +144,7 @@
 			return nil
 		}}
 		o := h.play(logic.Class{Name: "c", Effect: tt.effect, Window: 700 * time.Millisecond, Deadline: 5 * time.Second}, &at)
-		o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: h})
+		o.Request(Request{ID: "r", Class: "c", Arrived: at, Session: h})
 		sent := at
 		for range 2 {
 			at = at.Add(200 * time.Millisecond)
@@ -213,7 +213,7 @@
 		return nil
 	}}
 	o := h.play(logic.Class{Name: "c", Deadline: time.Second}, &at)
-	o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: h})
+	o.Request(Request{ID: "r", Class: "c", Arrived: at, Session: h})
 	h.told = nil
 	h.ends[0](Ended{Result: logic.Moot, Left: true, At: at})
 	if assert.Len(t, h.told, 2) {
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -44,7 +44,7 @@
 	}}
 	s.o = s.play(logic.Class{Name: "c", Deadline: 5 * time.Second}, &s.at)
 	s.o.world.Backends = s
-	s.o.Request(Req{ID: "r", Class: "c", Arrived: s.at, Session: s.hand})
+	s.o.Request(Request{ID: "r", Class: "c", Arrived: s.at, Session: s.hand})
 	s.told = nil
 	return s
 }
@@ -176,8 +176,8 @@
 
 func (l *learner) SetClasses(c []logic.Class) error { l.classes = c; return nil }
 
-// New classes hold for reqs that come later; a core without a director asks none.
-func TestReconfigureWithoutDirector(t *testing.T) {
+// New classes hold for reqs that come later; a core without a registry asks none.
+func TestReconfigureWithoutRegistry(t *testing.T) {
 	at := time.Unix(1000, 0)
 	l := &learner{hand: hand{do: func(ev logic.Event) []logic.Action {
 		if q, ok := ev.(logic.Request); ok {
@@ -189,10 +189,10 @@
 	o := NewOwner(l, logic.Settings{Classes: class(time.Second)}, World{Now: func() time.Time { return at },
 		Post: func(ev func()) { ev() }, Backends: l, Count: stub{}, Log: slog.New(slog.DiscardHandler)})
 	o.List(logic.ListFull, []Entry{{Server: logic.Server{ID: "a"}, Endpoint: "x:1"}})
-	o.Request(Req{ID: "r", Class: "c", Arrived: at, Session: l})
+	o.Request(Request{ID: "r", Class: "c", Arrived: at, Session: l})
 	o.Reconfigure(class(time.Minute))
 	assert.Equal(t, class(time.Minute), l.classes)
-	o.Request(Req{ID: "s", Class: "c", Arrived: at, Session: l})
+	o.Request(Request{ID: "s", Class: "c", Arrived: at, Session: l})
 	if assert.Len(t, l.started, 2) {
 		assert.Equal(t, at.Add(time.Second), l.started[0].Until)
 		assert.Equal(t, at.Add(time.Minute), l.started[1].Until)
--- a/internal/director/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bufio"
@@ -27,12 +27,12 @@
 		"      \"state\": \"terminating\"\n    }\n  ]\n}\n"
 )
 
-// world is a director, as a script on pipes, and what its caller did, in virtual time.
+// world is a registry, as a script on pipes, and what its caller did, in virtual time.
 type world struct {
-	d     *Director
+	d     *Registry
 	began time.Time
 	mu    sync.Mutex      // guards what follows until the day is over
-	calls []time.Duration // when each call reached the director
+	calls []time.Duration // when each call reached the registry
 	told  []time.Duration // when each list was told, by kind below
 	kinds []logic.ListKind
 }
@@ -45,7 +45,7 @@
 
 // play has the script answer calls for a time: nil for one that is refused, else what is said,
 // after which the call stays silent.
-func play(t *testing.T, span time.Duration, script func(call int, at time.Duration) []say, run func(context.Context, *Director)) *world {
+func play(t *testing.T, span time.Duration, script func(call int, at time.Duration) []say, run func(context.Context, *Registry)) *world {
 	w := &world{}
 	synctest.Test(t, func(t *testing.T) {
 		w.began = time.Now()
@@ -105,7 +105,7 @@
 	return w
 }
 
-func keep(ctx context.Context, d *Director) { d.Keep(ctx) }
+func keep(ctx context.Context, d *Registry) { d.Keep(ctx) }
 
 func beats(n int) (out []say) {
 	for range n {
@@ -167,7 +167,7 @@
 					return late
 				}
 				return tt.second
-			}, func(_ context.Context, d *Director) { d.Subscribe() })
+			}, func(_ context.Context, d *Registry) { d.Subscribe() })
 			assert.NotContains(t, w.kinds, logic.ListFailed)
 			if assert.NotEmpty(t, w.told) {
 				assert.InDelta(t, tt.told.Seconds(), w.told[len(w.told)-1].Seconds(), 0.15, "the list")
@@ -183,7 +183,7 @@
 func TestTurnOfACall(t *testing.T) {
 	w := play(t, 20*time.Second, func(call int, _ time.Duration) []say {
 		return append([]say{{4900 * time.Millisecond, beat}}, beats(1)...)
-	}, func(_ context.Context, d *Director) { d.Subscribe() })
+	}, func(_ context.Context, d *Registry) { d.Subscribe() })
 	assert.Equal(t, []logic.ListKind{logic.ListChanges, logic.ListChanges}, w.kinds)
 	assert.Equal(t, 4900*time.Millisecond, w.told[0])
 	for _, c := range w.calls {
@@ -199,7 +199,7 @@
 			return []say{} // lost
 		}
 		return nil
-	}, func(_ context.Context, d *Director) { d.Subscribe() })
+	}, func(_ context.Context, d *Registry) { d.Subscribe() })
 	assert.Equal(t, []logic.ListKind{logic.ListFailed}, w.kinds, "told once, when no call is out")
 	assert.Less(t, w.told[0], 10*time.Second)
 }
--- a/internal/director/order.go
+++ b/internal/discovery/order.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"time"
@@ -10,7 +10,7 @@
 // order keeps an older list from bringing back what a newer one has ended, whichever way
 // the two came: on a watch, on one beside it, in an answer, from before this process.
 //
-// A director that starts again may number its lists from below, so an older list is heeded
+// A registry that starts again may number its lists from below, so an older list is heeded
 // in all else: who is new in it, who has started anew, who has ended.
 type order struct {
 	now    func() time.Time
--- a/internal/director/order_test.go
+++ b/internal/discovery/order_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"fmt"
@@ -41,7 +41,7 @@
 
 // What a newer list has ended no older one brings back, on whichever way it comes: in an
 // answer, on a watch that begins anew, after the list that the process began with. In all
-// else an older list is heeded, for a director may number its lists from below again.
+// else an older list is heeded, for a registry may number its lists from below again.
 func TestOlderListsBringNothingBack(t *testing.T) {
 	const up, drains, gone = "in_service", "terminating", "terminated"
 	drained := list(5, true, entry("a", drains, 1), entry("b", up, 1))
--- a/internal/director/director.go
+++ b/internal/discovery/registry.go
@@ -1,6 +1,6 @@
-// Package director asks the director for the list of backends, once or as a
+// Package discovery asks the registry for the list of backends, once or as a
 // watch, over HTTP/1.1 on plain connections.
-package director
+package discovery
 
 import (
 	"bufio"
@@ -29,10 +29,10 @@
 	// longer is broken, and would hide every drain to come. What it missed counts as told 6 s
 	// after it fell silent: what is left of those is for the new call.
 	silentFor = 3500 * time.Millisecond
-	// A call that is asked for waits for its turn at a director that many share.
+	// A call that is asked for waits for its turn at a registry that many share.
 	turnWithin = 5 * time.Second
 	// Another call is made beside one without a first word for so long, and a tenth more at
-	// most: directors answer or refuse within 2 s. And so beside a watch that is silent for
+	// most: registries answer or refuse within 2 s. And so beside a watch that is silent for
 	// so long, and a tenth more: its beats are 2 s apart. One that is refused is made again
 	// after againIn, and up to as long more. What a silent watch misses counts as told 6 s
 	// after it fell silent: 2.75 s of doubt, 2.42 s for a call that is lost, and the rest for
@@ -50,7 +50,7 @@
 	maxList    = 4 << 20
 )
 
-// List is the director's form of a list of backends.
+// List is the registry's form of a list of backends.
 type List struct {
 	Rev     int64    `json:"rev"`
 	All     bool     `json:"all"`
@@ -100,7 +100,7 @@
 	return out, nil
 }
 
-// ListOf returns a list in the director's form: what Entries turns back.
+// ListOf returns a list in the registry's form: what Entries turns back.
 func ListOf(rev int64, all bool, entries []core.Entry) List {
 	l := List{Rev: rev, All: all, Targets: make([]Target, 0, len(entries))}
 	for _, e := range entries {
@@ -116,9 +116,9 @@
 	return l
 }
 
-// Director calls the director at one address. Each Subscribe and each Fetch is
+// Registry calls the registry at one address. Each Subscribe and each Fetch is
 // answered by one list; a failed call by ListFailed.
-type Director struct {
+type Registry struct {
 	tell func(logic.ListKind, []core.Entry)
 	log  *slog.Logger
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -134,12 +134,12 @@
 	done  chan struct{}      // closed when it has ended
 }
 
-var _ core.Director = (*Director)(nil)
+var _ core.Registry = (*Registry)(nil)
 
-// New returns a Director that has yet to call. known is the list that the node knows
+// New returns a Registry that has yet to call. known is the list that the node knows
 // already, with its version.
-func New(addr string, known List, tell func(logic.ListKind, []core.Entry), log *slog.Logger) *Director {
-	d := &Director{addr: addr, rev: known.Rev, tell: tell, log: log, dial: new(net.Dialer).DialContext,
+func New(addr string, known List, tell func(logic.ListKind, []core.Entry), log *slog.Logger) *Registry {
+	d := &Registry{addr: addr, rev: known.Rev, tell: tell, log: log, dial: new(net.Dialer).DialContext,
 		order: newOrder(time.Now)}
 	if entries, err := known.Entries(); err == nil {
 		d.order.sort(&known, entries)
@@ -148,14 +148,14 @@
 }
 
 // Rev returns the version of the list that was last told.
-func (d *Director) Rev() int64 {
+func (d *Registry) Rev() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.rev
 }
 
 // Fetch asks for the whole list. It does not block.
-func (d *Director) Fetch() {
+func (d *Registry) Fetch() {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), turnWithin)
 		defer cancel()
@@ -178,7 +178,7 @@
 }
 
 // Subscribe starts a watch in place of the present one. It does not block.
-func (d *Director) Subscribe() {
+func (d *Registry) Subscribe() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
@@ -202,7 +202,7 @@
 
 // Keep watches until ctx ends, for a module that does not ask: the lists are pushed, to an
 // agent on the node's own machine.
-func (d *Director) Keep(ctx context.Context) {
+func (d *Registry) Keep(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
 		replied, err := d.follow(ctx, patience{silentFor, agentDoubt, int(silentFor/agentDoubt) + 1})
@@ -219,10 +219,10 @@
 	}
 }
 
-// Move goes over to the director at another address: the present watch ends
+// Move goes over to the registry at another address: the present watch ends
 // unseen and goes on there. Its module has been told nothing failed, so no drain
 // and no call is made up, and a call that waits for its list still gets one.
-func (d *Director) Move(addr string) {
+func (d *Registry) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if addr == d.addr {
@@ -243,7 +243,7 @@
 
 // follow watches until a watch ends other than by a move. It also returns
 // whether a first list was told.
-func (d *Director) follow(ctx context.Context, p patience) (replied bool, err error) {
+func (d *Registry) follow(ctx context.Context, p patience) (replied bool, err error) {
 	for {
 		here, leave := context.WithCancel(ctx)
 		d.mu.Lock()
@@ -260,7 +260,7 @@
 	}
 }
 
-// watch is one call for a watch, guarded by Director.telling.
+// watch is one call for a watch, guarded by Registry.telling.
 type watch struct {
 	rivals *[]*watch
 	end    context.CancelFunc
@@ -278,7 +278,7 @@
 // nothing for longer than an honest one would gets another beside it, and goes on: of those
 // that are out the first to speak holds, and the others end. So a call that is lost costs no
 // more than a while, and one that waits for its turn does not lose it.
-func (d *Director) stay(ctx context.Context, addr string, p patience) (replied bool, err error) {
+func (d *Registry) stay(ctx context.Context, addr string, p patience) (replied bool, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	var ended sync.WaitGroup
 	defer ended.Wait()
@@ -345,7 +345,7 @@
 
 // watch tells lists until the watch ends, which it always does with an error. word is called
 // for each list and each empty line.
-func (d *Director) watch(ctx context.Context, w *watch, addr, path string, first time.Duration, word func()) error {
+func (d *Registry) watch(ctx context.Context, w *watch, addr, path string, first time.Duration, word func()) error {
 	return d.call(ctx, addr, path, first, func(body *bufio.Reader, whole func()) error {
 		for replied := false; ; replied = true {
 			l, err := next(body)
@@ -372,7 +372,7 @@
 
 // take tells what a watch brought, a list or nil for an empty line, in the order of the
 // lists. A nil watch is a call for the whole list.
-func (d *Director) take(w *watch, l *List) error {
+func (d *Registry) take(w *watch, l *List) error {
 	d.telling.Lock()
 	defer d.telling.Unlock()
 	if w != nil && w.dead {
@@ -461,7 +461,7 @@
 
 // call sends a GET and has the body of its 200 answer read. The first of it has to come
 // whole within a time; whole tells that something has, and starts the clock of silence anew.
-func (d *Director) call(ctx context.Context, addr, path string, first time.Duration, read func(body *bufio.Reader, whole func()) error) error {
+func (d *Registry) call(ctx context.Context, addr, path string, first time.Duration, read func(body *bufio.Reader, whole func()) error) error {
 	up, stop := context.WithTimeout(ctx, min(first, connectWithin))
 	defer stop()
 	c, err := d.dial(up, "tcp", addr)
--- a/internal/director/director_test.go
+++ b/internal/discovery/registry_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"fmt"
--- a/internal/director/told_test.go
+++ b/internal/discovery/told_test.go
@@ -1,4 +1,4 @@
-package director
+package discovery
 
 import (
 	"bufio"
@@ -23,7 +23,7 @@
 	"pipitmux/logic"
 )
 
-// toldWithin is when a change counts as told: so long after the director had it and could be
+// toldWithin is when a change counts as told: so long after the registry had it and could be
 // reached, whatever call failed, was refused or given up.
 const toldWithin = 6 * time.Second
 
@@ -32,11 +32,11 @@
 	drain  = `{"rev":2,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"terminating"}]}` + "\n"
 )
 
-// desk is a director that takes calls in turn, as many as it is made for.
+// desk is a registry that takes calls in turn, as many as it is made for.
 type desk struct {
 	began   time.Time
 	per     time.Duration // of its time that a call takes
-	drain   time.Duration // when a backend begins to drain: the director has it from then on
+	drain   time.Duration // when a backend begins to drain: the registry has it from then on
 	down    [2]time.Duration
 	silence time.Duration // when the watches then open fall silent, 0: never
 	reset   time.Duration // when they are reset, 0: never
@@ -136,7 +136,7 @@
 func (noBackends) Withdraw(core.Place)                         {}
 func (noBackends) CloseIdle(core.Place)                        {}
 
-// node is a node's module with its director, and when it was told the drain.
+// node is a node's module with its registry, and when it was told the drain.
 func (k *desk) node(t testing.TB, name string, nodes, number int, dial func(context.Context, string, string) (net.Conn, error)) (told <-chan time.Duration, end func()) {
 	quiet := slog.New(slog.DiscardHandler)
 	owner, err := core.New(logic.Settings{Nodes: nodes, Number: number, MustSubscribe: true, AskWithin: 10 * time.Second,
@@ -173,7 +173,7 @@
 	}
 }
 
-// crossings are the ways in which a drain and a failure of a director can meet.
+// crossings are the ways in which a drain and a failure of a registry can meet.
 var crossings = map[string]func(*desk){
 	"the watch falls silent as the drain begins":                func(k *desk) { k.silence, k.drain = 3*time.Second, 3*time.Second },
 	"and the next call is lost":                                 func(k *desk) { k.silence, k.drain, k.fate = 3*time.Second, 3*time.Second, only(1, lost) },
@@ -183,10 +183,10 @@
 	"all watches are reset, and the next calls refused": func(k *desk) {
 		k.reset, k.drain, k.fate = 3*time.Second, 3*time.Second, first(heard, refused, refused)
 	},
-	"the director is back, and the drain begins": func(k *desk) {
+	"the registry is back, and the drain begins": func(k *desk) {
 		k.down, k.drain = [2]time.Duration{2 * time.Second, 9 * time.Second}, 9*time.Second
 	},
-	"the director is back, and the next call is lost": func(k *desk) {
+	"the registry is back, and the next call is lost": func(k *desk) {
 		k.down, k.drain = [2]time.Duration{2 * time.Second, 9 * time.Second}, 9*time.Second
 		var once sync.Map
 		k.fate = func(of string, call int) fate {
@@ -255,7 +255,7 @@
 	}
 }
 
-// Thirty nodes at once, at a director that takes fifteen calls a second: all are told in time,
+// Thirty nodes at once, at a registry that takes fifteen calls a second: all are told in time,
 // and none of them by calling without end.
 func TestToldInTimeThirtyNodes(t *testing.T) {
 	const nodes = 30
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -155,7 +155,7 @@
 	arrived := w.now
 	w.audit.Taken(arrived, n.no, t.id, t.op.id, t.op.class.Name, patience)
 	n.tell(arrived, func() {
-		n.owner.Request(core.Req{ID: t.id, Class: t.op.class.Name, Retry: w.sc.Clients.MarksRetry && t.op.tries > 1,
+		n.owner.Request(core.Request{ID: t.id, Class: t.op.class.Name, Retry: w.sc.Clients.MarksRetry && t.op.tries > 1,
 			Arrived: w.timeAt(arrived), Wait: patience, Call: t, Session: t})
 	})
 	w.at(t.until, late, func() { t.settle(timedOut, 0) })
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -7,7 +7,7 @@
 	"pipitmux/logic"
 )
 
-// discovery is the model of the director: it hears of changes late, tells them
+// discovery is the model of the registry: it hears of changes late, tells them
 // in rounds to the nodes that watch, and serves lists one after the other.
 type discovery struct {
 	w      *world
@@ -29,7 +29,7 @@
 	return d
 }
 
-// news has the director hear, after a delay, how a backend then is.
+// news has the registry hear, after a delay, how a backend then is.
 func (w *world) news(b *backend, delay time.Duration) {
 	w.after(delay, func() {
 		st := logic.Serving
@@ -143,7 +143,7 @@
 	n.w.audit.Told(n.w.now, n.no, string(e.ID), e.State == logic.Serving)
 }
 
-// turn takes a call that reaches the director at an instant into its line, and
+// turn takes a call that reaches the registry at an instant into its line, and
 // returns when it has been served; false where it would wait too long.
 func (d *discovery) turn(reaches time.Duration) (time.Duration, bool) {
 	sc := &d.w.sc.Discovery
@@ -194,7 +194,7 @@
 	})
 }
 
-// breakWatches ends every watch, as a director does that goes down.
+// breakWatches ends every watch, as a registry does that goes down.
 func (d *discovery) breakWatches() {
 	if d.w.live != nil {
 		d.w.live.breakWatches()
--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -15,7 +15,7 @@
 )
 
 // Live plays a scenario's day in real time, with real nodes: the models of
-// clients, backends and director are the same, but what passes between them and
+// clients, backends and registry are the same, but what passes between them and
 // the nodes goes over an Outside's sockets. One goroutine owns the day; all else
 // reaches it by a queue.
 type Live struct {
@@ -30,7 +30,7 @@
 	waitN int // nodes that are still to be ready
 
 	mu     sync.Mutex
-	shown  []int           // how much of the director's log each node may see
+	shown  []int           // how much of the registry's log each node may see
 	change []chan struct{} // closed when that grows
 	broken []chan struct{} // closed when a node's watches break
 }
@@ -339,7 +339,7 @@
 	})
 }
 
-// news lets each node see what the director has learnt, at its next round.
+// news lets each node see what the registry has learnt, at its next round.
 func (l *Live) news() {
 	w, n := l.w, len(l.w.disc.log)
 	for i := range w.nodes {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -25,7 +25,7 @@
 	opening []*attempt                // that had to open one, the latest ones
 	tries   map[*try]struct{}         // taken and not answered
 	view    map[int]logic.ServerState // as told, for what it knows at a restart
-	told    int                       // how far in the director's news it is
+	told    int                       // how far in the registry's news it is
 	watch   bool                      // it has a watch
 	flush   bool                      // news are on their way
 
@@ -100,7 +100,7 @@
 	n.alive, n.wake, n.open, n.watch, n.flush = true, 0, 0, false, false
 	n.pool, n.tries = map[int]*idleConns{}, map[*try]struct{}{}
 	n.owner = core.NewOwner(m, s, core.World{
-		Now: n.w.time, Post: func(ev func()) { ev() }, Backends: n, Director: n, Count: nothing,
+		Now: n.w.time, Post: func(ev func()) { ev() }, Backends: n, Registry: n, Count: nothing,
 		Log: slog.New(slog.DiscardHandler),
 	})
 	n.owner.List(logic.ListCached, n.w.entries(n.view))
@@ -381,13 +381,13 @@
 	}
 }
 
-// Subscribe is core.Director.
+// Subscribe is core.Registry.
 func (n *node) Subscribe() { n.effect(func() { n.w.disc.call(n, true) }) }
 
-// Fetch is core.Director.
+// Fetch is core.Registry.
 func (n *node) Fetch() { n.effect(func() { n.w.disc.call(n, false) }) }
 
-// entry is a backend as the director tells it.
+// entry is a backend as the registry tells it.
 func (b *backend) entry(st logic.ServerState) core.Entry {
 	return core.Entry{Endpoint: "b" + strconv.Itoa(b.no), Server: logic.Server{
 		ID: b.id, Capacity: b.weight, State: st, Born: b.w.unix(b.born), Kind: b.kind.Name, Zone: b.w.sc.Zones[b.zone].Name, Cell: b.cell,
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -1,5 +1,5 @@
 // Package emulator plays a day of a fleet in virtual time: clients, nodes,
-// backends, the director and the network between them, as models. The nodes are
+// backends, the registry and the network between them, as models. The nodes are
 // real ones from the core inwards: each is a core.Owner round a module, told
 // the same events in the same steps as on sockets. The same scenario and seed
 // give the same day to the last event, on any number of cores. Live plays the
@@ -130,7 +130,7 @@
 	Cores        int    `yaml:"cores"`
 	Speed        Span   `yaml:"speed"`          // of a core, against a standard one
 	SpeedCV      Span   `yaml:"speed_cv"`       // spread among backends of the kind
-	Weight       Span   `yaml:"weight"`         // capacity as the director tells it; 0: cores by mean speed
+	Weight       Span   `yaml:"weight"`         // capacity as the registry tells it; 0: cores by mean speed
 	SlotsPerCore Span   `yaml:"slots_per_core"` // reqs in work at once
 	QueuePerCore Span   `yaml:"queue_per_core"` // reqs waiting; more are turned away
 	Thrash       Span   `yaml:"thrash"`         // part of its speed lost for each thrash_at more than that it holds
@@ -171,7 +171,7 @@
 	Noise   Span     `yaml:"noise"`
 }
 
-// Discovery is the director.
+// Discovery is the registry.
 type Discovery struct {
 	Ask           bool `yaml:"ask"`             // nodes must subscribe
 	NoticeS       Span `yaml:"notice_s"`        // until it knows of a drain or an end
@@ -264,7 +264,7 @@
 	Size Span   `yaml:"size"`  // how much slower, or what share fails, or over 0.5: with its nodes
 	Zone string `yaml:"zone"`  // of a zone_loss; drawn where empty. From it nothing comes through a cut
 	To   string `yaml:"to"`    // a cut's other end
-	LagS Span   `yaml:"lag_s"` // how much later than its nodes a lost zone's backends come back, or the director after a power loss
+	LagS Span   `yaml:"lag_s"` // how much later than its nodes a lost zone's backends come back, or the registry after a power loss
 	// SpreadS is the time over which nodes and backends start in a random order after a
 	// power loss; 0: all in the same instant.
 	SpreadS Span  `yaml:"spread_s"`
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -184,7 +184,7 @@
 	})
 }
 
-// powerLoss has every machine go silent at once: nodes, backends and the director. They
+// powerLoss has every machine go silent at once: nodes, backends and the registry. They
 // start cold, in one instant or in a random order, the nodes with the list as last held.
 func (w *world) powerLoss(run func(begin, end func()), t Trouble, r *rand.Rand) {
 	spread := t.SpreadS.sec()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,5 +1,5 @@
 // Package fleet plays a scenario's day on loopback sockets: real nodes as
-// processes, with stand-ins for backends, director, front and clients. The
+// processes, with stand-ins for backends, registry, front and clients. The
 // models behind the stand-ins, and the judgement, are package emulator's.
 package fleet
 
@@ -21,7 +21,7 @@
 
 	"pipitmux/internal/audit"
 	"pipitmux/internal/core"
-	"pipitmux/internal/director"
+	"pipitmux/internal/discovery"
 	"pipitmux/internal/emulator"
 	"pipitmux/internal/member"
 	"pipitmux/internal/peers"
@@ -70,12 +70,12 @@
 		if err != nil {
 			return nil, err
 		}
-		d, err := standin.NewDirector("127.0.0.1", &lists{f, i})
+		d, err := standin.NewRegistry("127.0.0.1", &lists{f, i})
 		if err != nil {
 			held.Close()
 			return nil, err
 		}
-		f.nodes = append(f.nodes, &node{no: i, held: held, director: d})
+		f.nodes = append(f.nodes, &node{no: i, held: held, registry: d})
 	}
 	if f.day.Talk() > 0 {
 		var at []string
@@ -112,7 +112,7 @@
 type node struct {
 	no       int
 	held     *standin.Held // its address, also while its process is down
-	director *standin.Director
+	registry *standin.Registry
 
 	mu    sync.Mutex
 	epoch int
@@ -129,7 +129,7 @@
 			if run := n.drop(); run != nil {
 				run.Stop(stopWithin)
 			}
-			n.director.Close()
+			n.registry.Close()
 			n.held.Close()
 		})
 	}
@@ -155,7 +155,7 @@
 	epoch := n.epoch
 	n.mu.Unlock()
 	c := standin.NodeConfig{
-		Name: fmt.Sprint("n", no), Listen: n.held.Addr, Discovery: n.director.Addr, Seed: strconv.FormatUint(uint64(no+1)*0x9e3779b97f4a7c15+uint64(epoch), 16),
+		Name: fmt.Sprint("n", no), Listen: n.held.Addr, Discovery: n.registry.Addr, Seed: strconv.FormatUint(uint64(no+1)*0x9e3779b97f4a7c15+uint64(epoch), 16),
 		Limits:   map[string]any{"cores": 1.0, "memory_mb": f.opt.MemoryMB, "sockets": f.opt.Sockets},
 		Known:    f.list(no, emulator.ListChanges{Rev: rev, All: true, Entries: known}),
 		Settings: wire.Encode(f.day.Settings(no), f.day.Connect()),
@@ -226,7 +226,7 @@
 	if f.relays != nil {
 		log = &standin.PeerLog{Log: log, Changed: func(about int, state string) { f.takes(n.no, about, state) }}
 	}
-	run, err := standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.director.Addr, log, args...)
+	run, err := standin.StartNode(f.opt.Program, dir, c, n.held.Addr, n.registry.Addr, log, args...)
 	if err != nil {
 		done()
 		return nil, err
@@ -407,7 +407,7 @@
 	return nil
 }
 
-// list puts a list into the director's form, with the endpoints of one node.
+// list puts a list into the registry's form, with the endpoints of one node.
 func (f *fleet) list(node int, l emulator.ListChanges) standin.List {
 	var entries []core.Entry
 	for _, e := range l.Entries {
@@ -423,10 +423,10 @@
 		f.mu.Unlock()
 		entries = append(entries, e)
 	}
-	return director.ListOf(l.Rev, l.All, entries)
+	return discovery.ListOf(l.Rev, l.All, entries)
 }
 
-// lists is one node's side of the director.
+// lists is one node's side of the registry.
 type lists struct {
 	f    *fleet
 	node int
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -30,11 +30,11 @@
 
 // noting is an owner that hands reqs to the test and notes whose client has gone.
 type noting struct {
-	reqs chan core.Req
+	reqs chan core.Request
 	gone chan string
 }
 
-func (o noting) Submit(r core.Req) error        { o.reqs <- r; return nil }
+func (o noting) Submit(r core.Request) error        { o.reqs <- r; return nil }
 func (o noting) Whole(string, core.Session)     {}
 func (o noting) Gone(id string, _ core.Session) { o.gone <- id }
 func (o noting) Ready() bool                    { return true }
@@ -43,7 +43,7 @@
 func front(t *testing.T, sessions int) (*session.Front, noting, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	o := noting{make(chan core.Req, 1000), make(chan string, 1000)}
+	o := noting{make(chan core.Request, 1000), make(chan string, 1000)}
 	f := session.New(session.Options{Classes: []logic.Class{{Name: "lookup", Deadline: time.Minute}}, MaxSessions: sessions, MaxReqs: 1000,
 		HeadWithin: time.Minute, BodyWithin: time.Minute, IdleFor: time.Minute,
 		Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
--- a/internal/session/front.go
+++ b/internal/session/front.go
@@ -33,7 +33,7 @@
 
 // Owner is the core as the front sees it.
 type Owner interface {
-	Submit(core.Req) error
+	Submit(core.Request) error
 	Whole(id string, of core.Session)
 	Gone(id string, of core.Session)
 	Ready() bool
--- a/internal/session/request.go
+++ b/internal/session/request.go
@@ -24,7 +24,7 @@
 
 // read takes a request and takes out what the decisions need. All else stays the bytes that
 // came. A body up to what is held is read whole; a longer one goes on as it comes.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, conn *ingress.Conn, c *client) (*core.Req, *ingress.Body, error) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, conn *ingress.Conn, c *client) (*core.Request, *ingress.Body, error) {
 	for _, h := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key", "X-Repeat", "X-Account"} {
 		if len(r.Header[h]) > 1 {
 			return nil, nil, errors.New(h + ": given more than once") // which one would be meant?
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	request := &core.Req{ID: id, Class: name, Retry: r.Header.Get("X-Repeat") == "1", Wait: wait,
+	request := &core.Request{ID: id, Class: name, Retry: r.Header.Get("X-Repeat") == "1", Wait: wait,
 		Tenant: r.Header.Get("X-Account"), Hint: hint(r.Header.Get("X-Weight-Hint"))}
 	in := ingress.NewBody(w, r, ingress.BodyLimits{Within: f.opt.BodyWithin, PerByte: perByte,
 		Held: message.Held, Longest: message.Longest, Budget: f.opt.Budget})
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -18,9 +18,9 @@
 )
 
 // owner takes reqs and answers none until it is told to.
-type owner chan core.Req
+type owner chan core.Request
 
-func (o owner) Submit(r core.Req) error    { o <- r; return nil }
+func (o owner) Submit(r core.Request) error    { o <- r; return nil }
 func (o owner) Whole(string, core.Session) {}
 func (o owner) Gone(string, core.Session)  {}
 func (o owner) Ready() bool                { return true }
@@ -59,7 +59,7 @@
 	require.NotNil(t, res)
 	assert.Equal(t, 503, res.StatusCode)
 	assert.Equal(t, "2.5", res.Header.Get("Retry-After"))
-	for _, r := range []core.Req{first, second} {
+	for _, r := range []core.Request{first, second} {
 		assert.Equal(t, "of "+r.ID, r.Tenant)
 		r.Session.Answer(core.Answer{Kind: core.Failed})
 		res = <-statuses
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -1,5 +1,5 @@
 // Package standin plays the parties that a node talks to on loopback: backends,
-// the director, clients and the front that deals them out, and it runs the node
+// the registry, clients and the front that deals them out, and it runs the node
 // itself as a process. Tests and the lab share it. A stand-in does what it is
 // told and tells what it saw; it knows nothing of how nodes decide, and judges
 // nothing.
--- a/internal/standin/director.go
+++ b/internal/standin/registry.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"pipitmux/internal/director"
+	"pipitmux/internal/discovery"
 )
 
-// ScriptedDirector answers watches by lines that a test writes.
-type ScriptedDirector struct {
+// ScriptedRegistry answers watches by lines that a test writes.
+type ScriptedRegistry struct {
 	Addr  string
 	Calls chan string          // the query of each watch
 	Watch chan (chan<- string) // the open watch: lines to write; closing it ends the watch
@@ -31,16 +31,16 @@
 	Trickle    = "trickle"
 )
 
-// NewScriptedDirector runs one on a free port of 127.0.0.1 until Close.
-func NewScriptedDirector() (*ScriptedDirector, error) { return NewScriptedDirectorAt("127.0.0.1:0") }
+// NewScriptedRegistry runs one on a free port of 127.0.0.1 until Close.
+func NewScriptedRegistry() (*ScriptedRegistry, error) { return NewScriptedRegistryAt("127.0.0.1:0") }
 
-// NewScriptedDirectorAt runs one at an address until Close.
-func NewScriptedDirectorAt(addr string) (*ScriptedDirector, error) {
+// NewScriptedRegistryAt runs one at an address until Close.
+func NewScriptedRegistryAt(addr string) (*ScriptedRegistry, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	d := &ScriptedDirector{Addr: l.Addr().String(), Calls: make(chan string, 100), Watch: make(chan (chan<- string), 100),
+	d := &ScriptedRegistry{Addr: l.Addr().String(), Calls: make(chan string, 100), Watch: make(chan (chan<- string), 100),
 		over: make(chan struct{})}
 	d.s = &http.Server{Handler: http.HandlerFunc(d.serve)}
 	go d.s.Serve(l)
@@ -48,12 +48,12 @@
 }
 
 // Close ends it and its watches.
-func (d *ScriptedDirector) Close() {
+func (d *ScriptedRegistry) Close() {
 	d.once.Do(func() { close(d.over) })
 	d.s.Close()
 }
 
-func (d *ScriptedDirector) serve(w http.ResponseWriter, r *http.Request) {
+func (d *ScriptedRegistry) serve(w http.ResponseWriter, r *http.Request) {
 	d.Calls <- r.URL.RawQuery
 	lines := make(chan string, 10)
 	d.Watch <- lines
@@ -89,13 +89,13 @@
 	}
 }
 
-// Target is a backend, and List a list of them, in the director's form.
+// Target is a backend, and List a list of them, in the registry's form.
 type (
-	Target = director.Target
-	List   = director.List
+	Target = discovery.Target
+	List   = discovery.List
 )
 
-// Lists is where a Director has its lists from. It is asked from several
+// Lists is where a Registry has its lists from. It is asked from several
 // goroutines.
 type Lists interface {
 	// Call waits for the service's turn and returns the whole list, or false
@@ -111,8 +111,8 @@
 // heartbeat is how often a watch without news says so.
 const heartbeat = 2 * time.Second
 
-// Director serves one node's view of the list.
-type Director struct {
+// Registry serves one node's view of the list.
+type Registry struct {
 	Addr  string
 	lists Lists
 	s     *http.Server
@@ -120,13 +120,13 @@
 	once  sync.Once
 }
 
-// NewDirector serves on a free port of the host, of 127.0.0.0/8, until Close.
-func NewDirector(host string, lists Lists) (*Director, error) {
+// NewRegistry serves on a free port of the host, of 127.0.0.0/8, until Close.
+func NewRegistry(host string, lists Lists) (*Registry, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
-	d := &Director{Addr: l.Addr().String(), lists: lists, over: make(chan struct{})}
+	d := &Registry{Addr: l.Addr().String(), lists: lists, over: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.serve)
 	d.s = &http.Server{Handler: mux}
@@ -135,12 +135,12 @@
 }
 
 // Close ends it and its watches.
-func (d *Director) Close() {
+func (d *Registry) Close() {
 	d.once.Do(func() { close(d.over) })
 	d.s.Close()
 }
 
-func (d *Director) serve(w http.ResponseWriter, r *http.Request) {
+func (d *Registry) serve(w http.ResponseWriter, r *http.Request) {
 	write := func(l List) bool {
 		text, err := json.Marshal(l)
 		if err == nil {
