--- a/cmd/oaklab/emulate.go
+++ b/cmd/oaklab/emulate.go
@@ -87,7 +87,7 @@
 			took := time.Since(began)
 			return tell(out, r, asJSON, func() {
 				spent.print(out)
-				fmt.Fprintf(out, "played in %.2f s, %.1f us a req\n", took.Seconds(), took.Seconds()*1e6/float64(max(r.Reqs, 1)))
+				fmt.Fprintf(out, "played in %.2f s, %.1f us a req\n", took.Seconds(), took.Seconds()*1e6/float64(max(r.Requests, 1)))
 			})
 		},
 	}
@@ -198,7 +198,7 @@
 }
 
 func printResult(w io.Writer, r *emulator.Result) {
-	fmt.Fprintf(w, "%s, policy %s, seed %d: %d nodes, %d backends, %d reqs in %d tries\n", r.Scenario, r.Policy, r.Seed, r.Nodes, r.Backends, r.Reqs, r.Tries)
+	fmt.Fprintf(w, "%s, policy %s, seed %d: %d nodes, %d backends, %d reqs in %d tries\n", r.Scenario, r.Policy, r.Seed, r.Nodes, r.Backends, r.Requests, r.Tries)
 	fmt.Fprintf(w, "G %.4f  (whole %.4f, worst window %.4f, worst class %.4f, prices %.4f)\n", r.G, r.Parts["whole"], r.Parts["worst_window"], r.Parts["worst_class"], r.Parts["prices"])
 	for _, n := range slices.Sorted(maps.Keys(r.Classes)) {
 		c, l := r.Classes[n], r.LatencyMS[n]
@@ -213,8 +213,8 @@
 	}
 	for _, b := range r.Broken {
 		fmt.Fprintf(w, "BROKEN %s at %.3f s: %s", b.Rule, b.At.Seconds(), b.Why)
-		if b.Req != "" {
-			fmt.Fprintf(w, ", req %s", b.Req)
+		if b.Request != "" {
+			fmt.Fprintf(w, ", req %s", b.Request)
 		}
 		if b.Server != "" {
 			fmt.Fprintf(w, ", backend %s", b.Server)
--- a/cmd/oaklab/experiment.go
+++ b/cmd/oaklab/experiment.go
@@ -72,7 +72,7 @@
 	f.StringVar(&dir, "dir", "", "where results are kept (default found/NAME of the plan)")
 	f.IntVar(&workers, "workers", runtime.GOMAXPROCS(0), "days played at once")
 	f.BoolVar(&asJSON, "json", false, "print one JSON array")
-	f.BoolVar(&cost, "cost", false, "tell what a req cost to emulate as well, which is this machine's")
+	f.BoolVar(&cost, "cost", false, "tell what a request cost to emulate as well, which is this machine's")
 	return c
 }
 
--- a/cmd/oaklab/fault.go
+++ b/cmd/oaklab/fault.go
@@ -163,7 +163,7 @@
 }
 
 func printHead(w io.Writer, d *fault.Day) {
-	fmt.Fprintf(w, "%s, seed %d, %s: %d nodes, %d backends, %d reqs\n", d.Scenario, d.Seed, d.Played, d.Nodes, d.Backends, d.Reqs)
+	fmt.Fprintf(w, "%s, seed %d, %s: %d nodes, %d backends, %d reqs\n", d.Scenario, d.Seed, d.Played, d.Nodes, d.Backends, d.Requests)
 }
 
 // printEnd prints the breaches, with more of them behind, and what happened.
--- a/cmd/oaklab/fault_test.go
+++ b/cmd/oaklab/fault_test.go
@@ -18,7 +18,7 @@
 )
 
 // Troubles of a short day in two sites: one is lost with its nodes and comes back cold
-// while the other is overloaded; then what one sends the other is lost, as reqs and answers.
+// while the other is overloaded; then what one sends the other is lost, as requests and answers.
 // Connections cost something, so that nodes keep them and have some open as the cut begins.
 const siteTroubles = `
 prices: {handshake: 0.02}
@@ -30,7 +30,7 @@
 
 // A site with two of four real nodes is killed with -9, its backends fall silent, and it
 // comes back with old lists, the nodes before their backends; then a cut in one direction.
-// No rule is broken, reqs and answers were lost in the cut, and the fleet serves again.
+// No rule is broken, requests and answers were lost in the cut, and the fleet serves again.
 func TestSiteLossOfRealNodes(t *testing.T) {
 	sc, r := fourNodes(t, siteTroubles)
 	assert.Positive(t, r.CutOff)
--- a/cmd/oaklab/load.go
+++ b/cmd/oaklab/load.go
@@ -25,7 +25,7 @@
 	c := &cobra.Command{
 		Use:   "load [PLAN]",
 		Short: "Drive an HTTP/1.1 address on loopback with an open schedule",
-		Long: "Sends reqs at the instants of a schedule (steady, wave, bursty, step), whatever becomes of earlier ones,\n" +
+		Long: "Sends requests at the instants of a schedule (steady, wave, bursty, step), whatever becomes of earlier ones,\n" +
 			"and times each from when it was due, so that a node that stalls is not flattered. A plan is a YAML file;\n" +
 			"flags go before it. Exit code 1 where the tool itself was late by more than 10 ms at the 99th percentile.",
 		Args: cobra.MaximumNArgs(1),
@@ -70,8 +70,8 @@
 	}
 	f := c.Flags()
 	f.StringVar(&p.Target, "target", p.Target, "host:port on loopback")
-	f.Float64Var(&p.PerSecond, "rate", p.PerSecond, "reqs a second on the mean")
-	f.DurationVar(&span, "for", 10*time.Second, "how long reqs come due")
+	f.Float64Var(&p.PerSecond, "rate", p.PerSecond, "requests a second on the mean")
+	f.DurationVar(&span, "for", 10*time.Second, "how long requests come due")
 	f.StringVar(&p.Shape, "shape", p.Shape, "steady, wave, bursty or step")
 	f.Float64Var(&p.Swing, "swing", p.Swing, "up and down by this part of the rate")
 	f.DurationVar(&p.Period, "period", p.Period, "of a wave or a step")
--- a/cmd/oaklab/load_test.go
+++ b/cmd/oaklab/load_test.go
@@ -19,7 +19,7 @@
 )
 
 // A real node that is stopped for a while shows it in the tail of what the tool
-// tells, since each req counts from when it was due.
+// tells, since each request counts from when it was due.
 func TestStalledNodeShowsInTheTail(t *testing.T) {
 	dir := t.TempDir()
 	program := buildNode(t, dir)
--- a/cmd/oaklab/oaklab_test.go
+++ b/cmd/oaklab/oaklab_test.go
@@ -78,7 +78,7 @@
 		require.NoError(t, err, f)
 		r, err := emulator.Run(sc, 1, emulator.Options{})
 		require.NoError(t, err, f)
-		assert.Positive(t, r.Reqs, f)
+		assert.Positive(t, r.Requests, f)
 	}
 }
 
@@ -121,7 +121,7 @@
 	sc, err := emulator.Parse("sockets.yaml", []byte(onSockets))
 	require.NoError(t, err)
 	r := playProcesses(t, sc)
-	assert.Greater(t, r.Reqs, 100)
+	assert.Greater(t, r.Requests, 100)
 	assert.Greater(t, r.Classes["topup"].Served, r.Classes["topup"].Asked/2)
 	assert.Greater(t, r.Attempts, 100)
 
--- a/cmd/oakseam/bulk_test.go
+++ b/cmd/oakseam/bulk_test.go
@@ -31,7 +31,7 @@
 // in each form of framing, up to the longest.
 func TestLongBodiesPassThrough(t *testing.T) {
 	body := long(32 << 20)
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		n, _ := strconv.Atoi(r.URL.Query().Get("n"))
 		switch answer := body[:n]; r.URL.Query().Get("as") {
 		case "length":
@@ -73,8 +73,8 @@
 			res.Body.Close()
 			want := sha256.Sum256(body[:size])
 			assert.Equal(t, want[:], got.Sum(nil), "the answer, %s", what)
-			seen := receive(t, b.Seen, "the req")
-			assert.Equal(t, want, sha256.Sum256([]byte(seen.Body)), "the req, %s", what)
+			seen := receive(t, b.Seen, "the request")
+			assert.Equal(t, want, sha256.Sum256([]byte(seen.Body)), "the request, %s", what)
 		}
 	}
 }
@@ -84,7 +84,7 @@
 func TestWhatCameIsPassedOn(t *testing.T) {
 	for as, head := range map[string]string{"length": "Content-Length: 100000\r\n", "chunked": "Transfer-Encoding: chunked\r\n"} {
 		release := make(chan struct{})
-		b := newBackend(t, func(c *net.TCPConn, r req) bool {
+		b := newBackend(t, func(c *net.TCPConn, r request) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n5\r\nfirst\r\n")
 			<-release
 			c.SetLinger(0)
@@ -109,9 +109,9 @@
 	}
 }
 
-// TestReqsThatBreak: a long req that its client does not bring whole reaches no backend
+// TestRequestsThatBreak: a long request that its client does not bring whole reaches no backend
 // whole, blames none, and its session ends; an answer before its end is passed on.
-func TestReqsThatBreak(t *testing.T) {
+func TestRequestsThatBreak(t *testing.T) {
 	b := newBackend(t, ok)
 	n, _ := serve(t, b.Addr)
 	half := strings.Replace(hidden, ": 0", ": 200000", 1) + strings.Repeat("x", 100000)
@@ -122,7 +122,7 @@
 	c.Close()
 	n.until("both attempts are over", func() bool { return n.counter("outcome.canceled") == "2" })
 	for range 2 {
-		assert.Less(t, len(receive(t, b.Seen, "what came of the req").Body), 200000)
+		assert.Less(t, len(receive(t, b.Seen, "what came of the request").Body), 200000)
 	}
 	assert.Equal(t, "0", n.counter("outcome.connect-failed"))
 	assert.Equal(t, 200, n.ask("topup").status)
@@ -140,7 +140,7 @@
 
 }
 
-// TestEarlyAnswers: an answer before the req's end is passed on, and ends its session.
+// TestEarlyAnswers: an answer before the request's end is passed on, and ends its session.
 func TestEarlyAnswers(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -166,7 +166,7 @@
 // read slowly or not at all, stay within a small memory.
 func TestMemoryHoldsUnderSlowReaders(t *testing.T) {
 	body := string(long(32 << 20))
-	b := newBackend(t, func(c *net.TCPConn, r req) bool { return say(c, 200, "", body) })
+	b := newBackend(t, func(c *net.TCPConn, r request) bool { return say(c, 200, "", body) })
 	config := configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
 	config["limits"] = object{"cores": 1.0, "memory_mb": 32, "sockets": 256}
 	n := start(t, config)
--- a/cmd/oakseam/console_test.go
+++ b/cmd/oakseam/console_test.go
@@ -99,7 +99,7 @@
 // TestFigures compares the figures with what the stand-ins counted.
 func TestFigures(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		switch r.URL.RawQuery {
 		case "wait":
 			<-release
@@ -142,11 +142,11 @@
 	assert.Contains(t, empty.call("ready\n"), "ERR not ready")
 }
 
-// TestDrain: /ready says no, answers end their sessions, idle ones end, a long req
+// TestDrain: /ready says no, answers end their sessions, idle ones end, a long request
 // stays, and resume takes all back. SIGTERM ends a node that drains.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		if r.URL.RawQuery == "wait" {
 			<-release
 		}
@@ -158,7 +158,7 @@
 	defer idle.Close()
 	waits := make(chan *answer, 1)
 	go func() { waits <- n.try("POST", "/api?wait", "", headers("topup")) }()
-	receive(t, b.Seen, "the req before the drain")
+	receive(t, b.Seen, "the request before the drain")
 
 	assert.Equal(t, "OK draining\n", n.call("drain\n"))
 	assert.Equal(t, 503, n.try("GET", "/ready", "", nil).status, "no at once")
@@ -179,7 +179,7 @@
 	assert.Equal(t, "OK serving\n", n.call("resume\n"))
 	assert.Equal(t, 200, n.try("GET", "/ready", "", nil).status)
 	close(release)
-	assert.Equal(t, 200, receive(t, waits, "the answer of the long req").status)
+	assert.Equal(t, 200, receive(t, waits, "the answer of the long request").status)
 	assert.Equal(t, 200, n.ask("topup").status)
 
 	assert.Equal(t, "OK draining\n", n.call("drain\n"))
--- a/cmd/oakseam/crossing_test.go
+++ b/cmd/oakseam/crossing_test.go
@@ -16,9 +16,9 @@
 	"pipitmux/internal/standin"
 )
 
-// TestDrainWhileConnecting: the list tells that a backend leaves while a req waits for its
-// connection to come up. Nothing of the req goes there, not even where it does come up; the
-// req is decided anew.
+// TestDrainWhileConnecting: the list tells that a backend leaves while a request waits for its
+// connection to come up. Nothing of the request goes there, not even where it does come up; the
+// request is decided anew.
 func TestDrainWhileConnecting(t *testing.T) {
 	for _, class := range []string{"topup", "reading"} {
 		t.Run(class, func(t *testing.T) {
--- a/cmd/oakseam/main.go
+++ b/cmd/oakseam/main.go
@@ -1,4 +1,4 @@
-// Command oakseam is one node: it takes reqs from clients, has the decision
+// Command oakseam is one node: it takes requests from clients, has the decision
 // module decide, and carries the decisions out on sockets. Without arguments it
 // is the node that PROXY_CONFIG describes.
 package main
@@ -33,9 +33,9 @@
 	}
 	r := &cobra.Command{
 		Use:   "oakseam",
-		Short: "Balance reqs over backends as one node",
-		Long: "oakseam is one node: it takes reqs over HTTP/1.1, has its decision module choose backend, time-out,\n" +
-			"retry or refusal, and gives each req one final answer. Without a command it is the node that\n" +
+		Short: "Balance requests over backends as one node",
+		Long: "oakseam is one node: it takes requests over HTTP/1.1, has its decision module choose backend, time-out,\n" +
+			"retry or refusal, and gives each request one final answer. Without a command it is the node that\n" +
 			"PROXY_CONFIG describes. Exit codes: 0 ended as told, 1 failed, 2 misuse or a configuration at fault.",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return serve("") },
--- a/cmd/oakseam/oakseam_test.go
+++ b/cmd/oakseam/oakseam_test.go
@@ -23,7 +23,7 @@
 )
 
 func TestBytesGoOnUnchanged(t *testing.T) {
-	b := newBackend(t, func(c *net.TCPConn, _ req) bool { return say(c, 200, "Content-Type: a/b\r\n", "\x00an swer\r\n") })
+	b := newBackend(t, func(c *net.TCPConn, _ request) bool { return say(c, 200, "Content-Type: a/b\r\n", "\x00an swer\r\n") })
 	n, _ := serve(t, b.Addr)
 	h := headers("reading")
 	a := n.try("POST", "/api/x%2Fy?key=4%20&z=%c3", "bo\x00dy\r\n", h)
@@ -31,17 +31,17 @@
 	assert.Equal(t, 200, a.status)
 	assert.Equal(t, "\x00an swer\r\n", a.body)
 	assert.Equal(t, "a/b", a.header.Get("Content-Type"))
-	r := receive(t, b.Seen, "the req")
+	r := receive(t, b.Seen, "the request")
 	assert.Equal(t, "POST /api/x%2Fy?key=4%20&z=%c3", r.Method+" "+r.RequestURI)
 	assert.Equal(t, "bo\x00dy\r\n", r.Body)
 	assert.Equal(t, h["X-Correlation-Id"], r.Header.Get("X-Correlation-Id"))
 	assert.Equal(t, "k1", r.Header.Get("Idempotency-Key"))
 	assert.Regexp(t, `^\d+[mu]$`, r.Header.Get("X-Time-Left"))
 	assert.Equal(t, 200, n.ask("lookup").status)
-	assert.Equal(t, "GET", receive(t, b.Seen, "the safe req").Method)
+	assert.Equal(t, "GET", receive(t, b.Seen, "the safe request").Method)
 }
 
-func TestMalformedReqsGetAPlain4xx(t *testing.T) {
+func TestMalformedRequestsGetAPlain4xx(t *testing.T) {
 	b := newBackend(t, ok)
 	n, _ := serve(t, b.Addr)
 	for _, tt := range []struct {
@@ -73,16 +73,16 @@
 // TestOutcomes has the first attempt end in a way, and tells by the class and
 // the second attempt what the node took that for.
 func TestOutcomes(t *testing.T) {
-	status := func(code int, header string) func(*net.TCPConn, req) bool {
-		return func(c *net.TCPConn, _ req) bool { return say(c, code, header, "no") }
+	status := func(code int, header string) func(*net.TCPConn, request) bool {
+		return func(c *net.TCPConn, _ request) bool { return say(c, code, header, "no") }
 	}
-	part := func(text string) func(*net.TCPConn, req) bool {
-		return func(c *net.TCPConn, _ req) bool { io.WriteString(c, text); return false }
+	part := func(text string) func(*net.TCPConn, request) bool {
+		return func(c *net.TCPConn, _ request) bool { io.WriteString(c, text); return false }
 	}
 	const unprocessed = "X-Unprocessed: 1\r\n"
 	for _, tt := range []struct {
 		name, class string
-		first       func(*net.TCPConn, req) bool
+		first       func(*net.TCPConn, request) bool
 		want, sends int
 		outcome     string
 	}{
@@ -92,9 +92,9 @@
 		{"500 marked unprocessed may have run", "topup", status(500, unprocessed), 502, 1, "error"},
 		{"429 is not passed on", "topup", status(429, ""), 502, 1, "error"},
 		{"redirect is no service", "topup", status(302, "Location: /\r\n"), 502, 1, "error"},
-		{"error of a keyed req", "reading", status(500, ""), 200, 2, "error"},
-		{"reset after the req", "topup", broken, 502, 1, "reset"},
-		{"reset of a keyed req", "reading", broken, 200, 2, "reset"},
+		{"error of a keyed request", "reading", status(500, ""), 200, 2, "error"},
+		{"reset after the request", "topup", broken, 502, 1, "reset"},
+		{"reset of a keyed request", "reading", broken, 200, 2, "reset"},
 		{"end without an answer", "topup", part(""), 502, 1, "reset"},
 		{"answer cut in its head", "topup", part("HTTP/1.1 200 OK\r\nContent-"), 502, 1, "reset"},
 		{"answer cut in its body", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1, "reset"},
@@ -105,20 +105,20 @@
 		{"interim answers without end", "topup", standin.Endless("", "HTTP/1.1 103 x\r\n\r\n"), 502, 1, "reset"},
 		{"trailer without end", "topup", standin.Endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: more\r\n"), 502, 1, "reset"},
 		{"3 GB that keep coming", "topup", standin.Endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "more"), 502, 1, "reset"},
-		{"body without a length, reset", "topup", func(c *net.TCPConn, _ req) bool {
+		{"body without a length, reset", "topup", func(c *net.TCPConn, _ request) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf of it")
 			c.SetLinger(0)
 			return false
 		}, 502, 1, "reset"},
 		{"length that is none", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nhalf"), 502, 1, "reset"},
 		{"two lengths", "topup", part("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nhalf"), 502, 1, "reset"},
-		{"spoilt answer to a keyed req", "reading", standin.Endless("HTTP/1.1 200 OK\r\n", "X-Pad: more\r\n"), 200, 2, "reset"},
-		{"interim answer first", "topup", func(c *net.TCPConn, r req) bool { io.WriteString(c, "HTTP/1.1 103 x\r\n\r\n"); return ok(c, r) }, 200, 1, "ok"},
+		{"spoilt answer to a keyed request", "reading", standin.Endless("HTTP/1.1 200 OK\r\n", "X-Pad: more\r\n"), 200, 2, "reset"},
+		{"interim answer first", "topup", func(c *net.TCPConn, r request) bool { io.WriteString(c, "HTTP/1.1 103 x\r\n\r\n"); return ok(c, r) }, 200, 1, "ok"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			sends := make(chan struct{}, 10)
-			script := func(c *net.TCPConn, r req) bool {
+			script := func(c *net.TCPConn, r request) bool {
 				sends <- struct{}{}
 				if len(sends) == 1 {
 					return tt.first(c, r)
@@ -145,11 +145,11 @@
 	})
 }
 
-// TestTimeOut: the attempt's connection is closed, the req fails in its time,
+// TestTimeOut: the attempt's connection is closed, the request fails in its time,
 // and the late answer reaches nobody.
 func TestTimeOut(t *testing.T) {
 	late := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		if r.URL.RawQuery == "late" {
 			<-late
 		}
@@ -165,7 +165,7 @@
 	close(late)
 	n.until("the node has ended the connection", func() bool { return b.Closed.Load() == 1 })
 	// The module may shy away from its only backend for a while.
-	n.until("another req is served", func() bool { return n.ask("topup").status == 200 })
+	n.until("another request is served", func() bool { return n.ask("topup").status == 200 })
 	assert.EqualValues(t, 2, b.Opened.Load(), "a connection that owes an answer is not used again")
 	n.counts("answer.failed", "1")
 	n.counts("answer.served", "1")
@@ -177,22 +177,22 @@
 	c, err := net.Dial("tcp", n.addr)
 	require.NoError(t, err)
 	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: g\r\nX-Service-Class: topup\r\nX-Time-Left: 9000m\r\nContent-Length: 2\r\n\r\nab")
-	receive(t, b.Seen, "the req")
+	receive(t, b.Seen, "the request")
 	c.Close()
 	n.counts("client.gone", "1")
 	n.counts("outcome.canceled", "1")
 	n.until("the attempt was called off", func() bool { return b.Closed.Load() == 1 })
 }
 
-// TestDuplicateID: the second req of an id is turned down, and its end leaves the first alone.
+// TestDuplicateID: the second request of an id is turned down, and its end leaves the first alone.
 func TestDuplicateID(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	b := newBackend(t, func(c *net.TCPConn, r request) bool { <-release; return ok(c, r) })
 	n, _ := serve(t, b.Addr)
 	h := headers("topup")
 	first := make(chan *answer, 1)
 	go func() { first <- n.try("POST", "/api", "", h) }()
-	receive(t, b.Seen, "the first req")
+	receive(t, b.Seen, "the first request")
 	second := n.try("POST", "/api", "", h)
 	require.NotNil(t, second)
 	assert.Equal(t, 409, second.status)
@@ -213,13 +213,13 @@
 	assert.EqualValues(t, 1, b.Opened.Load())
 }
 
-// TestStaleConnections: an unsafe req is never written to a connection on which
+// TestStaleConnections: an unsafe request is never written to a connection on which
 // it would end as a Reset.
 func TestStaleConnections(t *testing.T) {
-	for name, script := range map[string]func(*net.TCPConn, req) bool{
-		"closed after the answer": func(c *net.TCPConn, r req) bool { ok(c, r); return false },
-		"close announced":         func(c *net.TCPConn, _ req) bool { return say(c, 200, "Connection: close\r\n", "done") },
-		"bytes beyond the answer": func(c *net.TCPConn, _ req) bool { return say(c, 200, "", "done") && say(c, 200, "", "stray") },
+	for name, script := range map[string]func(*net.TCPConn, request) bool{
+		"closed after the answer": func(c *net.TCPConn, r request) bool { ok(c, r); return false },
+		"close announced":         func(c *net.TCPConn, _ request) bool { return say(c, 200, "Connection: close\r\n", "done") },
+		"bytes beyond the answer": func(c *net.TCPConn, _ request) bool { return say(c, 200, "", "done") && say(c, 200, "", "stray") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -345,7 +345,7 @@
 
 func TestTermination(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	b := newBackend(t, func(c *net.TCPConn, r request) bool { <-release; return ok(c, r) })
 	n, _ := serve(t, b.Addr)
 	idle, err := net.Dial("tcp", n.addr)
 	require.NoError(t, err)
@@ -359,7 +359,7 @@
 	defer unused.Close()
 	first := make(chan *answer, 1)
 	go func() { first <- n.try("POST", "/api", "", headers("topup")) }()
-	receive(t, b.Seen, "the req before the signal")
+	receive(t, b.Seen, "the request before the signal")
 	require.NoError(t, n.cmd.Process.Signal(syscall.SIGTERM))
 	n.until("the node ends", func() bool {
 		a := n.try("GET", "/ready", "", nil)
@@ -369,7 +369,7 @@
 	require.NoError(t, err)
 	defer late.Close()
 	io.WriteString(late, "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: l\r\nX-Service-Class: topup\r\nContent-Length: 0\r\n\r\n")
-	receive(t, b.Seen, "the req after the signal")
+	receive(t, b.Seen, "the request after the signal")
 	_, err = idle.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF, "an idle client session ends cleanly")
 	unused.SetReadDeadline(time.Now().Add(patience))
@@ -421,7 +421,7 @@
 	assert.Equal(t, "oakseam: config: PROXY_CONFIG: not set\n", string(out))
 }
 
-func TestKeptSessionServesManyReqs(t *testing.T) {
+func TestKeptSessionServesManyRequests(t *testing.T) {
 	b := newBackend(t, ok)
 	n, _ := serve(t, b.Addr)
 	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: patience}
@@ -445,9 +445,9 @@
 
 const hidden = "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: hidden\r\nX-Service-Class: topup\r\nContent-Length: 0\r\n\r\n"
 
-// TestNoReqHidesInAnother: what may be framed in two ways gets an error and a
+// TestNoRequestHidesInAnother: what may be framed in two ways gets an error and a
 // close, and nothing of it, or of what stands behind it, goes to a backend.
-func TestNoReqHidesInAnother(t *testing.T) {
+func TestNoRequestHidesInAnother(t *testing.T) {
 	b := newBackend(t, ok)
 	n, _ := serve(t, b.Addr)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
@@ -475,18 +475,18 @@
 	coded := strings.Replace(hidden, "Content-Length: 0", "Transfer-Encoding: chunked", 1)
 	last := strings.Replace(strings.Replace(hidden, ": hidden", ": p0", 1), ": 0", ": 0\r\nConnection: close", 1)
 	got := n.raw(coded + "5;ext=\"\r\nhello\r\n0\r\nTrailer-Field: x\r\n\r\n" + last)
-	assert.Equal(t, 2, strings.Count(got, "HTTP/1.1 200 "), "a coded req is sound, and so is what follows it: %s", got)
+	assert.Equal(t, 2, strings.Count(got, "HTTP/1.1 200 "), "a coded request is sound, and so is what follows it: %s", got)
 	for _, chunks := range []string{"5\r\nhello!\r\n0\r\n\r\n", "x\r\n\r\n", "-1\r\n", "ffffffffffffffffff\r\n"} {
 		got = n.raw(coded + chunks + last)
 		assert.Regexp(t, `^HTTP/1\.1 400 `, got, chunks)
 		assert.Equal(t, 1, strings.Count(got, "HTTP/1."), "one error, then a close: %s", got)
 	}
 	got = n.raw(strings.Replace(hidden, ": hidden", ": p1", 1) + strings.Replace(hidden, ": 0", ": 0\r\nConnection: close", 1))
-	assert.Equal(t, 2, strings.Count(got, "HTTP/1.1 200 "), "sound reqs in a row are served")
+	assert.Equal(t, 2, strings.Count(got, "HTTP/1.1 200 "), "sound requests in a row are served")
 	assert.Len(t, b.Seen, 4)
 }
 
-// TestBadClientsHearSoon: a client that brings no whole req, or far too much of
+// TestBadClientsHearSoon: a client that brings no whole request, or far too much of
 // one, gets an error or a close long before its session would be missed.
 func TestBadClientsHearSoon(t *testing.T) {
 	b := newBackend(t, ok)
@@ -512,16 +512,16 @@
 }
 
 // TestSilentSessionsMakeRoom: sessions over the limit that say nothing go, the
-// longest silent first, and one with an open req stays.
+// longest silent first, and one with an open request stays.
 func TestSilentSessionsMakeRoom(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool { <-release; return ok(c, r) })
+	b := newBackend(t, func(c *net.TCPConn, r request) bool { <-release; return ok(c, r) })
 	config := configure(t, freeAddr(t), newRegistry(t).Addr, list(7, true, target("s-0", b.Addr, "in_service", 0)), settings())
 	config["limits"].(object)["sockets"] = 128
 	n := start(t, config)
 	first := make(chan *answer, 1)
 	go func() { first <- n.try("POST", "/api", "", headers("topup")) }()
-	receive(t, b.Seen, "the open req")
+	receive(t, b.Seen, "the open request")
 	for range 300 {
 		c, err := net.Dial("tcp", n.addr)
 		require.NoError(t, err)
@@ -532,7 +532,7 @@
 		assert.Equal(t, 200, n.ask("topup").status)
 	}
 	n.until("sessions were shed", func() bool { return n.counter("session.shed") != "0" })
-	a := receive(t, first, "the answer of the open req")
+	a := receive(t, first, "the answer of the open request")
 	require.NotNil(t, a)
 	assert.Equal(t, 200, a.status)
 }
@@ -643,11 +643,11 @@
 	n.until("the attempt is logged", func() bool { return strings.Contains(n.log.String(), `"cause":"ok"`) })
 }
 
-// TestHintIsHeeded: where a req hints its work, the node learns how many reqs a backend
+// TestHintIsHeeded: where a request hints its work, the node learns how many requests a backend
 // bears, two at first, and refuses what would be a third there at once.
 func TestHintIsHeeded(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		if r.Header.Get("X-Correlation-Id") != "first" {
 			<-release
 		}
@@ -667,7 +667,7 @@
 		return a.status
 	}
 	require.Equal(t, 200, status(ask("first", "900000")))
-	receive(t, b.Seen, "the first req")
+	receive(t, b.Seen, "the first request")
 	var held []<-chan *answer
 	for _, id := range []string{"second", "third"} {
 		held = append(held, ask(id, "9e5"))
--- a/cmd/oakseam/peers_test.go
+++ b/cmd/oakseam/peers_test.go
@@ -213,16 +213,16 @@
 	body   string
 }
 
-// client opens a client session for each req, so that no req of a test waits for another's.
+// client opens a client session for each request, so that no request of a test waits for another's.
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 
 func (n *node) try(method, path, body string, header map[string]string) *answer {
-	req, err := http.NewRequest(method, "http://"+n.addr+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+n.addr+path, strings.NewReader(body))
 	require.NoError(n.t, err)
 	for k, v := range header {
-		req.Header.Set(k, v)
+		request.Header.Set(k, v)
 	}
-	res, err := client.Do(req)
+	res, err := client.Do(request)
 	if err != nil {
 		return nil
 	}
@@ -244,7 +244,7 @@
 	return h
 }
 
-// ask sends a req of a class and wants an answer.
+// ask sends a request of a class and wants an answer.
 func (n *node) ask(class string) *answer {
 	n.t.Helper()
 	method := "POST"
@@ -252,7 +252,7 @@
 		method = "GET"
 	}
 	a := n.try(method, "/api", "", headers(class))
-	require.NotNil(n.t, a, "every req gets an answer")
+	require.NotNil(n.t, a, "every request gets an answer")
 	return a
 }
 
@@ -272,7 +272,7 @@
 }
 
 // The stand-ins, by the names that the tests use.
-type req = standin.Req
+type request = standin.Request
 
 var (
 	say    = standin.Say
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -88,7 +88,7 @@
 // handed is what a successor is handed: the list in the registry's form, and what the
 // module learned.
 type handed struct {
-	List    discovery.List   `json:"list"`
+	List    discovery.List  `json:"list"`
 	Learned json.RawMessage `json:"learned,omitempty"`
 }
 
@@ -199,7 +199,7 @@
 	s.budget.Set(int64(max((memory-restMB)/2, leastMB) * (1 << 20)))
 	usable := part * float64(s.c.Sockets-spareSockets)
 	s.pool.Limit(int(usable * s.c.Own.Backend.Share))
-	s.front.Limit(int(usable*s.c.Own.Session.Share), int(part*session.Overflow), int(part*float64(s.c.Sockets)*s.c.Own.Session.ReqShare))
+	s.front.Limit(int(usable*s.c.Own.Session.Share), int(part*session.Overflow), int(part*float64(s.c.Sockets)*s.c.Own.Session.RequestShare))
 }
 
 // Began has a successor and this process share.
--- a/cmd/oakseam/upgrade_test.go
+++ b/cmd/oakseam/upgrade_test.go
@@ -42,10 +42,10 @@
 }
 
 // TestUpgrades replaces the process three times under clients that keep, open and use
-// connections again: each req is answered once, none is turned back unheard, and no
+// connections again: each request is answered once, none is turned back unheard, and no
 // backend sees one twice.
 func TestUpgrades(t *testing.T) {
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		time.Sleep(time.Millisecond)
 		return ok(c, r)
 	})
@@ -76,7 +76,7 @@
 			asked.Store(id, true)
 			io.WriteString(c, strings.Replace(hidden, "hidden", id, 1))
 			res, err := http.ReadResponse(in, nil)
-			if !assert.NoError(t, err, "a req without an answer") {
+			if !assert.NoError(t, err, "a request without an answer") {
 				return
 			}
 			io.Copy(io.Discard, res.Body)
@@ -152,7 +152,7 @@
 // process, also where the node was told to drain before.
 func TestUpgradeUnderALongAnswer(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(c *net.TCPConn, r req) bool {
+	b := newBackend(t, func(c *net.TCPConn, r request) bool {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n%s", strings.Repeat("a", 100000))
 		<-release
 		io.WriteString(c, strings.Repeat("b", 100000))
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -6,8 +6,8 @@
 //
 // The rules are those of the platform:
 //
-//   - a req taken by a node that lives on gets one final answer in time,
-//   - a req has no second effect, and is refused only where a repeat is harmless,
+//   - a request taken by a node that lives on gets one final answer in time,
+//   - a request has no second effect, and is refused only where a repeat is harmless,
 //   - a backend gets nothing new once a node has long known that it drains,
 //   - a cold backend is not sent more than it can bear by all nodes together.
 package audit
@@ -56,13 +56,13 @@
 
 // Broken is one breach, with what led to it.
 type Broken struct {
-	Rule   Rule          `json:"rule"`
-	At     time.Duration `json:"at_ns"`
-	Req    string        `json:"req,omitempty"` // the id of the try, empty where a backend is meant
-	Node   int           `json:"node"`
-	Server string        `json:"backend,omitempty"`
-	Why    string        `json:"why"`
-	Events []string      `json:"events"` // what passed that concerns it, oldest first
+	Rule    Rule          `json:"rule"`
+	At      time.Duration `json:"at_ns"`
+	Request string        `json:"req,omitempty"` // the id of the try, empty where a backend is meant
+	Node    int           `json:"node"`
+	Server  string        `json:"backend,omitempty"`
+	Why     string        `json:"why"`
+	Events  []string      `json:"events"` // what passed that concerns it, oldest first
 }
 
 // Report counts the breaches.
@@ -72,7 +72,7 @@
 	LateDrainSends int      `json:"late_drain_sends"`
 	FelledBackends int      `json:"felled_backends"`
 	Overshoot      float64  `json:"overshoot"` // the most that a cold backend was sent within a window, as a multiple of its capacity
-	Taken          int      `json:"-"`         // reqs that were judged
+	Taken          int      `json:"-"`         // requests that were judged
 	Broken         []Broken `json:"-"`         // the first detailMost of each rule
 }
 
@@ -83,14 +83,14 @@
 
 const (
 	detailMost = 5  // breaches of a rule that are kept with their events
-	notesMost  = 64 // events kept of one req
+	notesMost  = 64 // events kept of one request
 )
 
-// Auditor follows reqs, nodes and backends. It is not safe for concurrent use.
+// Auditor follows requests, nodes and backends. It is not safe for concurrent use.
 type Auditor struct {
 	rules   Rules
 	classes map[string]*logic.Class
-	longest time.Duration // after this, nothing that concerns a req can still come
+	longest time.Duration // after this, nothing that concerns a request can still come
 	now     time.Duration
 	tries   map[string]*try
 	ops     map[uint64]*op
@@ -106,7 +106,7 @@
 	server string
 }
 
-// try is one req as a node took it.
+// try is one request as a node took it.
 type try struct {
 	id       string
 	node     int
@@ -200,7 +200,7 @@
 }
 
 // breach counts a breach, and keeps the first ones of a rule with their events.
-func (a *Auditor) breach(r Rule, at time.Duration, node int, req, server, why string, notes []note) {
+func (a *Auditor) breach(r Rule, at time.Duration, node int, request, server, why string, notes []note) {
 	switch r {
 	case Unanswered:
 		a.report.Unanswered++
@@ -214,7 +214,7 @@
 	if a.perRule[r]++; a.perRule[r] > detailMost {
 		return
 	}
-	b := Broken{Rule: r, At: at, Req: req, Node: node, Server: server, Why: why, Events: make([]string, 0, len(notes))}
+	b := Broken{Rule: r, At: at, Request: request, Node: node, Server: server, Why: why, Events: make([]string, 0, len(notes))}
 	for _, n := range notes {
 		b.Events = append(b.Events, n.String())
 	}
@@ -227,7 +227,7 @@
 	}
 }
 
-// Taken tells that a node has a whole req. The op names what the client wants
+// Taken tells that a node has a whole request. The op names what the client wants
 // done: its further tries carry the same. The client waits for patience.
 func (a *Auditor) Taken(at time.Duration, node int, id string, operation uint64, class string, patience time.Duration) {
 	a.tick(at)
@@ -244,7 +244,7 @@
 	o.note(at, "taken", id, node, "")
 }
 
-// Sent tells that a node began to send a req to a backend.
+// Sent tells that a node began to send a request to a backend.
 func (a *Auditor) Sent(at time.Duration, node int, id, server, zone string, cell int) {
 	a.tick(at)
 	if told, ok := a.told[toldKey{node, server}]; ok && at > told+a.rules.DrainGrace {
@@ -312,7 +312,7 @@
 	}
 }
 
-// Ran tells that a backend took a req for a client's operation to work on, at
+// Ran tells that a backend took a request for a client's operation to work on, at
 // once or later. That is when it tells a repeat from a new one.
 func (a *Auditor) Ran(at time.Duration, operation uint64, id, server, zone string, cell int) {
 	a.tick(at)
@@ -446,7 +446,7 @@
 }
 
 // Finish judges what is still open and returns the report. All that could still
-// come must have come; a req whose time is not over by then is not judged.
+// come must have come; a request whose time is not over by then is not judged.
 func (a *Auditor) Finish(at time.Duration) *Report {
 	a.now = max(a.now, at)
 	for _, o := range a.order {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -54,7 +54,7 @@
 			send(a, 3*ms, "y", "a")
 			a.Answered(4*ms, "r", Served)
 		}, Report{DoubleEffects: 1}},
-		{"second copy of an unsafe req", func(a *Auditor) {
+		{"second copy of an unsafe request", func(a *Auditor) {
 			take(a, "unsafe")
 			send(a, 1*ms, "x", "a")
 			send(a, 2*ms, "y", "a")
@@ -143,7 +143,7 @@
 }
 
 // What an auditor holds does not grow with the length of a day.
-func TestOldReqsAreLetGo(t *testing.T) {
+func TestOldRequestsAreLetGo(t *testing.T) {
 	a := New(rules)
 	for i := range 10000 {
 		at, id := time.Duration(i)*time.Second, string(rune(i))+"x"
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// The head of a req, to the byte.
+// The head of a request, to the byte.
 func TestHead(t *testing.T) {
 	const start = "POST /api/x HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: i\r\n"
 	for _, tt := range []struct {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,17 +27,17 @@
 // Config is what a node is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
-	Console                string   // the operators' address, empty: none
-	PeerListen             string   // where datagrams of other nodes arrive, empty: nowhere
-	Peers                  []string // of all nodes in the order of their numbers, as this one reaches them
-	Seed                   uint64
-	Cores                  float64
-	MemoryMB, Sockets      int
-	Known                  discovery.List
-	Settings               logic.Settings
-	ConnectTimeout         time.Duration
-	RetryAfter             time.Duration // of a refusal, 0 where clients heed none
-	Own                    Own
+	Console                 string   // the operators' address, empty: none
+	PeerListen              string   // where datagrams of other nodes arrive, empty: nowhere
+	Peers                   []string // of all nodes in the order of their numbers, as this one reaches them
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   discovery.List
+	Settings                logic.Settings
+	ConnectTimeout          time.Duration
+	RetryAfter              time.Duration // of a refusal, 0 where clients heed none
+	Own                     Own
 }
 
 // Defaults of what may be left out.
@@ -64,7 +64,7 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    discovery.List   `json:"known"`
+	Known    discovery.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
 
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -39,11 +39,11 @@
 
 // Session is what client sessions are held to.
 type Session struct {
-	HeadWithin time.Duration `yaml:"head_within" help:"how long a client may take for a head" least:"10ms" most:"1m"`
-	BodyWithin time.Duration `yaml:"body_within" help:"and then for a body" least:"10ms" most:"1m"`
-	IdleFor    time.Duration `yaml:"idle_for" help:"how long a client session may stay open between reqs" least:"10ms" most:"1h"`
-	Share      float64       `yaml:"share" help:"part of the descriptors not kept spare that client sessions may hold" least:"0.05" most:"0.9"`
-	ReqShare   float64       `yaml:"req_share" help:"part of all descriptors that open reqs may hold" least:"0.05" most:"0.9"`
+	HeadWithin   time.Duration `yaml:"head_within" help:"how long a client may take for a head" least:"10ms" most:"1m"`
+	BodyWithin   time.Duration `yaml:"body_within" help:"and then for a body" least:"10ms" most:"1m"`
+	IdleFor      time.Duration `yaml:"idle_for" help:"how long a client session may stay open between requests" least:"10ms" most:"1h"`
+	Share        float64       `yaml:"share" help:"part of the descriptors not kept spare that client sessions may hold" least:"0.05" most:"0.9"`
+	RequestShare float64       `yaml:"req_share" help:"part of all descriptors that open requests may hold" least:"0.05" most:"0.9"`
 }
 
 // Backend is what connections to backends are held to.
@@ -58,10 +58,10 @@
 	return Own{
 		Log: Log{Level: "info", Format: "text"},
 		Session: Session{
-			// A client that brings no whole req holds a socket that others need. It is owed an
+			// A client that brings no whole request holds a socket that others need. It is owed an
 			// error or a close soon.
 			HeadWithin: 2500 * time.Millisecond, BodyWithin: 2 * time.Second, IdleFor: 2 * time.Second,
-			Share: 0.5, ReqShare: 1.0 / 3,
+			Share: 0.5, RequestShare: 1.0 / 3,
 		},
 		// Clearly before the backends close a connection themselves.
 		Backend: Backend{IdleShare: 0.9, Share: 0.4},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,9 +1,9 @@
 // Package core runs the decision module of one node. One goroutine owns the
-// module, the table of reqs and the timers; fronts, backends and the registry
+// module, the table of requests and the timers; fronts, backends and the registry
 // reach it through queues only, and it never waits for any of them. The steps
 // themselves are an Owner's, which the lab drives in virtual time.
 //
-// The package knows no protocol. A further front hands its reqs to Submit and
+// The package knows no protocol. A further front hands its requests to Submit and
 // takes their answers, and so goes through the same decisions and rules.
 package core
 
@@ -18,11 +18,11 @@
 	"pipitmux/logic"
 )
 
-// Request is a req that a front has taken whole.
+// Request is a request that a front has taken whole.
 type Request struct {
 	ID, Class string
 	Retry     bool
-	Tenant    string           // who the req belongs to, as the settings name them; empty: not told
+	Tenant    string           // who the request belongs to, as the settings name them; empty: not told
 	Hint      time.Duration    // a guess at its work; 0: not told
 	Prefer    []logic.ServerID // that hold part of its prompt, best first
 	Worth     float64          // 0: its class's
@@ -35,7 +35,7 @@
 
 // Session is the side of a front that waits for an answer.
 type Session interface {
-	// Answer gets the one final answer of a req. It must not block.
+	// Answer gets the one final answer of a request. It must not block.
 	Answer(Answer)
 }
 
@@ -45,12 +45,12 @@
 // The kinds of Answer.
 const (
 	Served    Kind = iota // Reply is a backend's answer
-	Refused               // a synthetic answer: trying again is harmless
+	Refused               // a refusal: trying again is harmless
 	Failed                // an answer that promises nothing; a Reply is a backend's own failure, to be passed on
-	Duplicate             // the id belongs to a req that is still held
+	Duplicate             // the id belongs to a request that is still held
 )
 
-// Answer is the final answer of a req.
+// Answer is the final answer of a request.
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration
@@ -68,11 +68,11 @@
 	Born     time.Duration // a backend that starts anew holds none of its old connections
 }
 
-// Attempt is one send of a req to a backend.
+// Attempt is one send of a request to a backend.
 type Attempt struct {
 	Call   any
 	Place  Place
-	Until  time.Time     // for the whole answer, streamed ones too; zero for a req whose last byte has not come
+	Until  time.Time     // for the whole answer, streamed ones too; zero for a request whose last byte has not come
 	Within time.Duration // and then it has so long from that byte
 	Before time.Time     // its first byte has to be written before then; zero: whenever
 }
@@ -85,7 +85,7 @@
 	At     time.Time
 	Left   bool // it was not begun, since the client has left
 	Begun  bool // an OK whose Reply is still coming: the attempt's end is told once the Reply is closed
-	Pass   bool // the Reply is a backend's own failure: it is the req's answer where no other attempt serves it
+	Pass   bool // the Reply is a backend's own failure: it is the request's answer where no other attempt serves it
 }
 
 // Backends carries attempts. Its methods must not block.
@@ -155,13 +155,13 @@
 	return c, nil
 }
 
-// ErrFull tells that a req could not be queued in time; nothing of it has run.
+// ErrFull tells that a request could not be queued in time; nothing of it has run.
 var ErrFull = errors.New("the queue of reqs is full")
 
-// submitWithin is how long a req may wait for room in the queue.
+// submitWithin is how long a request may wait for room in the queue.
 const submitWithin = 100 * time.Millisecond
 
-// Submit hands in a req. Its Session gets one answer unless Gone comes first.
+// Submit hands in a request. Its Session gets one answer unless Gone comes first.
 func (c *Core) Submit(r Request) error {
 	ev := func() { c.owner.Request(r) }
 	select {
@@ -179,18 +179,18 @@
 	}
 }
 
-// Gone tells that the client of a req has left. Nothing is owed any more.
+// Gone tells that the client of a request has left. Nothing is owed any more.
 func (c *Core) Gone(id string, of Session) {
 	c.queue <- func() { c.owner.Gone(logic.RequestID(id), of) }
 }
 
-// Whole tells that the last byte of a req has come.
+// Whole tells that the last byte of a request has come.
 func (c *Core) Whole(id string, of Session) {
 	c.queue <- func() { c.owner.Whole(logic.RequestID(id), of) }
 }
 
 // List brings a list of the registry. It is told ahead of everything that
-// waits: a drain must not stand behind reqs that would be sent to the drained.
+// waits: a drain must not stand behind requests that would be sent to the drained.
 func (c *Core) List(kind logic.ListKind, entries []Entry) {
 	c.urgent <- func() {
 		c.owner.List(kind, entries)
@@ -229,12 +229,12 @@
 	c.urgent <- func() { c.owner.Learn(text, whole) }
 }
 
-// Reconfigure has the core take on other classes, for reqs that come later.
+// Reconfigure has the core take on other classes, for requests that come later.
 func (c *Core) Reconfigure(classes []logic.Class) {
 	c.urgent <- func() { c.owner.Reconfigure(classes) }
 }
 
-// Ready tells whether the node knows a backend that takes reqs.
+// Ready tells whether the node knows a backend that takes requests.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
 // Stop ends Run.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -49,7 +49,7 @@
 	select {
 	case <-w:
 	case <-time.After(20 * time.Second):
-		require.FailNow(t, "a req has no answer")
+		require.FailNow(t, "a request has no answer")
 	}
 }
 
@@ -70,8 +70,8 @@
 	return out
 }
 
-// A drain that was told after reqs had been queued still goes first.
-func TestDrainGoesAheadOfWaitingReqs(t *testing.T) {
+// A drain that was told after requests had been queued still goes first.
+func TestDrainGoesAheadOfWaitingRequests(t *testing.T) {
 	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), 100)}
 	answers := make(waiting, 100)
 	for i := range 50 {
@@ -89,16 +89,16 @@
 }
 
 // More comes in than the queue holds, while every end of an attempt has to pass
-// the same queue: all get through, and each req has one answer.
+// the same queue: all get through, and each request has one answer.
 func TestFullQueueLosesNothing(t *testing.T) {
-	const reqs = 4 * queueLength
-	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), reqs)}
-	answers := make(waiting, 2*reqs)
+	const requests = 4 * queueLength
+	c, p := newCore(t, 5*time.Second, logic.Serving, logic.Serving), &peers{ends: make(chan func(Ended), requests)}
+	answers := make(waiting, 2*requests)
 	taken := make(chan int, 100)
 	for range cap(taken) {
 		go func() {
 			n := 0
-			for range reqs / cap(taken) {
+			for range requests / cap(taken) {
 				r := Request{ID: fmt.Sprintf("%p-%d", &n, n), Class: "topup", Arrived: time.Now(), Session: answers}
 				if c.Submit(r) == nil {
 					n++
@@ -121,7 +121,7 @@
 	assert.Empty(t, answers)
 }
 
-// The queue is full and nobody serves it: a req is turned down, not held for ever.
+// The queue is full and nobody serves it: a request is turned down, not held for ever.
 func TestSubmitGivesUp(t *testing.T) {
 	c := newCore(t, 5*time.Second, logic.Serving)
 	for i := range queueLength {
@@ -130,7 +130,7 @@
 	assert.ErrorIs(t, c.Submit(Request{ID: "one more"}), ErrFull)
 }
 
-// An attempt that lasts until its req's end has timed out: the module's timer
+// An attempt that lasts until its request's end has timed out: the module's timer
 // for that same instant must not turn it into one that was called off.
 func TestTimeOutIsNotCalledOff(t *testing.T) {
 	c, p := newCore(t, 100*time.Millisecond, logic.Serving), &peers{ends: make(chan func(Ended), 1)}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -35,7 +35,7 @@
 	Log      *slog.Logger
 }
 
-// Owner takes the steps of one node round its module: reqs, ends of attempts,
+// Owner takes the steps of one node round its module: requests, ends of attempts,
 // lists and timers in, sends and final answers out. It starts no goroutine,
 // reads no clock but its World's, and is not safe for concurrent use: Core runs
 // it for a node, the emulator in virtual time, and both so take the same steps.
@@ -45,16 +45,16 @@
 	settings logic.Settings
 	local    []func() // events that the owner has for itself
 
-	origin time.Time
-	at     time.Time // of the event that the module is told: its sends and timers count from there
-	reqs   map[logic.RequestID]*held
-	places map[logic.ServerID]Place
-	listed map[logic.ServerID]Entry
-	timers timers
-	serves bool
+	origin   time.Time
+	at       time.Time // of the event that the module is told: its sends and timers count from there
+	requests map[logic.RequestID]*held
+	places   map[logic.ServerID]Place
+	listed   map[logic.ServerID]Entry
+	timers   timers
+	serves   bool
 }
 
-// held is a req from its arrival until it is answered and its attempts have ended.
+// held is a request from its arrival until it is answered and its attempts have ended.
 type held struct {
 	Request
 	class    *logic.Class // nil: not known
@@ -63,7 +63,7 @@
 	open     int
 	over     bool             // answered, or its client has gone
 	streams  bool             // the answer still comes
-	failure  any              // the newest Reply that is passed on where no attempt serves the req, nil: none
+	failure  any              // the newest Reply that is passed on where no attempt serves the request, nil: none
 	timers   []logic.SetTimer // which start with its last byte
 }
 
@@ -82,7 +82,7 @@
 func NewOwner(m Module, s logic.Settings, w World) *Owner {
 	return &Owner{
 		world: w, module: m, settings: s, origin: w.Now(),
-		reqs: map[logic.RequestID]*held{}, places: map[logic.ServerID]Place{},
+		requests: map[logic.RequestID]*held{}, places: map[logic.ServerID]Place{},
 		listed: map[logic.ServerID]Entry{},
 	}
 }
@@ -135,7 +135,7 @@
 	return slices.SortedFunc(maps.Values(o.listed), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// Serves tells whether a backend is known that takes reqs.
+// Serves tells whether a backend is known that takes requests.
 func (o *Owner) Serves() bool { return o.serves }
 
 // Settle takes the events that earlier ones have left behind. It belongs after
@@ -156,12 +156,12 @@
 }
 
 // tell hands an event to the module and carries out what it asks for. A panic
-// of the module ends the req that it was about, with a failure, and no other.
+// of the module ends the request that it was about, with a failure, and no other.
 func (o *Owner) tell(id logic.RequestID, ev logic.Event) {
 	defer func() {
 		if p := recover(); p != nil {
 			o.world.Count.Add("module.panic")
-			o.world.Log.Error("module: panic", "event", fmt.Sprintf("%T", ev), logging.Req, id, logging.Cause, p, "stack", string(debug.Stack()))
+			o.world.Log.Error("module: panic", "event", fmt.Sprintf("%T", ev), logging.Request, id, logging.Cause, p, "stack", string(debug.Stack()))
 			o.answer(id, Answer{Kind: Failed})
 		}
 	}()
@@ -169,7 +169,7 @@
 	for _, a := range o.module.Handle(o.clock(o.at), ev) {
 		_, first := ev.(logic.Request)
 		t, timer := a.(logic.SetTimer)
-		if r := o.reqs[id]; first && timer && r != nil && r.Open {
+		if r := o.requests[id]; first && timer && r != nil && r.Open {
 			r.timers = append(r.timers, t)
 			continue
 		}
@@ -182,11 +182,11 @@
 	case logic.Send:
 		o.send(a)
 	case logic.Cancel:
-		// The module's last timer for a req and the time-out of its attempt fall due together.
+		// The module's last timer for a request and the time-out of its attempt fall due together.
 		// An attempt whose time is over ends as timed out: called off, a backend that hangs
 		// would bear no blame, or would by chance.
-		// A stream that answers its req ends with its reader.
-		if r := o.reqs[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+		// A stream that answers its request ends with its reader.
+		if r := o.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
 			if t := &r.attempts[a.Attempt]; o.at.Before(t.until) && !t.stream.answers {
 				t.cancel()
 			}
@@ -214,11 +214,11 @@
 	}
 }
 
-// Request takes a req. Its Session gets one answer unless Gone comes first.
+// Request takes a request. Its Session gets one answer unless Gone comes first.
 func (o *Owner) Request(r Request) {
 	id := logic.RequestID(r.ID)
 	o.world.Count.Add("req.taken")
-	if o.reqs[id] != nil {
+	if o.requests[id] != nil {
 		o.world.Count.Add("answer.duplicate")
 		r.Session.Answer(Answer{Kind: Duplicate})
 		return
@@ -233,7 +233,7 @@
 		}
 	}
 	h := &held{Request: r, class: class, until: r.Arrived.Add(r.Wait)}
-	o.reqs[id] = h
+	o.requests[id] = h
 	if r.Open {
 		h.Arrived = o.world.Now()
 		h.until = h.Arrived.Add(openMost)
@@ -241,7 +241,7 @@
 	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open,
 		Prefer: r.Prefer, Worth: r.Worth}
 	if !r.Open {
-		// What the req waited for its turn is gone from the client's patience.
+		// What the request waited for its turn is gone from the client's patience.
 		q.Expires = h.until.Sub(o.world.Now())
 	}
 	o.tell(id, q)
@@ -250,9 +250,9 @@
 // openMost is beyond any time that a front lets a body take.
 const openMost = time.Hour
 
-// Whole starts the time of a req whose last byte has come, and of its attempt.
+// Whole starts the time of a request whose last byte has come, and of its attempt.
 func (o *Owner) Whole(id logic.RequestID, of Session) {
-	r := o.reqs[id]
+	r := o.requests[id]
 	if r == nil || r.over || r.Session != of || !r.Open {
 		return
 	}
@@ -270,10 +270,10 @@
 	r.timers = nil
 }
 
-// Gone drops the req that a session held under the id; an id sent twice must
-// not let the second client take the first one's req along.
+// Gone drops the request that a session held under the id; an id sent twice must
+// not let the second client take the first one's request along.
 func (o *Owner) Gone(id logic.RequestID, of Session) {
-	r := o.reqs[id]
+	r := o.requests[id]
 	if r == nil || r.over || r.Session != of {
 		return
 	}
@@ -288,9 +288,9 @@
 	o.tell(id, logic.ClientGone{ID: id})
 }
 
-// answer gives a req its final answer, unless it has one.
+// answer gives a request its final answer, unless it has one.
 func (o *Owner) answer(id logic.RequestID, a Answer) {
-	r := o.reqs[id]
+	r := o.requests[id]
 	if r == nil || r.over {
 		return
 	}
@@ -302,7 +302,7 @@
 	r.dropFailure()
 	o.world.Count.Add(answerCounts[a.Kind])
 	if a.Kind != Served && o.world.Log.Enabled(context.Background(), slog.LevelDebug) {
-		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "req not served", slog.String(logging.Req, string(id)),
+		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "req not served", slog.String(logging.Request, string(id)),
 			slog.String("class", r.Class), slog.String(logging.Cause, answerCounts[a.Kind][len("answer."):]), slog.Int("attempts", len(r.attempts)))
 	}
 	r.Session.Answer(a)
@@ -312,15 +312,15 @@
 
 func (o *Owner) forget(id logic.RequestID, r *held) {
 	if r.over && r.open == 0 {
-		delete(o.reqs, id)
+		delete(o.requests, id)
 	}
 }
 
 // send starts an attempt. Every Send gets one Outcome, also where nothing can go out.
 func (o *Owner) send(a logic.Send) {
-	r := o.reqs[a.ID]
+	r := o.requests[a.ID]
 	if r == nil {
-		o.world.Log.Error("module: a send for a req that is not held", logging.Req, a.ID)
+		o.world.Log.Error("module: a send for a req that is not held", logging.Request, a.ID)
 		return
 	}
 	now := o.at
@@ -354,7 +354,7 @@
 	return o.settings.MaxAttempts
 }
 
-// before returns until when a further attempt of a keyed req may begin: backends drop its
+// before returns until when a further attempt of a keyed request may begin: backends drop its
 // repeats for a while only, and a connection that comes up late may use all of that up.
 func (r *held) before() (until time.Time) {
 	if r.class == nil || r.class.Effect != logic.Keyed {
@@ -380,16 +380,16 @@
 		logic.ListCached: "list.cached", logic.ListFailed: "list.failed"}
 )
 
-// ended takes the end of an attempt. The first OK answers the req.
+// ended takes the end of an attempt. The first OK answers the request.
 func (o *Owner) ended(id logic.RequestID, n int, e Ended) {
 	if e.Begun {
 		o.begun(id, n, e)
 		return
 	}
 	o.world.Count.Add(outcomeCounts[e.Result])
-	r := o.reqs[id]
+	r := o.requests[id]
 	if r == nil {
-		o.world.Log.Error("an attempt ended of a req that is not held", logging.Req, id, logging.Attempt, n)
+		o.world.Log.Error("an attempt ended of a req that is not held", logging.Request, id, logging.Attempt, n)
 		return
 	}
 	if e.Left && !r.over {
@@ -403,7 +403,7 @@
 	}
 	// Asked first: what a line is made of must not be put together for nothing.
 	if o.world.Log.Enabled(context.Background(), slog.LevelDebug) {
-		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "attempt ended", slog.String(logging.Req, string(id)),
+		o.world.Log.LogAttrs(context.Background(), slog.LevelDebug, "attempt ended", slog.String(logging.Request, string(id)),
 			slog.String(logging.Backend, string(t.server)), slog.Int(logging.Attempt, n),
 			slog.String(logging.Cause, outcomeCounts[e.Result][len("outcome."):]), slog.Duration("took", e.At.Sub(t.at)))
 	}
@@ -423,7 +423,7 @@
 	if t.stream.answers {
 		r.streams = false
 	}
-	// While the answer streams, the end of a second copy does not finish the req.
+	// While the answer streams, the end of a second copy does not finish the request.
 	o.tell(id, logic.Outcome{
 		ID: id, Attempt: n, Result: e.Result, Final: r.over && !r.streams, Server: t.server,
 		Latency: latency, Report: e.Report,
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -14,7 +14,7 @@
 	"pipitmux/logic"
 )
 
-// stub answers each attempt at once, and reqs by nobody.
+// stub answers each attempt at once, and requests by nobody.
 type stub struct{}
 
 func (stub) Start(_ Attempt, done func(Ended)) func() {
@@ -28,7 +28,7 @@
 func (stub) Answer(Answer)   {}
 func (stub) Add(string)      {}
 
-// sender sends each req to one backend.
+// sender sends each request to one backend.
 type sender struct{ out []logic.Action }
 
 func (s *sender) Handle(_ time.Duration, ev logic.Event) []logic.Action {
@@ -56,12 +56,12 @@
 	}
 }
 
-// A logger whose level is off costs a req no allocation; one that is on tells of
+// A logger whose level is off costs a request no allocation; one that is on tells of
 // the attempt under the stable keys.
 func TestLogCostsNothingWhenOff(t *testing.T) {
 	count := func(log *slog.Logger) float64 {
-		req := owner(log)
-		return testing.AllocsPerRun(200, func() { req("r") })
+		request := owner(log)
+		return testing.AllocsPerRun(200, func() { request("r") })
 	}
 	off := count(logging.New(io.Discard, "info", "json"))
 	assert.Equal(t, count(slog.New(slog.DiscardHandler)), off)
@@ -76,17 +76,17 @@
 	}
 }
 
-func BenchmarkReq(b *testing.B) {
+func BenchmarkRequest(b *testing.B) {
 	for _, level := range []string{"none", "info", "debug"} {
 		b.Run("log="+level, func(b *testing.B) {
 			log := slog.New(slog.DiscardHandler)
 			if level != "none" {
 				log = logging.New(io.Discard, level, "text")
 			}
-			req := owner(log)
+			request := owner(log)
 			b.ReportAllocs()
 			for i := range b.N {
-				req(strconv.Itoa(i & 1023))
+				request(strconv.Itoa(i & 1023))
 			}
 		})
 	}
@@ -123,7 +123,7 @@
 	return o
 }
 
-// A keyed req's further attempt has to begin while the first one's repeats are dropped, and
+// A keyed request's further attempt has to begin while the first one's repeats are dropped, and
 // the first that may have run counts; what never ran does not.
 func TestFurtherAttemptsBeginWithinTheWindow(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -202,7 +202,7 @@
 	}
 }
 
-// An attempt that was not begun, since its client has left, ends the req: nothing else is
+// An attempt that was not begun, since its client has left, ends the request: nothing else is
 // tried for it, and nothing is answered.
 func TestClientLeftBeforeItsAttempt(t *testing.T) {
 	at := time.Unix(1000, 0)
@@ -221,7 +221,7 @@
 		assert.True(t, h.told[1].(logic.Outcome).Final)
 	}
 	assert.Empty(t, h.answers)
-	assert.Empty(t, o.reqs)
+	assert.Empty(t, o.requests)
 	o.Gone("r", h) // which its session tells as well
 	assert.Len(t, h.told, 2)
 }
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -12,20 +12,20 @@
 // stream is what an attempt's streamed answer has come to.
 type stream struct {
 	begun   bool
-	answers bool // it is the req's answer
+	answers bool // it is the request's answer
 	// latency is of its begin. The module learns from it then and once more from the attempt's
 	// Outcome, which so tells it again: how long an answer streams says nothing of a backend.
 	latency time.Duration
 }
 
-// begun takes the begin of a streamed answer. The first one answers the req; its attempt
+// begun takes the begin of a streamed answer. The first one answers the request; its attempt
 // stays open until the answer is closed.
 func (o *Owner) begun(id logic.RequestID, n int, e Ended) {
 	o.world.Count.Add("stream.begun")
-	r := o.reqs[id]
+	r := o.requests[id]
 	if r == nil {
 		discard(e.Reply)
-		o.world.Log.Error("a stream began of a req that is not held", logging.Req, id, logging.Attempt, n)
+		o.world.Log.Error("a stream began of a req that is not held", logging.Request, id, logging.Attempt, n)
 		return
 	}
 	t := &r.attempts[n]
@@ -66,7 +66,7 @@
 
 var _ reconfigurable = (*logic.Balancer)(nil)
 
-// Reconfigure takes on other classes for reqs that come later, and has the module do so
+// Reconfigure takes on other classes for requests that come later, and has the module do so
 // where it can.
 func (o *Owner) Reconfigure(classes []logic.Class) {
 	if m, ok := o.module.(reconfigurable); ok {
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -16,7 +16,7 @@
 
 func (c *closing) Close() error { c.closed++; return nil }
 
-// streamed is an owner round a module that sends each req twice, to a and b, and otherwise
+// streamed is an owner round a module that sends each request twice, to a and b, and otherwise
 // does what reply says.
 type streamed struct {
 	*hand
@@ -54,7 +54,7 @@
 	return s.at
 }
 
-// A stream's begin answers the req and is told once, its end is told once and is final, with
+// A stream's begin answers the request and is told once, its end is told once and is final, with
 // the latency of its begin; the second copy's end between them finishes nothing.
 func TestStreamIsToldTwice(t *testing.T) {
 	for name, result := range map[string]logic.Result{"whole": logic.OK, "broken": logic.Reset, "left": logic.Canceled, "out of time": logic.TimedOut} {
@@ -73,13 +73,13 @@
 		s.ends[1](Ended{Result: logic.Canceled, At: s.later(time.Second)})
 		assert.Equal(t, []logic.Event{logic.Outcome{ID: "r", Attempt: 1, Result: logic.Canceled, Server: "b", Latency: 2 * time.Second}}, s.told, name)
 		s.told = nil
-		assert.NotEmpty(t, s.o.reqs, name)
+		assert.NotEmpty(t, s.o.requests, name)
 
 		s.ends[0](Ended{Result: result, At: s.later(time.Minute)})
 		assert.Equal(t, []logic.Event{logic.Outcome{ID: "r", Result: result, Final: true, Server: "a", Latency: time.Second}}, s.told, name)
 		assert.Len(t, s.answers, 1, name)
 		assert.Zero(t, reply.closed, "%s: its session closes it", name)
-		assert.Empty(t, s.o.reqs, name)
+		assert.Empty(t, s.o.requests, name)
 	}
 }
 
@@ -105,7 +105,7 @@
 	assert.Equal(t, []int{1}, s.off)
 }
 
-// The newest failure that is to be passed on is the answer where the module gives the req up,
+// The newest failure that is to be passed on is the answer where the module gives the request up,
 // and is closed where it does not come to that.
 func TestFailureIsPassedOn(t *testing.T) {
 	giveUp := func(action logic.Action) func(ev logic.Event) []logic.Action {
@@ -143,7 +143,7 @@
 			closed = 1
 		}
 		assert.Equal(t, closed, second.closed, name)
-		assert.Empty(t, s.o.reqs, name)
+		assert.Empty(t, s.o.requests, name)
 	}
 }
 
@@ -176,7 +176,7 @@
 
 func (l *learner) SetClasses(c []logic.Class) error { l.classes = c; return nil }
 
-// New classes hold for reqs that come later; a core without a registry asks none.
+// New classes hold for requests that come later; a core without a registry asks none.
 func TestReconfigureWithoutRegistry(t *testing.T) {
 	at := time.Unix(1000, 0)
 	l := &learner{hand: hand{do: func(ev logic.Event) []logic.Action {
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -76,7 +76,7 @@
 
 func (k *desk) serve(c net.Conn, of string) {
 	defer c.Close()
-	req, err := http.ReadRequest(bufio.NewReader(c))
+	request, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
@@ -98,7 +98,7 @@
 	gone := make(chan struct{})
 	go func() { io.Copy(io.Discard, c); close(gone) }()
 	first := before
-	if !strings.HasSuffix(req.URL.RawQuery, "index=0") {
+	if !strings.HasSuffix(request.URL.RawQuery, "index=0") {
 		first = "\n"
 	}
 	if k.at() >= k.drain {
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -19,8 +19,8 @@
 	Down                  // no process listens
 )
 
-// backend is the model of one backend. All reqs in work progress at the same
-// rate, so one account of progress serves for all: a req that starts when the
+// backend is the model of one backend. All requests in work progress at the same
+// rate, so one account of progress serves for all: a request that starts when the
 // account stands at p and needs work w is done when it stands at p+w.
 type backend struct {
 	w      *world
@@ -40,7 +40,7 @@
 	epoch    int           // of its process: jobs and connections of an earlier one are gone
 
 	slow    float64 // product of what slows it
-	failing float64 // share of reqs that it fails at once
+	failing float64 // share of requests that it fails at once
 	hanging int
 	paused  bool
 	crowded bool
@@ -52,7 +52,7 @@
 	conns    int // open
 	progress float64
 	at       time.Duration // when progress was brought up to date
-	rate     float64       // work a second, of each req in work
+	rate     float64       // work a second, of each request in work
 	plan     int           // the latest completion planned; earlier ones are void
 
 	overSince, restSince, crowdedAt time.Duration // 0: not so
@@ -70,7 +70,7 @@
 	held, queue int
 }
 
-// job is a req at a backend.
+// job is a request at a backend.
 type job struct {
 	att  *attempt
 	work float64
@@ -151,7 +151,7 @@
 	})
 }
 
-// complete ends the reqs whose work is done.
+// complete ends the requests whose work is done.
 func (b *backend) complete() {
 	left := b.running[:0]
 	var done []*job
@@ -173,7 +173,7 @@
 	}
 }
 
-// begin takes waiting reqs into work.
+// begin takes waiting requests into work.
 func (b *backend) begin() {
 	for b.queued() > 0 && len(b.running) < b.slots() {
 		j := b.waiting[b.first]
@@ -191,7 +191,7 @@
 	b.running = append(b.running, j)
 }
 
-// arrive takes a req whose last byte has come, and the work of opening its connection.
+// arrive takes a request whose last byte has come, and the work of opening its connection.
 func (b *backend) arrive(a *attempt, opening float64) {
 	c := a.try.op.class
 	work := a.try.op.work
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -25,7 +25,7 @@
 	heeds bool // it heeds Retry-After
 }
 
-// try is one req of an op. It is the Session that its node answers, and the
+// try is one request of an op. It is the Session that its node answers, and the
 // Call that its attempts carry.
 type try struct {
 	op       *op
@@ -90,7 +90,7 @@
 func (t *traffic) next() {
 	t.due = t.began + t.source.Next()
 	t.w.at(t.due, 0, func() {
-		if t.due >= t.until || t.w.sc.MaxReqs > 0 && t.ops >= uint64(t.w.sc.MaxReqs) {
+		if t.due >= t.until || t.w.sc.MaxRequests > 0 && t.ops >= uint64(t.w.sc.MaxRequests) {
 			return
 		}
 		t.op(t.w.clientsR)
@@ -143,7 +143,7 @@
 	})
 }
 
-// taken has the node take the req.
+// taken has the node take the request.
 func (t *try) taken(patience time.Duration) {
 	w, n := t.op.w, t.n
 	t.epoch = n.epoch
@@ -176,7 +176,7 @@
 	refused
 	failed
 	unreachable // nothing of it was taken
-	broken      // the connection broke with the req on it
+	broken      // the connection broke with the request on it
 	timedOut
 )
 
@@ -198,7 +198,7 @@
 	w.after(way, func() { t.settle(v, a.RetryAfter) })
 }
 
-// broke tells that the node died with the req.
+// broke tells that the node died with the request.
 func (t *try) broke() {
 	t.answered = true
 	if !t.n.cutOff { // a machine that vanishes says nothing: the client waits its time out
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -71,7 +71,7 @@
 			r := run(t, scenario(t, "troubles: ["+trouble+"]"), 1, Options{})
 			assert.True(t, r.Rules.Clean(), "%+v", r.Broken)
 			assert.Less(t, r.G, calm.G)
-			assert.Equal(t, calm.Reqs, r.Reqs, "clients are the same in every world")
+			assert.Equal(t, calm.Requests, r.Requests, "clients are the same in every world")
 			for name, c := range r.Classes {
 				assert.Greater(t, c.G, 0.1, name)
 			}
@@ -144,7 +144,7 @@
 	return b.bend(now, ev, b.Policy.Handle(now, ev))
 }
 
-// Each broken policy is caught by its rule, with the req and what led to it, and
+// Each broken policy is caught by its rule, with the request and what led to it, and
 // by no other rule.
 func TestBrokenPoliciesAreCaught(t *testing.T) {
 	pass := func(_ time.Duration, _ logic.Event, out []logic.Action) []logic.Action { return out }
@@ -236,7 +236,7 @@
 	return d.Policy.Handle(now, ev)
 }
 
-// eager sends each req to the backend that was born last.
+// eager sends each request to the backend that was born last.
 type eager struct {
 	*rivals.Policy
 	born map[logic.ServerID]time.Duration
@@ -310,9 +310,9 @@
 // that lasts; it stays so when the load is gone, and is paid for once.
 func TestCrowded(t *testing.T) {
 	for _, tt := range []struct {
-		reqs int
-		for_ time.Duration
-		want int
+		requests int
+		for_     time.Duration
+		want     int
 	}{{6, 3 * time.Second, 0}, {7, time.Second, 0}, {7, 2 * time.Second, 1}} {
 		sc := scenario(t, "")
 		sc.Prices = Prices{Crowded: fixed(.8)}
@@ -321,7 +321,7 @@
 		b := w.backends[0]
 		b.hanging = 1 // what it holds stays
 		w.now = time.Second
-		b.set(func() { b.running = make([]*job, 2); b.waiting = make([]*job, tt.reqs-2) })
+		b.set(func() { b.running = make([]*job, 2); b.waiting = make([]*job, tt.requests-2) })
 		w.after(tt.for_, func() { b.set(func() { b.running, b.waiting = nil, nil }) })
 		for len(w.q.heap) > 0 && w.q.heap[0].at <= tt.for_+2*time.Second {
 			e := w.q.pop()
@@ -334,7 +334,7 @@
 	}
 }
 
-// A day can be broken off, and a panic of a module ends one req, not the day.
+// A day can be broken off, and a panic of a module ends one request, not the day.
 func TestBrokenOffAndPanics(t *testing.T) {
 	_, err := Run(scenario(t, ""), 1, Options{Progress: func(_, _ time.Duration) bool { return false }})
 	if err != nil { // a day of fewer events than one look at progress takes just ends
--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -48,11 +48,11 @@
 	// Cut tells whether new connections of a node to a backend come up from now on. What
 	// is open stays open; where the cut heals, it is reset.
 	Cut(node, backend int, cut bool)
-	// Send sends a client's req to a node and calls Live.Sending, then Live.Done once.
+	// Send sends a client's request to a node and calls Live.Sending, then Live.Done once.
 	Send(Try)
 }
 
-// Try is one req of a client.
+// Try is one request of a client.
 type Try struct {
 	ID       string
 	Class    logic.Class
@@ -205,7 +205,7 @@
 	l.out.Backend(b.no, b.state)
 }
 
-// send has the outside send a client's req.
+// send has the outside send a client's request.
 func (l *Live) send(t *try, patience time.Duration) {
 	l.tries[t.id] = t
 	key := ""
@@ -217,7 +217,7 @@
 	l.out.Send(Try{ID: t.id, Class: c, Key: key, Node: t.n.no, Patience: patience, Repeat: l.w.sc.Clients.MarksRetry && t.op.tries > 1})
 }
 
-// Sending tells that a req begins to be written to its node. A second call says
+// Sending tells that a request begins to be written to its node. A second call says
 // nothing new: the client writes it once more where a close crossed it.
 func (l *Live) Sending(id string, patience time.Duration) {
 	l.post(func() {
@@ -274,7 +274,7 @@
 	})
 }
 
-// Arrived tells that a req has come whole to a backend, over a connection of a
+// Arrived tells that a request has come whole to a backend, over a connection of a
 // node that is new or not. The reply is called once, unless the machine is
 // silent, or Gone comes first; it must not block. The returned function tells
 // that the node gave it up.
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -38,19 +38,19 @@
 	Seed      uint64                       `json:"seed"`
 	Nodes     int                          `json:"nodes"`
 	Backends  int                          `json:"backends"`
-	Reqs      int                          `json:"reqs"`  // operations of clients
-	Tries     int                          `json:"tries"` // reqs that they made of them
+	Requests  int                          `json:"reqs"`  // operations of clients
+	Tries     int                          `json:"tries"` // requests that they made of them
 	G         float64                      `json:"g"`
 	Parts     map[string]float64           `json:"parts"`      // of g: what it is mixed of, and the prices
 	LatencyMS map[string]latency.Quantiles `json:"latency_ms"` // of what was served, from the first try on
 	Classes   map[string]ClassResult       `json:"classes"`
 	Answers   map[string]int               `json:"answers"` // of nodes, by kind
 	Attempts  int                          `json:"attempts"`
-	Retries   int                          `json:"retries"` // attempts beyond the first of a req
+	Retries   int                          `json:"retries"` // attempts beyond the first of a request
 	ToCold    int                          `json:"sends_to_cold"`
 	Opened    int                          `json:"connections_opened"`
 	Crowded   int                          `json:"crowded"`      // times that a backend became so
-	CutOff    int                          `json:"lost_in_cuts"` // reqs and answers
+	CutOff    int                          `json:"lost_in_cuts"` // requests and answers
 	Stale     int                          `json:"stale_sends"`  // to a backend that its node had once been told was gone
 	Rules     *audit.Report                `json:"rules"`
 	Broken    []audit.Broken               `json:"broken,omitempty"`
@@ -100,7 +100,7 @@
 	t.w.after(lookEvery, t.look)
 }
 
-// ideal is the worth of a second's reqs that its capacity allows, the most worth for
+// ideal is the worth of a second's requests that its capacity allows, the most worth for
 // its work first.
 func ideal(came []classDemand, able float64) (worth float64) {
 	came = slices.Clone(came)
@@ -198,7 +198,7 @@
 
 func (w *world) result(policy string, seed uint64) *Result {
 	t, sc := w.tally, w.sc
-	r := &Result{Scenario: sc.Name, Policy: policy, Seed: seed, Nodes: len(w.nodes), Reqs: int(w.traffic.ops), Tries: int(w.traffic.tries),
+	r := &Result{Scenario: sc.Name, Policy: policy, Seed: seed, Nodes: len(w.nodes), Requests: int(w.traffic.ops), Tries: int(w.traffic.tries),
 		LatencyMS: map[string]latency.Quantiles{}, Classes: map[string]ClassResult{}, Answers: map[string]int{}, Parts: map[string]float64{},
 		Attempts: w.sends, Retries: w.resent, ToCold: w.toCold, Opened: w.handshakes, Crowded: w.crowdings, CutOff: w.lostInCuts, Stale: w.stale, Events: w.events, Happened: w.happenings}
 	for _, b := range w.backends {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -57,30 +57,30 @@
 // Scenario is what a day is drawn from. Times are in the unit that a key's name
 // ends in; shares and parts lie from 0 to 1.
 type Scenario struct {
-	Name       string     `yaml:"name"`
-	Policy     string     `yaml:"policy"`   // module, or a rival's name
-	Seconds    Span       `yaml:"seconds"`  // in which clients arrive
-	TickMS     Span       `yaml:"tick_ms"`  // a node handles what has come once a tick; 0: at once
-	MaxReqs    int        `yaml:"max_reqs"` // first tries after which no more come, 0: no limit
-	Zones      []Zone     `yaml:"zones"`
-	Net        Net        `yaml:"net"`
-	Nodes      Nodes      `yaml:"nodes"`
-	Fleet      Fleet      `yaml:"fleet"`
-	Kinds      []Kind     `yaml:"kinds"`
-	Crowded    Crowded    `yaml:"crowded"`
-	Conns      Conns      `yaml:"connections"`
-	Reports    Reports    `yaml:"reports"`
-	Discovery  Discovery  `yaml:"discovery"`
-	Arrivals   Arrivals   `yaml:"arrivals"`
-	Clients    Clients    `yaml:"clients"`
-	Classes    []Class    `yaml:"classes"`
-	Limits     Limits     `yaml:"limits"`
-	Rules      Rules      `yaml:"rules"`
-	Goal       Goal       `yaml:"goal"`
-	Prices     Prices     `yaml:"prices"`
-	Troubles   []Trouble  `yaml:"troubles"`   // at stated times
-	Incidental Incidental `yaml:"incidental"` // drawn each day
-	Peers      Peers      `yaml:"peers"`      // drawn last: a day without them stays what it is
+	Name        string     `yaml:"name"`
+	Policy      string     `yaml:"policy"`   // module, or a rival's name
+	Seconds     Span       `yaml:"seconds"`  // in which clients arrive
+	TickMS      Span       `yaml:"tick_ms"`  // a node handles what has come once a tick; 0: at once
+	MaxRequests int        `yaml:"max_reqs"` // first tries after which no more come, 0: no limit
+	Zones       []Zone     `yaml:"zones"`
+	Net         Net        `yaml:"net"`
+	Nodes       Nodes      `yaml:"nodes"`
+	Fleet       Fleet      `yaml:"fleet"`
+	Kinds       []Kind     `yaml:"kinds"`
+	Crowded     Crowded    `yaml:"crowded"`
+	Conns       Conns      `yaml:"connections"`
+	Reports     Reports    `yaml:"reports"`
+	Discovery   Discovery  `yaml:"discovery"`
+	Arrivals    Arrivals   `yaml:"arrivals"`
+	Clients     Clients    `yaml:"clients"`
+	Classes     []Class    `yaml:"classes"`
+	Limits      Limits     `yaml:"limits"`
+	Rules       Rules      `yaml:"rules"`
+	Goal        Goal       `yaml:"goal"`
+	Prices      Prices     `yaml:"prices"`
+	Troubles    []Trouble  `yaml:"troubles"`   // at stated times
+	Incidental  Incidental `yaml:"incidental"` // drawn each day
+	Peers       Peers      `yaml:"peers"`      // drawn last: a day without them stays what it is
 }
 
 // Zone is a data centre.
@@ -131,10 +131,10 @@
 	Speed        Span   `yaml:"speed"`          // of a core, against a standard one
 	SpeedCV      Span   `yaml:"speed_cv"`       // spread among backends of the kind
 	Weight       Span   `yaml:"weight"`         // capacity as the registry tells it; 0: cores by mean speed
-	SlotsPerCore Span   `yaml:"slots_per_core"` // reqs in work at once
-	QueuePerCore Span   `yaml:"queue_per_core"` // reqs waiting; more are turned away
+	SlotsPerCore Span   `yaml:"slots_per_core"` // requests in work at once
+	QueuePerCore Span   `yaml:"queue_per_core"` // requests waiting; more are turned away
 	Thrash       Span   `yaml:"thrash"`         // part of its speed lost for each thrash_at more than that it holds
-	ThrashAt     Span   `yaml:"thrash_at"`      // reqs held, per core
+	ThrashAt     Span   `yaml:"thrash_at"`      // requests held, per core
 	ColdFrom     Span   `yaml:"cold_from"`      // share of its capacity at a start
 	ColdS        Span   `yaml:"cold_s"`         // until it is warm
 	PauseEveryS  Span   `yaml:"pause_every_s"`  // mean; 0: never
@@ -145,7 +145,7 @@
 
 // Crowded is the slow state that outlasts its cause. At 0 there is none.
 type Crowded struct {
-	At     Span `yaml:"at"`     // it holds more reqs than this
+	At     Span `yaml:"at"`     // it holds more requests than this
 	OverS  Span `yaml:"over_s"` // for so long
 	Slower Span `yaml:"slower"`
 	Below  Span `yaml:"below"`  // left when it holds fewer per core
@@ -204,7 +204,7 @@
 	MarksRetry      bool `yaml:"marks_retry"`
 }
 
-// Class is a class of reqs.
+// Class is a class of requests.
 type Class struct {
 	Name         string `yaml:"name"`
 	Share        Span   `yaml:"share"`
@@ -236,7 +236,7 @@
 	WarmWithinS   Span `yaml:"warm_within_s"`
 	FallMultiple  Span `yaml:"fall_multiple"`
 	FallAfterMS   Span `yaml:"fall_after_ms"`
-	FallSlack     Span `yaml:"fall_slack"` // in mean works of a req
+	FallSlack     Span `yaml:"fall_slack"` // in mean works of a request
 }
 
 // Goal mixes the parts of what a day is worth; they add up to 1.
@@ -384,7 +384,7 @@
 	c := &checker{}
 	c.span("seconds", s.Seconds, .001, 1e6)
 	c.span("tick_ms", s.TickMS, 0, 1000)
-	if s.MaxReqs < 0 {
+	if s.MaxRequests < 0 {
 		c.bad("max_reqs", "must not be negative")
 	}
 	if len(s.Zones) == 0 {
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -249,7 +249,7 @@
 // lost tells whether what is sent from one zone to another now is lost.
 func (w *world) lost(from, to int) bool { return w.cuts[[2]int{from, to}] > 0 }
 
-// loses is lost for a req or an answer that sets out, and counts it.
+// loses is lost for a request or an answer that sets out, and counts it.
 func (w *world) loses(from, to int) bool {
 	if !w.lost(from, to) {
 		return false
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -376,13 +376,13 @@
 	return b
 }
 
-// ran tells that a backend took a req to work on.
+// ran tells that a backend took a request to work on.
 func (w *world) ran(b *backend, a *attempt) {
 	t := a.try
 	w.audit.Ran(w.now, t.op.id, t.id, string(b.id), w.sc.Zones[b.zone].Name, b.cell)
 }
 
-// finished has the answer to a req go back.
+// finished has the answer to a request go back.
 func (w *world) finished(b *backend, j *job) {
 	a := j.att
 	if a.over || a.try.answered {
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -235,7 +235,7 @@
 	plotter.YErrors
 }
 
-// costs draws what a req costs against the number of backends, nil where all
+// costs draws what a request costs against the number of backends, nil where all
 // fleets are of one size.
 func costs(rows []*Row) (*plot.Plot, error) {
 	by, sizes := map[string]plotter.XYs{}, map[float64]bool{}
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -60,12 +60,12 @@
 	Days     int      `json:"days"`
 	G        Range    `json:"g"`
 	P99      Range    `json:"p99_ms"`  // of the class asked for most
-	Retries  Range    `json:"retries"` // for each req
+	Retries  Range    `json:"retries"` // for each request
 	ToCold   Range    `json:"sends_to_cold"`
 	Broken   [4]int   `json:"rules"` // days with a breach: unanswered, double effects, late drain sends, felled backends
 	Backends float64  `json:"backends"`
-	Reqs     float64  `json:"reqs"`
-	// CostUS is what a req cost to emulate on this machine, in microseconds. All else is
+	Requests float64  `json:"reqs"`
+	// CostUS is what a request cost to emulate on this machine, in microseconds. All else is
 	// the plan's and the program's alone, so it is told only where it is asked for.
 	CostUS  *Range `json:"cost_us,omitempty"`
 	records []*Record
@@ -107,12 +107,12 @@
 	row.Days = len(row.records)
 	row.G = get(func(r *Record) float64 { return r.Result.G })
 	row.P99 = get(func(r *Record) float64 { return r.Result.LatencyMS[mostAsked(r.Result)].P99 })
-	row.Retries = get(func(r *Record) float64 { return float64(r.Result.Retries) / float64(max(r.Result.Reqs, 1)) })
+	row.Retries = get(func(r *Record) float64 { return float64(r.Result.Retries) / float64(max(r.Result.Requests, 1)) })
 	row.ToCold = get(func(r *Record) float64 { return float64(r.Result.ToCold) })
-	cost := get(func(r *Record) float64 { return float64(r.TookNS) / 1000 / float64(max(r.Result.Reqs, 1)) })
+	cost := get(func(r *Record) float64 { return float64(r.TookNS) / 1000 / float64(max(r.Result.Requests, 1)) })
 	row.CostUS = &cost
 	row.Backends = get(func(r *Record) float64 { return float64(r.Result.Backends) }).Median
-	row.Reqs = get(func(r *Record) float64 { return float64(r.Result.Reqs) }).Median
+	row.Requests = get(func(r *Record) float64 { return float64(r.Result.Requests) }).Median
 	for _, r := range row.records {
 		for i, n := range []int{r.Result.Rules.Unanswered, r.Result.Rules.DoubleEffects, r.Result.Rules.LateDrainSends, r.Result.Rules.FelledBackends} {
 			if n > 0 {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -23,7 +23,7 @@
 	Played         string `json:"played"` // "processes" or "emulated"
 	Nodes          int    `json:"nodes"`
 	Backends       int    `json:"backends"`
-	Reqs           int    `json:"reqs"`
+	Requests       int    `json:"reqs"`
 	Unanswered     int    `json:"unanswered"`
 	DoubleEffects  int    `json:"double_effects"`
 	LateDrainSends int    `json:"late_drain_sends"`
@@ -39,7 +39,7 @@
 }
 
 func dayOf(r *emulator.Result, played string) Day {
-	return Day{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Reqs: r.Reqs,
+	return Day{Scenario: r.Scenario, Seed: r.Seed, Played: played, Nodes: r.Nodes, Backends: r.Backends, Requests: r.Requests,
 		Unanswered: r.Rules.Unanswered, DoubleEffects: r.Rules.DoubleEffects, LateDrainSends: r.Rules.LateDrainSends,
 		FelledBackends: r.Rules.FelledBackends, Happened: r.Happened, Seconds: r.Seconds}
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 )
 
-// Kind is how a req ended.
+// Kind is how a request ended.
 type Kind uint8
 
-// The ends of a req.
+// The ends of a request.
 const (
 	Served Kind = iota
 	Refused
@@ -50,7 +50,7 @@
 	return s
 }
 
-// Ended counts a req of a class whose last byte is written.
+// Ended counts a request of a class whose last byte is written.
 func (s *Set) Ended(class string, k Kind) {
 	if i, ok := s.index[class]; ok {
 		s.ends[i][k].Add(1)
@@ -60,7 +60,7 @@
 // Relayed counts an attempt whose last byte is written to a backend.
 func (s *Set) Relayed() { s.relayed.Add(1) }
 
-// Open counts a req that is taken, with 1, and at its end with -1. It returns how
+// Open counts a request that is taken, with 1, and at its end with -1. It returns how
 // many are open.
 func (s *Set) Open(by int64) int64 { return s.open.Add(by) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -329,11 +329,11 @@
 func (f *fleet) serve(c net.Conn, backend, node int) {
 	f.day.Conns(backend, 1)
 	defer f.day.Conns(backend, -1)
-	reqs := make(chan string, 1) // ids
+	requests := make(chan string, 1) // ids
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
-		defer close(reqs)
+		defer close(requests)
 		in := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(in)
@@ -344,14 +344,14 @@
 				return
 			}
 			select {
-			case reqs <- r.Header.Get("X-Correlation-Id"):
+			case requests <- r.Header.Get("X-Correlation-Id"):
 			case <-stop:
 				return
 			}
 		}
 	}()
 	fresh := true
-	for id := range reqs {
+	for id := range requests {
 		done := make(chan []byte, 1)
 		gone := f.day.Arrived(backend, node, id, fresh, func(r logic.Result, report []float64) { done <- answer(id, r, report, f.fields) })
 		fresh = false
@@ -366,7 +366,7 @@
 			if _, err := c.Write(text); err != nil {
 				return
 			}
-		case <-reqs: // the connection has ended, or was used against the protocol
+		case <-requests: // the connection has ended, or was used against the protocol
 			gone()
 			return
 		case <-f.quit:
@@ -468,7 +468,7 @@
 	f.jobs.Go(func() { f.day.Done(t.ID, f.client(t)) })
 }
 
-// client sends a req over a kept connection or a new one, and waits for its
+// client sends a request over a kept connection or a new one, and waits for its
 // answer until it is out of patience.
 func (f *fleet) client(t emulator.Try) emulator.Verdict {
 	n := f.nodes[t.Node]
@@ -484,7 +484,7 @@
 			}
 		}
 		v, crossed := f.talk(n, c, t, until)
-		// A close that crossed the req: the node has not read it, so it goes once more. One
+		// A close that crossed the request: the node has not read it, so it goes once more. One
 		// that was killed may have.
 		if !crossed || !kept || n.process() != process {
 			return v
@@ -563,7 +563,7 @@
 
 func late(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// keptFor is how long a client keeps a connection without a req: a little less
+// keptFor is how long a client keeps a connection without a request: a little less
 // than nodes do.
 const keptFor = 1500 * time.Millisecond
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,9 +16,9 @@
 	"pipitmux/logic"
 )
 
-// A client whose kept connection ends with no answer sends its req once more where the node
+// A client whose kept connection ends with no answer sends its request once more where the node
 // lives on, and not where it was killed: that one may have read it.
-func TestCloseUnderAReq(t *testing.T) {
+func TestCloseUnderARequest(t *testing.T) {
 	for name, killed := range map[string]bool{"killed": true, "lives on": false} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -28,13 +28,13 @@
 // patience bounds every wait for a condition.
 const patience = 20 * time.Second
 
-// noting is an owner that hands reqs to the test and notes whose client has gone.
+// noting is an owner that hands requests to the test and notes whose client has gone.
 type noting struct {
-	reqs chan core.Request
-	gone chan string
+	requests chan core.Request
+	gone     chan string
 }
 
-func (o noting) Submit(r core.Request) error        { o.reqs <- r; return nil }
+func (o noting) Submit(r core.Request) error    { o.requests <- r; return nil }
 func (o noting) Whole(string, core.Session)     {}
 func (o noting) Gone(id string, _ core.Session) { o.gone <- id }
 func (o noting) Ready() bool                    { return true }
@@ -44,7 +44,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	o := noting{make(chan core.Request, 1000), make(chan string, 1000)}
-	f := session.New(session.Options{Classes: []logic.Class{{Name: "lookup", Deadline: time.Minute}}, MaxSessions: sessions, MaxReqs: 1000,
+	f := session.New(session.Options{Classes: []logic.Class{{Name: "lookup", Deadline: time.Minute}}, MaxSessions: sessions, MaxRequests: 1000,
 		HeadWithin: time.Minute, BodyWithin: time.Minute, IdleFor: time.Minute,
 		Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
 	f.SetLingerFor(patience) // no test hangs on how fast this machine is
@@ -93,7 +93,7 @@
 func resting(t *testing.T, f *session.Front, o noting, addr string) (*net.TCPConn, *ingress.Conn) {
 	c := dial(t, addr)
 	write(t, c, get("first"))
-	wait(t, o.reqs, "the first req").Session.Answer(served("one"))
+	wait(t, o.requests, "the first request").Session.Answer(served("one"))
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
 	_, err = io.ReadAll(res.Body)
@@ -110,11 +110,11 @@
 	return c, s
 }
 
-// What comes behind a req hides the client's close from nobody: its req ends, and the bytes
+// What comes behind a request hides the client's close from nobody: its request ends, and the bytes
 // that it sent on are served where it stays.
 func TestCloseBehindBytes(t *testing.T) {
 	for name, behind := range map[string]string{
-		"nothing": "", "a byte": "G", "half a head": get("second")[:30], "a whole req": get("second"),
+		"nothing": "", "a byte": "G", "half a head": get("second")[:30], "a whole request": get("second"),
 		"a flood": strings.Repeat("x", 1<<20),
 	} {
 		for _, later := range []bool{false, true} {
@@ -126,16 +126,16 @@
 					text = get("first")
 				}
 				write(t, c, text)
-				r := wait(t, o.reqs, "the req")
+				r := wait(t, o.requests, "the request")
 				left := r.Call.(*message.Call).Left
 				assert.False(t, left())
 				if later {
 					write(t, c, behind)
 				}
 				c.Close()
-				assert.Equal(t, "first", wait(t, o.gone, "the end of the req"))
+				assert.Equal(t, "first", wait(t, o.gone, "the end of the request"))
 				assert.True(t, left(), "an attempt must not begin")
-				assert.Empty(t, o.reqs)
+				assert.Empty(t, o.requests)
 				until(t, "its place is free", func() bool { return f.Sessions() == 0 })
 			})
 		}
@@ -146,7 +146,7 @@
 		write(t, c, get("first")+get("second"))
 		in := bufio.NewReader(c)
 		for _, id := range []string{"first", "second"} {
-			r := wait(t, o.reqs, id)
+			r := wait(t, o.requests, id)
 			assert.Equal(t, id, r.ID)
 			r.Session.Answer(served(id))
 			res, err := http.ReadResponse(in, nil)
@@ -159,7 +159,7 @@
 	})
 }
 
-// A burst of clients that leaves together, with bytes behind their reqs or none: no attempt
+// A burst of clients that leaves together, with bytes behind their requests or none: no attempt
 // may begin for any of them from the moment they have closed, whoever has noted it by then.
 func TestBurstThatLeaves(t *testing.T) {
 	f, o, addr := front(t, 1000)
@@ -172,7 +172,7 @@
 	}
 	var calls []*message.Call
 	for range clients {
-		calls = append(calls, wait(t, o.reqs, "a req").Call.(*message.Call))
+		calls = append(calls, wait(t, o.requests, "a request").Call.(*message.Call))
 	}
 	for _, c := range all {
 		c.Close()
@@ -188,7 +188,7 @@
 		return began == 0
 	})
 	for range clients {
-		wait(t, o.gone, "the end of a req")
+		wait(t, o.gone, "the end of a request")
 	}
 	until(t, "all places are free", func() bool { return f.Sessions()+f.Lingering() == 0 })
 }
@@ -196,7 +196,7 @@
 // What crosses the end of a resting session is neither answered nor sent on, and the client
 // can tell: its session ends without a reset. What came before the end is served.
 func TestBytesCrossTheEnd(t *testing.T) {
-	for name, text := range map[string]string{"a byte": "G", "half a head": get("late")[:30], "a whole req": get("late")} {
+	for name, text := range map[string]string{"a byte": "G", "half a head": get("late")[:30], "a whole request": get("late")} {
 		t.Run("after it: "+name, func(t *testing.T) {
 			f, o, addr := front(t, 100)
 			c, s := resting(t, f, o, addr)
@@ -207,7 +207,7 @@
 			assert.Empty(t, rest)
 			assert.NoError(t, c.CloseWrite())
 			until(t, "its place is free", func() bool { return f.Sessions()+f.Lingering() == 0 })
-			assert.Empty(t, o.reqs, "nothing was sent on")
+			assert.Empty(t, o.requests, "nothing was sent on")
 		})
 		t.Run("before it: "+name, func(t *testing.T) {
 			f, o, addr := front(t, 100)
@@ -215,25 +215,25 @@
 			write(t, c, text)
 			until(t, "it has come", func() bool { return !s.Between() })
 			assert.False(t, s.End())
-			if name != "a whole req" {
+			if name != "a whole request" {
 				write(t, c, get("late")[len(text):])
 			}
-			wait(t, o.reqs, "the req").Session.Answer(served("late"))
+			wait(t, o.requests, "the request").Session.Answer(served("late"))
 			res, err := http.ReadResponse(bufio.NewReader(c), nil)
 			require.NoError(t, err)
 			assert.Equal(t, 200, res.StatusCode)
 		})
 	}
-	t.Run("by the thousand", func(t *testing.T) { // whichever comes first, a req is served or its client can tell
+	t.Run("by the thousand", func(t *testing.T) { // whichever comes first, a request is served or its client can tell
 		f, o, addr := front(t, 100)
 		var sentOn, answered atomic.Int64
 		go func() {
-			for r := range o.reqs {
+			for r := range o.requests {
 				sentOn.Add(1)
 				r.Session.Answer(served("x"))
 			}
 		}()
-		defer close(o.reqs)
+		defer close(o.requests)
 		end := func(c net.Conn) {
 			f.EachSpare(func(k *ingress.Conn) {
 				if k.RemoteAddr().String() == c.LocalAddr().String() {
@@ -280,13 +280,13 @@
 }
 
 // An answer that ends its session is not taken back by a reset for what the client has sent
-// behind its req, however late the client reads it.
+// behind its request, however late the client reads it.
 func TestAnswerOutlivesTheClose(t *testing.T) {
 	f, o, addr := front(t, 1) // the only place: an answer ends its session
 	c := dial(t, addr)
 	body := strings.Repeat("b", 30000)
 	write(t, c, get("first"))
-	r := wait(t, o.reqs, "the req")
+	r := wait(t, o.requests, "the request")
 	r.Session.Answer(served(body))
 	until(t, "the answer is written and the sending side ended", func() bool { return f.Lingering() == 1 })
 	_, err := io.WriteString(c, strings.Repeat("x", 100<<10)) // nobody has read the answer yet
@@ -298,7 +298,7 @@
 	assert.True(t, bytes.Equal([]byte(body), got))
 }
 
-// A req of which half has come when the node is told to end is answered once it is whole,
+// A request of which half has come when the node is told to end is answered once it is whole,
 // though all that rests has ended by then.
 func TestHalfAHeadAcrossTheEnd(t *testing.T) {
 	f, o, addr := front(t, 100)
@@ -319,7 +319,7 @@
 	assert.True(t, res.Close)
 	c.Close()
 	assert.NoError(t, wait(t, ended, "the front's end"))
-	assert.Empty(t, o.reqs)
+	assert.Empty(t, o.requests)
 }
 
 // Who waits in the listener's queue when the node is told to end is taken first, though every
@@ -329,7 +329,7 @@
 	f.Limit(1, 0, 100)
 	c := dial(t, addr)
 	write(t, c, get("first"))
-	first := wait(t, o.reqs, "the first req")
+	first := wait(t, o.requests, "the first request")
 	late := dial(t, addr) // connected, and not accepted
 	write(t, late, get("late"))
 	ended := make(chan error, 1)
@@ -341,7 +341,7 @@
 	assert.Equal(t, 200, res.StatusCode)
 	c.Close()
 	select { // it may come too late to be sent on
-	case r := <-o.reqs:
+	case r := <-o.requests:
 		r.Session.Answer(served("late"))
 	case <-ended:
 	}
@@ -351,15 +351,15 @@
 	late.Close()
 }
 
-// Each open req has its answer before the process may be killed, also one that no backend
+// Each open request has its answer before the process may be killed, also one that no backend
 // has answered, and one whose answer comes in that moment has that.
-func TestOpenReqsAreAnsweredAtTheEnd(t *testing.T) {
+func TestOpenRequestsAreAnsweredAtTheEnd(t *testing.T) {
 	f, o, addr := front(t, 100)
 	hung, c := dial(t, addr), dial(t, addr)
 	write(t, hung, get("hung"))
-	assert.Equal(t, "hung", wait(t, o.reqs, "the req").ID)
+	assert.Equal(t, "hung", wait(t, o.requests, "the request").ID)
 	write(t, c, get("other"))
-	wait(t, o.reqs, "the other").Session.Answer(served("in time"))
+	wait(t, o.requests, "the other").Session.Answer(served("in time"))
 	const within = patience / 2
 	f.SetAnswerBy(within - 700*time.Millisecond)
 	began := time.Now()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,5 +1,5 @@
 // Package load drives an HTTP/1.1 address on loopback with an open schedule.
-// Each req's time counts from the instant at which it was due, not from when the
+// Each request's time counts from the instant at which it was due, not from when the
 // tool got to it: a server that stalls is charged with what would have come
 // meanwhile (Tene's "coordinated omission"). It judges nothing but times and
 // status codes.
@@ -24,7 +24,7 @@
 	"pipitmux/internal/latency"
 )
 
-// Class is a class of reqs.
+// Class is a class of requests.
 type Class struct {
 	Name     string        `yaml:"name"`
 	Share    float64       `yaml:"share"`
@@ -226,7 +226,7 @@
 	return l
 }
 
-// send sends one req and counts what becomes of it.
+// send sends one request and counts what becomes of it.
 func (t *tally) send(ctx context.Context, client *http.Client, p *Plan, class int, id string, due time.Time) {
 	c := &p.Classes[class]
 	begun := time.Now()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -16,7 +16,7 @@
 )
 
 // A server that stalls for a while is charged with all that came due meanwhile:
-// with one connection, a closed loop would have seen one slow req.
+// with one connection, a closed loop would have seen one slow request.
 func TestStallShowsInTheTail(t *testing.T) {
 	var n atomic.Int64
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -35,7 +35,7 @@
 	assert.Equal(t, r.Due, c.Status["200"])
 	assert.InDelta(t, 399, r.Due, 2)
 	assert.Positive(t, seen.Load())
-	// 0.6 s of 2 s: some 120 reqs were due while the server stood still.
+	// 0.6 s of 2 s: some 120 requests were due while the server stood still.
 	assert.Greater(t, c.LatencyMS.P90, 300.0)
 	assert.GreaterOrEqual(t, c.LatencyMS.Max, 500.0)
 }
@@ -71,7 +71,7 @@
 		require.Positive(t, c.Sent, name)
 		assert.Equal(t, map[string]int{status: c.Sent}, c.Status, name)
 	}
-	assert.Len(t, ids, r.Due, "each req has an id of its own")
+	assert.Len(t, ids, r.Due, "each request has an id of its own")
 
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,7 +10,7 @@
 // The keys. A line about a req, a backend or an attempt names it by these, so
 // that all lines about one can be found.
 const (
-	Req     = "req"     // the id of a req
+	Request = "req"     // the id of a request
 	Backend = "backend" // the id of a backend
 	Attempt = "attempt" // the number of an attempt of a req, from 0
 	Cause   = "cause"   // why, as an error or a word
--- a/internal/session/answer.go
+++ b/internal/session/answer.go
@@ -14,7 +14,7 @@
 var ends = [...]figures.Kind{core.Served: figures.Served, core.Refused: figures.Refused,
 	core.Failed: figures.Failed, core.Duplicate: figures.Failed}
 
-// turnAway gives a synthetic answer of the front's own: nothing has run.
+// turnAway refuses of the front's own accord: nothing has run.
 func (f *Front) turnAway(w http.ResponseWriter, class, why string) {
 	f.count.Add(why)
 	f.refuse(w, f.opt.RetryAfter)
@@ -67,7 +67,7 @@
 	panic(http.ErrAbortHandler) // net/http's way to end a session short of its answer
 }
 
-// refuse gives a synthetic answer: trying again is harmless.
+// refuse answers with a refusal: trying again is harmless.
 func (f *Front) refuse(w http.ResponseWriter, after time.Duration) {
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
--- a/internal/session/front.go
+++ b/internal/session/front.go
@@ -44,7 +44,7 @@
 	Classes     []logic.Class
 	RetryAfter  time.Duration // told with a refusal of the front's own, 0: not at all
 	MaxSessions int           // client sessions; beyond, those without a request are shed
-	MaxReqs     int           // requests that may be open at once
+	MaxRequests int           // requests that may be open at once
 	HeadWithin  time.Duration // how long a client may take for a head,
 	BodyWithin  time.Duration // and then for a body, and more by its length
 	IdleFor     time.Duration // how long a client session may stay open between requests
@@ -66,7 +66,7 @@
 // New returns a Front that has yet to serve on l.
 func New(opt Options, l net.Listener, owner Owner, count *counters.Set) *Front {
 	f := &Front{opt: opt, owner: owner, count: count, classes: map[string]logic.Class{}}
-	f.mostOpen.Store(int64(opt.MaxReqs))
+	f.mostOpen.Store(int64(opt.MaxRequests))
 	longest := time.Nanosecond // a node's answers have a bound on their time
 	for _, c := range opt.Classes {
 		f.classes[c.Name] = c
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -17,22 +17,22 @@
 	"pipitmux/logic"
 )
 
-// owner takes reqs and answers none until it is told to.
+// owner takes requests and answers none until it is told to.
 type owner chan core.Request
 
-func (o owner) Submit(r core.Request) error    { o <- r; return nil }
-func (o owner) Whole(string, core.Session) {}
-func (o owner) Gone(string, core.Session)  {}
-func (o owner) Ready() bool                { return true }
+func (o owner) Submit(r core.Request) error { o <- r; return nil }
+func (o owner) Whole(string, core.Session)  {}
+func (o owner) Gone(string, core.Session)   {}
+func (o owner) Ready() bool                 { return true }
 
-// Open reqs are held to their limit by a synthetic answer; sessions that ask
-// nothing, at the limit of sessions, turn no req away.
-func TestOpenReqsAreLimitedNotSilentSessions(t *testing.T) {
+// Open requests are held to their limit by a refusal; sessions that ask
+// nothing, at the limit of sessions, turn no request away.
+func TestOpenRequestsAreLimitedNotSilentSessions(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	o := make(owner, 10)
 	f := New(Options{Classes: []logic.Class{{Name: "topup", Effect: logic.Unsafe, Deadline: time.Minute}},
-		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxReqs: 2, BodyWithin: time.Minute, Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
+		RetryAfter: 2500 * time.Millisecond, MaxSessions: 1, MaxRequests: 2, BodyWithin: time.Minute, Figures: figures.New(nil), Budget: message.NewBudget(1 << 20)}, l, o, counters.New())
 	go f.Serve()
 	defer f.Close()
 	for range 4 {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -16,34 +16,34 @@
 	"sync/atomic"
 )
 
-// Req is what a backend was sent, on which of its connections, from 1.
-type Req struct {
+// Request is what a backend was sent, on which of its connections, from 1.
+type Request struct {
 	*http.Request
 	Body string
 	Conn int
 }
 
-// Script answers a req by writing the answer's bytes. A connection that it
+// Script answers a request by writing the answer's bytes. A connection that it
 // returns false for is closed.
-type Script func(c *net.TCPConn, r Req) bool
+type Script func(c *net.TCPConn, r Request) bool
 
-// Backend answers each req by a script.
+// Backend answers each request by a script.
 type Backend struct {
 	Addr   string
-	Seen   chan Req
+	Seen   chan Request
 	Opened atomic.Int64
 	Closed atomic.Int64 // connections that the node has ended
 	l      net.Listener
 }
 
-// NewBackend runs a backend on a free port of 127.0.0.1 until Close. Reqs are
+// NewBackend runs a backend on a free port of 127.0.0.1 until Close. Requests are
 // also put into Seen, which takes a thousand.
 func NewBackend(script Script) (*Backend, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{Addr: l.Addr().String(), Seen: make(chan Req, 1000), l: l}
+	b := &Backend{Addr: l.Addr().String(), Seen: make(chan Request, 1000), l: l}
 	go accept(l, func(c *net.TCPConn) { go b.talk(c, int(b.Opened.Add(1)), script) })
 	return b, nil
 }
@@ -72,7 +72,7 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
-		seen := Req{r, string(body), no}
+		seen := Request{r, string(body), no}
 		b.Seen <- seen
 		if !script(c, seen) {
 			return
@@ -86,20 +86,20 @@
 	return true
 }
 
-// OK serves the req, with a load report.
-func OK(c *net.TCPConn, _ Req) bool {
+// OK serves the request, with a load report.
+func OK(c *net.TCPConn, _ Request) bool {
 	return Say(c, 200, "X-Backend-Load: inflight=7,queue=2\r\n", "done")
 }
 
 // Silent says nothing and keeps the connection.
-func Silent(*net.TCPConn, Req) bool { return true }
+func Silent(*net.TCPConn, Request) bool { return true }
 
-// Broken resets the connection with the req read whole.
-func Broken(c *net.TCPConn, _ Req) bool { c.SetLinger(0); return false }
+// Broken resets the connection with the request read whole.
+func Broken(c *net.TCPConn, _ Request) bool { c.SetLinger(0); return false }
 
 // Endless writes a text again and again until the node ends the connection.
 func Endless(first, again string) Script {
-	return func(c *net.TCPConn, _ Req) bool {
+	return func(c *net.TCPConn, _ Request) bool {
 		text := strings.Repeat(again, 1000)
 		for _, err := io.WriteString(c, first); err == nil; {
 			_, err = io.WriteString(c, text)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,7 +21,7 @@
 // ahead of it, and that the framing of a chunked body adds.
 const maxHead = 16 << 10
 
-// maxForeign is how many answers to other reqs are dropped ahead of an attempt's own.
+// maxForeign is how many answers to other requests are dropped ahead of an attempt's own.
 const maxForeign = 2
 
 // Start begins an attempt in a goroutine of its own. It does not block. The goroutine of a
@@ -30,7 +30,7 @@
 	ctx, end := context.WithCancelCause(context.Background())
 	left := time.Until(a.Until)
 	if a.Until.IsZero() {
-		left = time.Hour // until the req's last byte, which comes sooner or never
+		left = time.Hour // until the request's last byte, which comes sooner or never
 	}
 	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
 	g := p.gate(a, end)
@@ -71,7 +71,7 @@
 	return broken.result()
 }
 
-// exchange writes the req and reads the answer on one connection. Nothing is
+// exchange writes the request and reads the answer on one connection. Nothing is
 // ever sent a second time here: that is for the module to decide.
 func (p *Pool) exchange(ctx context.Context, a core.Attempt, timer *time.Timer, g *gate) (end core.Ended, s *stream, err error) {
 	call := a.Call.(*message.Call)
@@ -107,7 +107,7 @@
 	if err != nil {
 		return end, nil, &Error{up.stage(), because(ctx, up.cause(err))}
 	}
-	early := up.stage() != WrittenWhole // the server did not wait for the whole req
+	early := up.stage() != WrittenWhole // the server did not wait for the whole request
 	c.left = maxHead + message.Held
 	// The body is not closed: that would first read an answer without end to its end. Its
 	// connection is closed where it was not read whole.
@@ -137,12 +137,12 @@
 	return end, nil, nil
 }
 
-// judged reads the head of the answer. Answers to other reqs ahead of it are dropped, and
+// judged reads the head of the answer. Answers to other requests ahead of it are dropped, and
 // their connection is not used again.
 func (p *Pool) judged(c *conn, call *message.Call) (res *http.Response, v Verdict, err error) {
 	for range maxForeign + 1 {
 		// An answer without end would be read at the speed of the wire until the time-out: one
-		// such head takes the processor from all other reqs.
+		// such head takes the processor from all other requests.
 		c.left = maxHead
 		if res, err = readHead(c.in); err != nil {
 			return nil, v, err
@@ -178,7 +178,7 @@
 	return r
 }
 
-// What spoils an answer: the req has run, and nobody is served.
+// What spoils an answer: the request has run, and nobody is served.
 var (
 	errTooMuch = errors.New("the answer is longer than any may be")
 	errForeign = errors.New("answers to other reqs came in the place of its own")
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -43,7 +43,7 @@
 }
 
 // A node that runs out of sockets gives up idle connections first, and then
-// says that it could not connect: nothing of the req has run.
+// says that it could not connect: nothing of the request has run.
 func TestSocketLimit(t *testing.T) {
 	release, arrived := make(chan struct{}), make(chan struct{}, 10)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -32,7 +32,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// result is what a broken attempt means. A server begins a req at its last
+// result is what a broken attempt means. A server begins a request at its last
 // byte: what broke before then never ran, what broke later may have.
 func (e *Error) result() logic.Result {
 	switch {
--- a/internal/upstream/gate_test.go
+++ b/internal/upstream/gate_test.go
@@ -119,12 +119,12 @@
 	}
 }
 
-// A backend answers the first req twice, the second time when the next req is under way. The
+// A backend answers the first request twice, the second time when the next request is under way. The
 // next one gets its own answer: it goes on another connection while the first has not rested,
 // and what came on that one meanwhile ends it.
 func TestSecondAnswerIsNobodys(t *testing.T) {
 	next, again := make(chan struct{}), make(chan struct{})
-	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Req) bool {
+	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Request) bool {
 		if r.URL.Path == "/first" {
 			standin.Say(c, 200, "", "first")
 			<-next
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,7 +16,7 @@
 )
 
 // restFor is how long a connection rests before it is used again. A server that answers
-// twice does so within some milliseconds: what came meanwhile is seen before the next req is
+// twice does so within some milliseconds: what came meanwhile is seen before the next request is
 // written, and is not taken for its answer.
 const restFor = 10 * time.Millisecond
 
@@ -46,7 +46,7 @@
 	left  int // bytes that may still be read of the present answer
 	place core.Place
 	since time.Time // idle since
-	stray bool      // an answer to another req came on it
+	stray bool      // an answer to another request came on it
 }
 
 // Read reads what the present answer may still bring.
@@ -68,7 +68,7 @@
 		if c == nil {
 			break
 		}
-		// A connection that the server has closed would take the req and lose it: a
+		// A connection that the server has closed would take the request and lose it: a
 		// harmless failure would turn into a Reset, which an unsafe class can't repeat.
 		if time.Since(c.since) < p.opt.IdleFor && c.quiet() {
 			p.count.Add("conn.reused")
@@ -262,7 +262,7 @@
 }
 
 // quiet tells whether nothing has come on an idle connection: no bytes, which
-// would belong to no req, and no close.
+// would belong to no request, and no close.
 func (c *conn) quiet() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -31,11 +31,11 @@
 	return e
 }
 
-// Answers to other reqs are dropped, two at most, and their connection serves no further req.
+// Answers to other requests are dropped, two at most, and their connection serves no further request.
 func TestForeignAnswers(t *testing.T) {
 	for foreign, want := range []logic.Result{logic.OK, logic.OK, logic.OK, logic.Reset} {
 		t.Run(fmt.Sprint(foreign), func(t *testing.T) {
-			b, err := standin.NewBackend(func(c *net.TCPConn, _ standin.Req) bool {
+			b, err := standin.NewBackend(func(c *net.TCPConn, _ standin.Request) bool {
 				text := ""
 				for i := range foreign {
 					framing := "Content-Length: 5\r\n\r\nother"
@@ -70,7 +70,7 @@
 // A server's own failure is handed on with its status, header and body where the codec says
 // so, and only then.
 func TestFailureIsHandedOn(t *testing.T) {
-	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Req) bool {
+	b, err := standin.NewBackend(func(c *net.TCPConn, r standin.Request) bool {
 		header := "Content-Type: text/plain\r\nHint: full\r\n"
 		if r.URL.Path == "/pass" {
 			header += "Pass: 1\r\n"
@@ -105,7 +105,7 @@
 // makes room, and other places have their own.
 func TestMostConnectionsOfAPlace(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
-	script := func(c *net.TCPConn, r standin.Req) bool {
+	script := func(c *net.TCPConn, r standin.Request) bool {
 		if r.URL.Path == "/wait" {
 			arrived <- struct{}{}
 			<-release
@@ -181,7 +181,7 @@
 	return w.TCPConn.SetWriteDeadline(t)
 }
 
-// What bounds a long body's writing doesn't bound the next req on its connection.
+// What bounds a long body's writing doesn't bound the next request on its connection.
 func TestLongBodyLeavesNoDeadline(t *testing.T) {
 	b, err := standin.NewBackend(standin.OK)
 	assert.NilError(t, err)
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -43,7 +43,7 @@
 
 func newStreaming(t *testing.T) *streaming {
 	s := &streaming{step: make(chan func(c *net.TCPConn) bool), freed: make(chan error, 1)}
-	b, err := standin.NewBackend(func(c *net.TCPConn, _ standin.Req) bool {
+	b, err := standin.NewBackend(func(c *net.TCPConn, _ standin.Request) bool {
 		for f := range s.step {
 			if !f(c) {
 				break
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -15,10 +15,10 @@
 // stallFor ends a body on which a server gives, or takes, nothing for so long.
 const stallFor = 15 * time.Second
 
-// errClient tells that a req's body broke on the client's side.
+// errClient tells that a request's body broke on the client's side.
 var errClient = errors.New("the client did not send its req whole")
 
-// upload writes a req to a server.
+// upload writes a request to a server.
 type upload struct {
 	pool *Pool
 	c    *conn
@@ -44,7 +44,7 @@
 // headRoom is what most heads fit in.
 const headRoom = 512
 
-// head is the req's head, with room behind it.
+// head is the request's head, with room behind it.
 func (u *upload) head(left time.Duration, room int) *bytes.Buffer {
 	out := &bytes.Buffer{}
 	out.Grow(headRoom + room)
@@ -52,7 +52,7 @@
 	return out
 }
 
-// plain writes a req that is held whole.
+// plain writes a request that is held whole.
 func (u *upload) plain(left time.Duration) *Error {
 	out := u.head(left, len(u.call.Body))
 	out.Write(u.call.Body)
@@ -68,7 +68,7 @@
 	return nil
 }
 
-// long writes a req as it comes. Its attempt has so long from the last byte on. Where it
+// long writes a request as it comes. Its attempt has so long from the last byte on. Where it
 // breaks, who reads the answer is woken.
 func (u *upload) long(within time.Duration, timer *time.Timer) {
 	if err := u.pass(within); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,7 +20,7 @@
 // Codec is one protocol spoken with servers over HTTP/1.1. Its methods are called from the
 // goroutines of all attempts.
 type Codec interface {
-	// Head writes the head of a req, up to and with the empty line. The req has so long left.
+	// Head writes the head of a request, up to and with the empty line. The request has so long left.
 	// Frame writes the line that tells how its body is framed.
 	Head(dst *bytes.Buffer, call *message.Call, at core.Place, left time.Duration)
 	// Judge tells what an answer means, from its head. It may change the header that a Reply
@@ -32,7 +32,7 @@
 type Verdict struct {
 	Result  logic.Result
 	Report  []float64 // a load report in the order of the settings' fields, nil: none
-	Foreign bool      // it belongs to another req: it is read whole and dropped, and the next one is read
+	Foreign bool      // it belongs to another request: it is read whole and dropped, and the next one is read
 	Pass    bool      // the reply is handed on though Result is not OK: a server's own failure, unchanged
 	Stream  bool      // of an OK: its bytes are passed on as they come, and nothing of them is held back
 }
@@ -70,7 +70,7 @@
 		idle: map[core.Place][]*conn{}, at: map[core.Place]int{}, gates: map[core.Place]map[*gate]struct{}{}}
 }
 
-// Frame writes the line of a head that tells how the req's body is framed, where there is one.
+// Frame writes the line of a head that tells how the request's body is framed, where there is one.
 func Frame(dst *bytes.Buffer, call *message.Call) {
 	switch {
 	case call.Length == message.Unknown:
