--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -76,7 +76,7 @@
 	}, place.listener, owner, count)
 	lot := shares{c, pool, front, budget, log}
 	lot.set(place.before != nil)
-	d := discovery.New(c.Discovery, place.known, owner.List, log)
+	registry := discovery.New(c.Discovery, place.known, owner.List, log)
 
 	known, err := place.known.Entries()
 	if err != nil {
@@ -92,11 +92,11 @@
 		owner.Watch(func(listed, avoided int) { fig.Know(figures.Registry{Listed: listed, Avoided: avoided}) })
 		go console.New(place.console, operated{front, fig}, log).Serve()
 	}
-	go owner.Run(pool, d)
+	go owner.Run(pool, registry)
 	defer owner.Stop()
 	go pool.Reap(quit)
 	if !c.Settings.MustSubscribe {
-		go d.Keep(context.Background())
+		go registry.Keep(context.Background())
 	}
 	if rate := c.Own.Peers.BytesPerS; rate > 0 {
 		ctx, stop := context.WithCancel(context.Background())
@@ -107,7 +107,7 @@
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	log.Info("serves", "name", c.Name, "listen", c.Listen)
-	tell := func() (handed, error) { return state(owner, d) }
+	tell := func() (handed, error) { return state(owner, registry) }
 	place.offer(tell, lot)
 	keep := &keeper{name: disk, state: tell, log: log}
 	stop := keep.start()
@@ -120,7 +120,7 @@
 			case syscall.SIGUSR1:
 				count.Print(os.Stderr)
 			case syscall.SIGHUP:
-				reload(d, own, log)
+				reload(registry, own, log)
 			default:
 				err := end(c, front, log)
 				stop()
@@ -141,14 +141,14 @@
 
 // reload reads the configuration again and takes on the registry that it names.
 // One that can't be used changes nothing.
-func reload(d *discovery.Registry, own string, log *slog.Logger) {
+func reload(registry *discovery.Registry, own string, log *slog.Logger) {
 	c, err := config.Reload(os.Getenv, own)
 	if err != nil {
 		log.Error("reload: the configuration stays as it was", logging.Cause, err)
 		return
 	}
 	log.Info("reload", "discovery", c.Discovery)
-	d.Move(c.Discovery)
+	registry.Move(c.Discovery)
 }
 
 // end answers all that was taken, before the process may be killed.
--- a/cmd/oakseam/place.go
+++ b/cmd/oakseam/place.go
@@ -109,8 +109,8 @@
 
 // state is what a successor is handed. The version is read first: what is told twice
 // does no harm, what is missed does.
-func state(owner *core.Core, d *discovery.Registry) (handed, error) {
-	rev := d.Rev()
+func state(owner *core.Core, registry *discovery.Registry) (handed, error) {
+	rev := registry.Rev()
 	known, ok := owner.Known(time.Second)
 	if !ok {
 		return handed{}, errors.New("the owner did not tell its list in time")
--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -29,12 +29,12 @@
 
 // world is a registry, as a script on pipes, and what its caller did, in virtual time.
 type world struct {
-	d     *Registry
-	began time.Time
-	mu    sync.Mutex      // guards what follows until the day is over
-	calls []time.Duration // when each call reached the registry
-	told  []time.Duration // when each list was told, by kind below
-	kinds []logic.ListKind
+	registry *Registry
+	began    time.Time
+	mu       sync.Mutex      // guards what follows until the day is over
+	calls    []time.Duration // when each call reached the registry
+	told     []time.Duration // when each list was told, by kind below
+	kinds    []logic.ListKind
 }
 
 // say is one thing a watch says after a pause.
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w.began = time.Now()
 		ctx, stop := context.WithCancel(t.Context())
-		w.d = New("agent:1", List{Rev: 7}, func(k logic.ListKind, _ []core.Entry) {
+		w.registry = New("agent:1", List{Rev: 7}, func(k logic.ListKind, _ []core.Entry) {
 			if ctx.Err() != nil {
 				return // the day is over: its calls are being broken
 			}
@@ -58,7 +58,7 @@
 			defer w.mu.Unlock()
 			w.told, w.kinds = append(w.told, time.Since(w.began)), append(w.kinds, k)
 		}, slog.New(slog.DiscardHandler))
-		w.d.dial = func(context.Context, string, string) (net.Conn, error) {
+		w.registry.dial = func(context.Context, string, string) (net.Conn, error) {
 			w.mu.Lock() // calls are made beside each other
 			defer w.mu.Unlock()
 			at := time.Since(w.began)
@@ -88,24 +88,24 @@
 			}()
 			return here, nil
 		}
-		go run(ctx, w.d)
+		go run(ctx, w.registry)
 		time.Sleep(span)
 		synctest.Wait()
 		stop()
-		w.d.mu.Lock()
-		if w.d.leave != nil {
-			w.d.leave()
+		w.registry.mu.Lock()
+		if w.registry.leave != nil {
+			w.registry.leave()
 		}
-		if w.d.stop != nil {
-			w.d.stop()
+		if w.registry.stop != nil {
+			w.registry.stop()
 		}
-		w.d.mu.Unlock()
+		w.registry.mu.Unlock()
 		synctest.Wait()
 	})
 	return w
 }
 
-func keep(ctx context.Context, d *Registry) { d.Keep(ctx) }
+func keep(ctx context.Context, r *Registry) { r.Keep(ctx) }
 
 func beats(n int) (out []say) {
 	for range n {
@@ -167,7 +167,7 @@
 					return late
 				}
 				return tt.second
-			}, func(_ context.Context, d *Registry) { d.Subscribe() })
+			}, func(_ context.Context, r *Registry) { r.Subscribe() })
 			assert.NotContains(t, w.kinds, logic.ListFailed)
 			if assert.NotEmpty(t, w.told) {
 				assert.InDelta(t, tt.told.Seconds(), w.told[len(w.told)-1].Seconds(), 0.15, "the list")
@@ -183,7 +183,7 @@
 func TestTurnOfACall(t *testing.T) {
 	w := play(t, 20*time.Second, func(call int, _ time.Duration) []say {
 		return append([]say{{4900 * time.Millisecond, beat}}, beats(1)...)
-	}, func(_ context.Context, d *Registry) { d.Subscribe() })
+	}, func(_ context.Context, r *Registry) { r.Subscribe() })
 	assert.Equal(t, []logic.ListKind{logic.ListChanges, logic.ListChanges}, w.kinds)
 	assert.Equal(t, 4900*time.Millisecond, w.told[0])
 	for _, c := range w.calls {
@@ -199,7 +199,7 @@
 			return []say{} // lost
 		}
 		return nil
-	}, func(_ context.Context, d *Registry) { d.Subscribe() })
+	}, func(_ context.Context, r *Registry) { r.Subscribe() })
 	assert.Equal(t, []logic.ListKind{logic.ListFailed}, w.kinds, "told once, when no call is out")
 	assert.Less(t, w.told[0], 10*time.Second)
 }
--- a/internal/discovery/order_test.go
+++ b/internal/discovery/order_test.go
@@ -77,7 +77,7 @@
 					known = List{Rev: 5, All: true, Targets: []Target{{UID: "a", Endpoint: "h:1", State: drains, BootMS: 1}, {UID: "b", Endpoint: "h:1", State: up, BootMS: 1}}}
 				}
 				told := make(chan func(), 10)
-				d := New(s.Listener.Addr().String(), known, func(k logic.ListKind, e []core.Entry) {
+				registry := New(s.Listener.Addr().String(), known, func(k logic.ListKind, e []core.Entry) {
 					told <- func() {
 						if k != logic.ListFailed {
 							have.take(k, e)
@@ -94,9 +94,9 @@
 				}
 				for range tt.lists {
 					if way == "fetch" {
-						d.Fetch()
+						registry.Fetch()
 					} else {
-						d.Subscribe()
+						registry.Subscribe()
 						next() // its list, and then its end
 					}
 					next()
@@ -122,8 +122,8 @@
 			}))
 			defer s.Close()
 			told := make(chan logic.ListKind, 10)
-			d := New(s.Listener.Addr().String(), List{}, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
-			d.Subscribe()
+			registry := New(s.Listener.Addr().String(), List{}, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
+			registry.Subscribe()
 			for _, want := range []logic.ListKind{logic.ListFull, logic.ListFailed} {
 				select {
 				case got := <-told:
@@ -132,7 +132,7 @@
 					require.Fail(t, "not told")
 				}
 			}
-			assert.Equal(t, int64(5), d.Rev())
+			assert.Equal(t, int64(5), registry.Rev())
 		})
 	}
 }
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -139,78 +139,78 @@
 // New returns a Registry that has yet to call. known is the list that the node knows
 // already, with its version.
 func New(addr string, known List, tell func(logic.ListKind, []core.Entry), log *slog.Logger) *Registry {
-	d := &Registry{addr: addr, rev: known.Rev, tell: tell, log: log, dial: new(net.Dialer).DialContext,
+	r := &Registry{addr: addr, rev: known.Rev, tell: tell, log: log, dial: new(net.Dialer).DialContext,
 		order: newOrder(time.Now)}
 	if entries, err := known.Entries(); err == nil {
-		d.order.sort(&known, entries)
+		r.order.sort(&known, entries)
 	}
-	return d
+	return r
 }
 
 // Rev returns the version of the list that was last told.
-func (d *Registry) Rev() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rev
+func (r *Registry) Rev() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rev
 }
 
 // Fetch asks for the whole list. It does not block.
-func (d *Registry) Fetch() {
+func (r *Registry) Fetch() {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), turnWithin)
 		defer cancel()
-		d.mu.Lock()
-		addr := d.addr
-		d.mu.Unlock()
-		err := d.call(ctx, addr, "/v1/endpoints", turnWithin, func(body *bufio.Reader, _ func()) error {
+		r.mu.Lock()
+		addr := r.addr
+		r.mu.Unlock()
+		err := r.call(ctx, addr, "/v1/endpoints", turnWithin, func(body *bufio.Reader, _ func()) error {
 			l := List{Rev: -1}
 			if err := json.NewDecoder(io.LimitReader(body, maxList)).Decode(&l); err != nil {
 				return err
 			}
 			l.All = true // the call is for the whole list
-			return d.take(nil, &l)
+			return r.take(nil, &l)
 		})
 		if err != nil {
-			d.log.Warn("director: no list", logging.Cause, err)
-			d.tell(logic.ListFailed, nil)
+			r.log.Warn("director: no list", logging.Cause, err)
+			r.tell(logic.ListFailed, nil)
 		}
 	}()
 }
 
 // Subscribe starts a watch in place of the present one. It does not block.
-func (d *Registry) Subscribe() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (r *Registry) Subscribe() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
-	before, stopBefore := d.done, d.stop
+	before, stopBefore := r.done, r.stop
 	done := make(chan struct{})
-	d.stop, d.done = stop, done
+	r.stop, r.done = stop, done
 	go func() {
 		defer close(done)
 		if before != nil { // its reply, or the lack of one, comes before this one's
 			stopBefore()
 			<-before
 		}
-		replied, err := d.follow(ctx, patience{turnWithin, turnDoubt, 3})
+		replied, err := r.follow(ctx, patience{turnWithin, turnDoubt, 3})
 		if ctx.Err() != nil && replied {
 			return // replaced: the module holds this watch for the new one
 		}
-		d.log.Warn("director: the watch broke", logging.Cause, err)
-		d.tell(logic.ListFailed, nil)
+		r.log.Warn("director: the watch broke", logging.Cause, err)
+		r.tell(logic.ListFailed, nil)
 	}()
 }
 
 // Keep watches until ctx ends, for a module that does not ask: the lists are pushed, to an
 // agent on the node's own machine.
-func (d *Registry) Keep(ctx context.Context) {
+func (r *Registry) Keep(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		replied, err := d.follow(ctx, patience{silentFor, agentDoubt, int(silentFor/agentDoubt) + 1})
+		replied, err := r.follow(ctx, patience{silentFor, agentDoubt, int(silentFor/agentDoubt) + 1})
 		if failures++; replied {
 			failures = 1
 		}
 		if failures&(failures-1) == 0 { // ever fewer lines of an outage that goes on
-			d.log.Warn("director: the watch broke", "failures", failures, logging.Cause, err)
+			r.log.Warn("director: the watch broke", "failures", failures, logging.Cause, err)
 		}
 		select {
 		case <-ctx.Done():
@@ -222,15 +222,15 @@
 // Move goes over to the registry at another address: the present watch ends
 // unseen and goes on there. Its module has been told nothing failed, so no drain
 // and no call is made up, and a call that waits for its list still gets one.
-func (d *Registry) Move(addr string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if addr == d.addr {
+func (r *Registry) Move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr == r.addr {
 		return
 	}
-	d.addr = addr
-	if d.leave != nil {
-		d.leave()
+	r.addr = addr
+	if r.leave != nil {
+		r.leave()
 	}
 }
 
@@ -243,14 +243,14 @@
 
 // follow watches until a watch ends other than by a move. It also returns
 // whether a first list was told.
-func (d *Registry) follow(ctx context.Context, p patience) (replied bool, err error) {
+func (r *Registry) follow(ctx context.Context, p patience) (replied bool, err error) {
 	for {
 		here, leave := context.WithCancel(ctx)
-		d.mu.Lock()
-		d.leave = leave
-		addr := d.addr
-		d.mu.Unlock()
-		told, err := d.stay(here, addr, p)
+		r.mu.Lock()
+		r.leave = leave
+		addr := r.addr
+		r.mu.Unlock()
+		told, err := r.stay(here, addr, p)
 		replied = replied || told
 		moved := here.Err() != nil && ctx.Err() == nil
 		leave()
@@ -278,7 +278,7 @@
 // nothing for longer than an honest one would gets another beside it, and goes on: of those
 // that are out the first to speak holds, and the others end. So a call that is lost costs no
 // more than a while, and one that waits for its turn does not lose it.
-func (d *Registry) stay(ctx context.Context, addr string, p patience) (replied bool, err error) {
+func (r *Registry) stay(ctx context.Context, addr string, p patience) (replied bool, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	var ended sync.WaitGroup
 	defer ended.Wait()
@@ -293,14 +293,14 @@
 		doubt.Reset(in)
 	}
 	open := func() {
-		d.mu.Lock()
-		path := fmt.Sprintf("/v1/endpoints?stream=1&index=%d", d.rev)
-		d.mu.Unlock()
+		r.mu.Lock()
+		path := fmt.Sprintf("/v1/endpoints?stream=1&index=%d", r.rev)
+		r.mu.Unlock()
 		here, end := context.WithCancel(ctx)
 		w := &watch{rivals: &out, end: end, rev: -1}
-		d.telling.Lock()
+		r.telling.Lock()
 		out = append(out, w)
-		d.telling.Unlock()
+		r.telling.Unlock()
 		ask(p.doubt + rand.N(p.doubt/10))
 		put := func(err error) {
 			select {
@@ -308,7 +308,7 @@
 			case <-ctx.Done():
 			}
 		}
-		ended.Go(func() { put(d.watch(here, w, addr, path, p.first, func() { put(nil) })) })
+		ended.Go(func() { put(r.watch(here, w, addr, path, p.first, func() { put(nil) })) })
 	}
 	for open(); ; {
 		select {
@@ -325,15 +325,15 @@
 				continue
 			}
 			e.of.end()
-			d.telling.Lock()
+			r.telling.Lock()
 			out = slices.DeleteFunc(out, func(w *watch) bool { return w == e.of })
 			replaced := e.of.dead
-			d.telling.Unlock()
+			r.telling.Unlock()
 			if len(out) == 0 {
 				return replied, e.err
 			}
 			if !replaced { // those that are left have said nothing since
-				d.log.Info("director: a call beside others broke", logging.Cause, e.err)
+				r.log.Info("director: a call beside others broke", logging.Cause, e.err)
 				// Only sooner: calls that end one after the other would put the next off for good.
 				if in := againIn + rand.N(againIn); time.Now().Add(in).Before(due) {
 					ask(in)
@@ -345,8 +345,8 @@
 
 // watch tells lists until the watch ends, which it always does with an error. word is called
 // for each list and each empty line.
-func (d *Registry) watch(ctx context.Context, w *watch, addr, path string, first time.Duration, word func()) error {
-	return d.call(ctx, addr, path, first, func(body *bufio.Reader, whole func()) error {
+func (r *Registry) watch(ctx context.Context, w *watch, addr, path string, first time.Duration, word func()) error {
+	return r.call(ctx, addr, path, first, func(body *bufio.Reader, whole func()) error {
 		for replied := false; ; replied = true {
 			l, err := next(body)
 			if err != nil {
@@ -359,7 +359,7 @@
 					l = nil
 				}
 			}
-			if err := d.take(w, l); err != nil {
+			if err := r.take(w, l); err != nil {
 				return err
 			}
 			word()
@@ -372,9 +372,9 @@
 
 // take tells what a watch brought, a list or nil for an empty line, in the order of the
 // lists. A nil watch is a call for the whole list.
-func (d *Registry) take(w *watch, l *List) error {
-	d.telling.Lock()
-	defer d.telling.Unlock()
+func (r *Registry) take(w *watch, l *List) error {
+	r.telling.Lock()
+	defer r.telling.Unlock()
 	if w != nil && w.dead {
 		return errReplaced
 	}
@@ -392,26 +392,26 @@
 		}
 	}
 	if w != nil {
-		for _, r := range *w.rivals {
-			if r.dead = r != w; r.dead {
-				r.end()
+		for _, rival := range *w.rivals {
+			if rival.dead = rival != w; rival.dead {
+				rival.end()
 			}
 		}
 	}
 	if l == nil {
 		return nil
 	}
-	entries = d.order.sort(l, entries)
+	entries = r.order.sort(l, entries)
 	if l.Rev >= 0 {
-		d.mu.Lock()
-		d.rev = l.Rev
-		d.mu.Unlock()
+		r.mu.Lock()
+		r.rev = l.Rev
+		r.mu.Unlock()
 	}
 	kind := logic.ListChanges
 	if l.All {
 		kind = logic.ListFull
 	}
-	d.tell(kind, entries)
+	r.tell(kind, entries)
 	return nil
 }
 
@@ -461,10 +461,10 @@
 
 // call sends a GET and has the body of its 200 answer read. The first of it has to come
 // whole within a time; whole tells that something has, and starts the clock of silence anew.
-func (d *Registry) call(ctx context.Context, addr, path string, first time.Duration, read func(body *bufio.Reader, whole func()) error) error {
+func (r *Registry) call(ctx context.Context, addr, path string, first time.Duration, read func(body *bufio.Reader, whole func()) error) error {
 	up, stop := context.WithTimeout(ctx, min(first, connectWithin))
 	defer stop()
-	c, err := d.dial(up, "tcp", addr)
+	c, err := r.dial(up, "tcp", addr)
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -37,9 +37,9 @@
 			io.WriteString(w, tt.body)
 		}))
 		told := make(chan string, 10)
-		d := New(s.Listener.Addr().String(), List{}, func(k logic.ListKind, e []core.Entry) { told <- fmt.Sprint(k, len(e)) }, slog.New(slog.DiscardHandler))
+		registry := New(s.Listener.Addr().String(), List{}, func(k logic.ListKind, e []core.Entry) { told <- fmt.Sprint(k, len(e)) }, slog.New(slog.DiscardHandler))
 		for range 2 {
-			d.Fetch()
+			registry.Fetch()
 			select {
 			case got := <-told:
 				assert.Equal(t, fmt.Sprint(tt.want, tt.entries), got, tt.name)
@@ -73,12 +73,12 @@
 	assert.NoError(t, err)
 	defer l.Close()
 	told := make(chan logic.ListKind, 10)
-	d := New(l.Addr().String(), List{}, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
-	d.Subscribe()
+	registry := New(l.Addr().String(), List{}, func(k logic.ListKind, _ []core.Entry) { told <- k }, slog.New(slog.DiscardHandler))
+	registry.Subscribe()
 	first, err := l.Accept() // the first call is out
 	assert.NoError(t, err)
 	defer first.Close()
-	d.Subscribe()
+	registry.Subscribe()
 	assert.Equal(t, logic.ListFailed, <-told)
 	second, err := l.Accept()
 	assert.NoError(t, err)
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -143,7 +143,7 @@
 		Classes: []logic.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}}, uint64(number+1), counters.New(), quiet)
 	require.NoError(t, err)
 	out := make(chan time.Duration, 1)
-	d := New(name, List{}, func(kind logic.ListKind, entries []core.Entry) {
+	registry := New(name, List{}, func(kind logic.ListKind, entries []core.Entry) {
 		for _, e := range entries {
 			if e.ID == "a" && e.State == logic.Draining {
 				select {
@@ -155,17 +155,17 @@
 		owner.List(kind, entries)
 	}, quiet)
 	if dial != nil {
-		d.dial = dial
+		registry.dial = dial
 	}
 	ended := make(chan struct{})
-	go func() { owner.Run(noBackends{}, d); close(ended) }()
+	go func() { owner.Run(noBackends{}, registry); close(ended) }()
 	owner.List(logic.ListCached, nil) // which starts the module
 	return out, func() {
 		owner.Stop()
 		<-ended
-		d.mu.Lock()
-		stop, done := d.stop, d.done
-		d.mu.Unlock()
+		registry.mu.Lock()
+		stop, done := registry.stop, registry.done
+		registry.mu.Unlock()
 		if stop != nil {
 			stop()
 			<-done
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -15,13 +15,13 @@
 
 // ScriptedRegistry answers watches by lines that a test writes.
 type ScriptedRegistry struct {
-	Addr  string
-	Calls chan string          // the query of each watch
-	Watch chan (chan<- string) // the open watch: lines to write; closing it ends the watch
-	Ended atomic.Int64         // watches that the node has ended
-	over  chan struct{}
-	once  sync.Once
-	s     *http.Server
+	Addr   string
+	Calls  chan string          // the query of each watch
+	Watch  chan (chan<- string) // the open watch: lines to write; closing it ends the watch
+	Ended  atomic.Int64         // watches that the node has ended
+	over   chan struct{}
+	once   sync.Once
+	server *http.Server
 }
 
 // Lines after which a scripted watch says nothing any more, and begins a list that comes
@@ -40,33 +40,33 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &ScriptedRegistry{Addr: l.Addr().String(), Calls: make(chan string, 100), Watch: make(chan (chan<- string), 100),
+	r := &ScriptedRegistry{Addr: l.Addr().String(), Calls: make(chan string, 100), Watch: make(chan (chan<- string), 100),
 		over: make(chan struct{})}
-	d.s = &http.Server{Handler: http.HandlerFunc(d.serve)}
-	go d.s.Serve(l)
-	return d, nil
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go r.server.Serve(l)
+	return r, nil
 }
 
 // Close ends it and its watches.
-func (d *ScriptedRegistry) Close() {
-	d.once.Do(func() { close(d.over) })
-	d.s.Close()
+func (r *ScriptedRegistry) Close() {
+	r.once.Do(func() { close(r.over) })
+	r.server.Close()
 }
 
-func (d *ScriptedRegistry) serve(w http.ResponseWriter, r *http.Request) {
-	d.Calls <- r.URL.RawQuery
+func (r *ScriptedRegistry) serve(w http.ResponseWriter, request *http.Request) {
+	r.Calls <- request.URL.RawQuery
 	lines := make(chan string, 10)
-	d.Watch <- lines
+	r.Watch <- lines
 	beat := time.NewTicker(time.Second)
 	defer beat.Stop()
 	for said := false; ; said = true {
 		text := "\n"
 		if said {
 			select {
-			case <-d.over:
+			case <-r.over:
 				return
-			case <-r.Context().Done():
-				d.Ended.Add(1)
+			case <-request.Context().Done():
+				r.Ended.Add(1)
 				return
 			case <-beat.C:
 			case l, open := <-lines:
@@ -75,8 +75,8 @@
 				}
 				switch text = l; l {
 				case FallSilent:
-					<-r.Context().Done()
-					d.Ended.Add(1)
+					<-request.Context().Done()
+					r.Ended.Add(1)
 					return
 				case Trickle:
 					text = `{"targets":[`
@@ -113,11 +113,11 @@
 
 // Registry serves one node's view of the list.
 type Registry struct {
-	Addr  string
-	lists Lists
-	s     *http.Server
-	over  chan struct{}
-	once  sync.Once
+	Addr   string
+	lists  Lists
+	server *http.Server
+	over   chan struct{}
+	once   sync.Once
 }
 
 // NewRegistry serves on a free port of the host, of 127.0.0.0/8, until Close.
@@ -126,21 +126,21 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Registry{Addr: l.Addr().String(), lists: lists, over: make(chan struct{})}
+	r := &Registry{Addr: l.Addr().String(), lists: lists, over: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/endpoints", d.serve)
-	d.s = &http.Server{Handler: mux}
-	go d.s.Serve(l)
-	return d, nil
+	mux.HandleFunc("GET /v1/endpoints", r.serve)
+	r.server = &http.Server{Handler: mux}
+	go r.server.Serve(l)
+	return r, nil
 }
 
 // Close ends it and its watches.
-func (d *Registry) Close() {
-	d.once.Do(func() { close(d.over) })
-	d.s.Close()
+func (r *Registry) Close() {
+	r.once.Do(func() { close(r.over) })
+	r.server.Close()
 }
 
-func (d *Registry) serve(w http.ResponseWriter, r *http.Request) {
+func (r *Registry) serve(w http.ResponseWriter, request *http.Request) {
 	write := func(l List) bool {
 		text, err := json.Marshal(l)
 		if err == nil {
@@ -150,20 +150,20 @@
 			err = http.NewResponseController(w).Flush()
 		}
 		if err == nil {
-			d.lists.Told(l)
+			r.lists.Told(l)
 		}
 		return err == nil
 	}
-	l, ok := d.lists.Call()
+	l, ok := r.lists.Call()
 	if !ok {
 		http.Error(w, "not now", http.StatusServiceUnavailable)
 		return
 	}
-	if r.URL.Query().Get("stream") != "1" {
+	if request.URL.Query().Get("stream") != "1" {
 		write(l)
 		return
 	}
-	if at, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64); err == nil && at == l.Rev {
+	if at, err := strconv.ParseInt(request.URL.Query().Get("index"), 10, 64); err == nil && at == l.Rev {
 		io.WriteString(w, "\n")
 		http.NewResponseController(w).Flush()
 	} else if !write(l) {
@@ -175,7 +175,7 @@
 	go func() {
 		defer close(news)
 		for at := l.Rev; ; {
-			next, ok := d.lists.Next(at, stop)
+			next, ok := r.lists.Next(at, stop)
 			if !ok {
 				return
 			}
@@ -199,9 +199,9 @@
 			if _, err := io.WriteString(w, "\n"); err != nil || http.NewResponseController(w).Flush() != nil {
 				return
 			}
-		case <-r.Context().Done():
+		case <-request.Context().Done():
 			return
-		case <-d.over:
+		case <-r.over:
 			return
 		}
 	}
