Split scenario.go, fleet.go and wire.go by concern

Change: pure moves: emulator's checks and draws, fleet's backends, lists and clients, wire's messages, lists and values stand in files of their own.

--- /dev/null
+++ b/internal/fleet/lists.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"strings"
+
+	"pipitmux/internal/core"
+	"pipitmux/internal/discovery"
+	"pipitmux/internal/emulator"
+	"pipitmux/internal/standin"
+)
+
+// list puts a list into the registry's form, with the endpoints of one node.
+func (f *fleet) list(node int, l emulator.ListChanges) standin.List {
+	var entries []core.Entry
+	for _, e := range l.Entries {
+		no, err := f.day.BackendNo(e.Endpoint)
+		if err != nil {
+			continue
+		}
+		f.mu.Lock()
+		e.Endpoint = ""
+		if no < len(f.machines) {
+			e.Endpoint = f.machines[no][node].Addr
+		}
+		f.mu.Unlock()
+		entries = append(entries, e)
+	}
+	return discovery.ListOf(l.Rev, l.All, entries)
+}
+
+// lists is one node's side of the registry.
+type lists struct {
+	f    *fleet
+	node int
+}
+
+// Call is standin.Lists.
+func (l *lists) Call() (standin.List, bool) {
+	got, ok := l.f.day.List(l.node)
+	if !ok {
+		return standin.List{}, false
+	}
+	return l.f.list(l.node, got), true
+}
+
+// Next is standin.Lists.
+func (l *lists) Next(rev int64, stop <-chan struct{}) (standin.List, bool) {
+	got, ok := l.f.day.Next(l.node, rev, stop)
+	if !ok {
+		return standin.List{}, false
+	}
+	return l.f.list(l.node, got), true
+}
+
+// Told is standin.Lists.
+func (l *lists) Told(list standin.List) {
+	entries, err := list.Entries()
+	if err != nil {
+		l.f.day.Fail(err)
+		return
+	}
+	for i, e := range entries { // the day's endpoint is the id without its generation
+		entries[i].Endpoint, _, _ = strings.Cut(string(e.ID), ".")
+	}
+	l.f.day.Told(l.node, emulator.ListChanges{Rev: list.Rev, All: list.All, Entries: entries})
+}
