Forget no program that goes on, admit a try at one node, promise only what is true

Cause: found by reading and by the tier on loopback: a program could be forgotten between the look and the command; the same try at two edges was admitted twice; a read that may have run was answered 503; an edge called itself ready before the turns had partitions; lists taken from the platform alone stuck. Change: programs count their steps and are forgotten only if none came since; a reservation knows its node; core.Answer says whether an attempt may have run (the test's expected answer gains that field); readiness waits for the partitions; the lists are told anew.

--- a/internal/anemometer/edge/edge.go
+++ b/internal/anemometer/edge/edge.go
@@ -167,7 +167,7 @@
 func (n *Node) ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.ending && n.gateway.Configured() && n.dispatcher.Ready()
+	return !n.ending && n.gateway.Configured() && n.dispatcher.Ready() && n.turns.Ready()
 }
 
 // lookAlone asks the platform for the servers while no core node answers.
@@ -201,4 +201,5 @@
 	for p, l := range partitions {
 		n.dispatcher.Servers(p, l)
 	}
+	n.follower.ForgetLists()
 }
--- a/internal/anemometer/gateway/answer.go
+++ b/internal/anemometer/gateway/answer.go
@@ -107,7 +107,7 @@
 	case reply != nil:
 		defer reply.Close()
 		x.pass(reply, kept)
-	case a.Kind == core.Refused:
+	case a.Kind == core.Refused && !a.Ran:
 		x.gateway.refuse(x.writer, max(a.RetryAfter, pressedRetryAfter), "answer.refused")
 	case a.Kind == core.Duplicate:
 		count.Add("answer.duplicate")
--- a/internal/anemometer/gateway/turn.go
+++ b/internal/anemometer/gateway/turn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -78,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(t.request.Context(), min(admitWithin, time.Until(t.deadline)))
 	defer cancel()
 	args := protocol.AdmitArgs{
-		Program: t.program, Attempt: t.attempt, Previous: t.previous, Most: t.most, Budget: t.budget(), Keep: t.route.Retention,
+		Program: t.program, Attempt: t.attempt, Previous: t.previous, Most: t.most, Budget: t.budget(), Keep: t.route.Retention, Token: rand.Uint64(),
 	}
 	var known []byte
 	known, args.Known = t.gateway.history.Get(t.previous)
--- a/internal/anemometer/turnclient/turnclient.go
+++ b/internal/anemometer/turnclient/turnclient.go
@@ -51,6 +51,9 @@
 	c.directory = d
 }
 
+// Ready tells whether the partitions of the turns are known.
+func (c *Client) Ready() bool { return c.partitions() > 0 }
+
 // Admit reserves a turn's tokens and brings what was said before. It tries until ctx ends.
 func (c *Client) Admit(ctx context.Context, args protocol.AdmitArgs) (protocol.AdmitReply, error) {
 	var last protocol.AdmitReply
--- a/internal/barograph/keeper/calls.go
+++ b/internal/barograph/keeper/calls.go
@@ -22,7 +22,7 @@
 	group := protocol.TurnGroup(args.Partition)
 	admission := &turns.Admission{
 		Program: args.Program, Attempt: args.Attempt, Previous: args.Previous, Imported: args.Imported,
-		Budget: args.Budget, Most: args.Most, Keep: args.Keep,
+		Budget: args.Budget, Most: args.Most, Keep: args.Keep, Token: args.Token,
 	}
 	result, err := s.k.propose(ctx, group, &turns.Command{Admit: admission})
 	if reply.Outcome, reply.Owner = outcomeOf(result, err); reply.Outcome != protocol.TurnGranted {
--- a/internal/barograph/keeper/keeper.go
+++ b/internal/barograph/keeper/keeper.go
@@ -242,7 +242,7 @@
 		if err != nil || !status.Settled {
 			continue
 		}
-		var resting []string
+		var resting []turns.Rest
 		k.node.Host.Peek(group, func(m host.Machine) { resting = m.(*turns.Machine).Resting(keepLonger, forgetMost) })
 		if len(resting) == 0 {
 			continue
--- a/internal/barograph/turns/turns.go
+++ b/internal/barograph/turns/turns.go
@@ -20,6 +20,7 @@
 	Budget   uint64        `cbor:"5,keyasint"`
 	Most     uint64        `cbor:"6,keyasint"`
 	Keep     time.Duration `cbor:"7,keyasint"`
+	Token    uint64        `cbor:"8,keyasint"` // drawn by who asks: the same when it asks again
 }
 
 // Ending ends a try, and keeps its turn where that was answered whole.
@@ -39,7 +40,14 @@
 type Command struct {
 	Admit  *Admission `cbor:"1,keyasint,omitempty"`
 	End    *Ending    `cbor:"2,keyasint,omitempty"`
-	Forget []string   `cbor:"3,keyasint,omitempty"` // programs
+	Forget []Rest     `cbor:"3,keyasint,omitempty"`
+}
+
+// Rest is a program that nothing is heard of. It is forgotten unless something has been
+// since.
+type Rest struct {
+	Program string `cbor:"1,keyasint"`
+	Steps   uint64 `cbor:"2,keyasint"` // of the program, when it rested
 }
 
 // Encode gives a command the form that Apply takes.
@@ -59,7 +67,7 @@
 	Granted    Result = iota + 1 // reserved, or ended
 	Spent                        // the budget holds no further turn
 	Missing                      // the partition holds no such turn
-	Closed                       // the try has ended before
+	Closed                       // the try has ended before, or is another node's
 	Unreadable                   // no command
 )
 
@@ -88,13 +96,20 @@
 // program is a program's budget, and which tries count towards it.
 type program struct {
 	Spent    uint64              `cbor:"1,keyasint"`
-	Reserved map[string]uint64   `cbor:"2,keyasint,omitempty"` // by try: the most that it may put out
+	Reserved map[string]hold     `cbor:"2,keyasint,omitempty"` // by try
 	Ended    map[string]struct{} `cbor:"3,keyasint,omitempty"` // tries that ended
 	Turns    []string            `cbor:"4,keyasint,omitempty"`
 	Keep     time.Duration       `cbor:"5,keyasint"`
+	Steps    uint64              `cbor:"6,keyasint"` // that concerned it
 	touched  time.Duration
 }
 
+// hold is what a try that hasn't ended may put out at most, and whose it is.
+type hold struct {
+	Most  uint64 `cbor:"1,keyasint"`
+	Token uint64 `cbor:"2,keyasint"`
+}
+
 type state struct {
 	Programs map[string]*program `cbor:"1,keyasint"`
 	Turns    map[string]*turn    `cbor:"2,keyasint"`
@@ -134,8 +149,8 @@
 	case c.End != nil:
 		return m.end(c.End)
 	}
-	for _, name := range c.Forget {
-		m.forget(name)
+	for _, r := range c.Forget {
+		m.forget(r)
 	}
 	return Granted
 }
@@ -143,39 +158,52 @@
 func (m *Machine) program(name string, keep time.Duration) *program {
 	p := m.state.Programs[name]
 	if p == nil {
-		p = &program{Reserved: map[string]uint64{}, Ended: map[string]struct{}{}}
+		p = &program{Reserved: map[string]hold{}, Ended: map[string]struct{}{}}
 		m.state.Programs[name] = p
 	}
 	p.Keep = max(p.Keep, keep)
-	p.touched = m.now()
+	m.touch(p)
 	return p
 }
 
+// touch notes that a program goes on.
+func (m *Machine) touch(p *program) {
+	p.Steps++
+	p.touched = m.now()
+}
+
 // admit reserves the most that a turn may put out. Each try counts at its most until it
 // has ended: no node's death gives any of it back. Told again, it has no further effect.
 func (m *Machine) admit(a *Admission) Result {
-	if a.Previous != "" && !a.Imported && m.state.Turns[a.Previous] == nil {
-		return Missing
+	if a.Previous != "" && !a.Imported {
+		before := m.state.Turns[a.Previous]
+		if before == nil {
+			return Missing
+		}
+		m.touch(m.state.Programs[before.Program]) // its text is needed until the end of this try
 	}
 	p := m.program(a.Program, a.Keep)
 	if _, ended := p.Ended[a.Attempt]; ended {
 		return Closed
 	}
-	if _, reserved := p.Reserved[a.Attempt]; reserved {
+	if held, reserved := p.Reserved[a.Attempt]; reserved {
+		if held.Token != a.Token {
+			return Closed // another node has the same try: it would run twice
+		}
 		return Granted
 	}
 	if p.counted()+a.Most > a.Budget {
 		return Spent
 	}
-	p.Reserved[a.Attempt] = a.Most
+	p.Reserved[a.Attempt] = hold{Most: a.Most, Token: a.Token}
 	return Granted
 }
 
 // counted is what was put out, with every open try at its most.
 func (p *program) counted() uint64 {
 	sum := p.Spent
-	for _, most := range p.Reserved {
-		sum += most
+	for _, held := range p.Reserved {
+		sum += held.Most
 	}
 	return sum
 }
@@ -209,9 +237,10 @@
 	p.Turns = append(p.Turns, e.Attempt)
 }
 
-func (m *Machine) forget(name string) {
+func (m *Machine) forget(r Rest) {
+	name := r.Program
 	p := m.state.Programs[name]
-	if p == nil {
+	if p == nil || p.Steps != r.Steps {
 		return
 	}
 	for _, id := range p.Turns {
@@ -248,17 +277,28 @@
 
 // Resting returns programs that nothing was heard of for as long as they are kept, and
 // slack longer, at most so many.
-func (m *Machine) Resting(slack time.Duration, most int) []string {
-	var resting []string
+func (m *Machine) Resting(slack time.Duration, most int) []Rest {
+	var resting []Rest
 	now := m.now()
 	for name, p := range m.state.Programs {
-		if now-p.touched > p.Keep+slack && len(resting) < most {
-			resting = append(resting, name)
+		if now-p.touched > p.Keep+p.open()+slack && len(resting) < most {
+			resting = append(resting, Rest{Program: name, Steps: p.Steps})
 		}
 	}
 	return resting
 }
 
+// openMost is how long a try may be open: no stream takes longer.
+const openMost = time.Hour
+
+// open is how much longer a program is kept for the sake of tries that haven't ended.
+func (p *program) open() time.Duration {
+	if len(p.Reserved) == 0 {
+		return 0
+	}
+	return openMost
+}
+
 // Size is how many turns and programs are held.
 func (m *Machine) Size() (turns, programs int) {
 	return len(m.state.Turns), len(m.state.Programs)
@@ -286,7 +326,7 @@
 	for _, p := range next.Programs {
 		p.touched = now
 		if p.Reserved == nil {
-			p.Reserved = map[string]uint64{}
+			p.Reserved = map[string]hold{}
 		}
 		if p.Ended == nil {
 			p.Ended = map[string]struct{}{}
--- a/internal/barograph/turns/turns_test.go
+++ b/internal/barograph/turns/turns_test.go
@@ -50,7 +50,7 @@
 	m := New(still)
 	apply(t, m, whole("p", "a", "", "in1", "out1\n", 1))
 	apply(t, m, whole("q", "b", "a", "in2", "out2\n", 1))
-	apply(t, m, Command{Forget: []string{"p"}})
+	apply(t, m, Command{Forget: []Rest{{Program: "p", Steps: 1}}})
 	text, found := m.History("b")
 	assert.Assert(t, found)
 	assert.Equal(t, string(text), "in1out1\nin2out2\n")
@@ -144,14 +144,46 @@
 	now = 50 * time.Second
 	apply(t, m, whole("new", "b", "", "i", "o", 1))
 	now = 75 * time.Second
-	assert.DeepEqual(t, m.Resting(10*time.Second, 10), []string{"old"})
+	resting := m.Resting(10*time.Second, 10)
+	assert.DeepEqual(t, resting, []Rest{{Program: "old", Steps: 1}})
 	assert.Equal(t, len(m.Resting(20*time.Second, 10)), 0)
-	apply(t, m, Command{Forget: []string{"old", "unknown"}})
+	apply(t, m, Command{Forget: append(resting, Rest{Program: "unknown"})})
 	turns, programs := m.Size()
 	assert.Equal(t, turns, 1)
 	assert.Equal(t, programs, 1)
 }
 
+// What comes between the look at a program and its end goes before.
+func TestProgramThatGoesOnIsNotForgotten(t *testing.T) {
+	now := time.Duration(0)
+	m := New(func() time.Duration { return now })
+	apply(t, m, whole("p", "a", "", "i", "o", 1))
+	apply(t, m, whole("q", "b", "", "i", "o", 1))
+	now = 2 * time.Minute
+	resting := m.Resting(0, 10)
+	assert.Equal(t, len(resting), 2)
+	apply(t, m, admit("p", "c", "a", 100, 10))
+	apply(t, m, admit("r", "d", "b", 100, 10))
+	apply(t, m, Command{Forget: resting})
+	_, found := m.History("a")
+	assert.Assert(t, found, "its own next turn")
+	_, found = m.History("b")
+	assert.Assert(t, found, "another program's turn goes on from it")
+	now = 4 * time.Minute
+	assert.Equal(t, len(m.Resting(0, 10)), 1, "a try that is open keeps its program: only q rests")
+}
+
+func TestTryOfAnotherNodeIsRefused(t *testing.T) {
+	m := New(still)
+	first := admit("p", "a", "", 100, 40)
+	first.Admit.Token = 1
+	assert.Equal(t, apply(t, m, first), Granted)
+	assert.Equal(t, apply(t, m, first), Granted, "asked again")
+	second := admit("p", "a", "", 100, 40)
+	second.Admit.Token = 2
+	assert.Equal(t, apply(t, m, second), Closed)
+}
+
 func TestSnapshotHoldsAll(t *testing.T) {
 	m := New(still)
 	apply(t, m, whole("p", "a", "", strings.Repeat("x", 1000), "o\n", 7))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration
+	Ran        bool // of a refusal: an attempt may have run, it is harmless only since the request may be repeated
 	// Reply is set where Kind is Served. Where Kind is Failed it may be: it then is the newest
 	// failure that a backend answered with and that goes to the client unchanged, in the place
 	// of a refusal too. Only a carrier that ends attempts with Pass brings such ones. Who gets
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -295,6 +295,7 @@
 		return
 	}
 	r.over = true
+	a.Ran = a.Kind == Refused && r.mayHaveRun()
 	if f := r.failure; f != nil && a.Kind != Served {
 		a, r.failure = Answer{Kind: Failed, Reply: f}, nil
 		o.world.Count.Add("answer.passed")
@@ -346,6 +347,11 @@
 	})
 }
 
+// mayHaveRun tells whether an attempt was sent that did not end as one that never ran.
+func (r *held) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a sent) bool { return !a.never })
+}
+
 // most is how many attempts a request may have, 0: any number.
 func (o *Owner) most(r *held) int {
 	if r.class != nil && r.class.MaxAttempts > 0 {
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -125,7 +125,7 @@
 		"fails":            {logic.Fail{ID: "r"}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
 		"refuses":          {logic.Refuse{ID: "r", RetryAfter: time.Second}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
 		"the other served": {logic.Fail{ID: "r"}, true, Ended{Result: logic.OK}, Answer{Kind: Served}},
-		"nothing to pass":  {logic.Refuse{ID: "r", RetryAfter: time.Second}, false, Ended{Result: logic.Failed}, Answer{Kind: Refused, RetryAfter: time.Second}},
+		"nothing to pass":  {logic.Refuse{ID: "r", RetryAfter: time.Second}, false, Ended{Result: logic.Failed}, Answer{Kind: Refused, RetryAfter: time.Second, Ran: true}},
 	} {
 		s := newStreamed(giveUp(tt.action))
 		first, second := &closing{}, &closing{}
--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -90,6 +90,14 @@
 	return time.Since(f.heard)
 }
 
+// ForgetLists has the lists of all services told anew: what the process goes by has come
+// from elsewhere meanwhile.
+func (f *Follower) ForgetLists() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services = [protocol.ServicePartitions]uint64{}
+}
+
 // Directory returns the directory as last told.
 func (f *Follower) Directory() protocol.Directory {
 	f.mu.Lock()
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -223,6 +223,7 @@
 	Budget    uint64
 	Most      uint64 // tokens that the turn may put out
 	Keep      time.Duration
+	Token     uint64 // drawn for the try: another node\'s admission of it is told apart
 	Within    time.Duration
 }
 
