Judge lost capacity by free places where servers tell them

Cause: after a server crashed, a tenth of the tools' requests were refused within 0.5 ms while the others stood idle (tier on loopback): the module took capacity that went for load. Change: Settings.Slots: while servers tell that under half of their places is taken, lost capacity lets nothing be refused; off for the present node.

--- a/logic/api.go
+++ b/logic/api.go
@@ -87,6 +87,7 @@
 	OverShareWorth float64       // worth of a request beyond its tenant's share, as a part
 	Tick           time.Duration // the coarseness of the caller's clock
 	ReportFields   []string      // names of the values in a load report
+	Slots          bool          // a server's Capacity is how many requests it runs at once, as its reports count them
 
 	MustSubscribe  bool          // the server list comes only after Subscribe or Fetch
 	AskWithin      time.Duration // without a subscription, the list has to be asked for this often
--- a/logic/constants.go
+++ b/logic/constants.go
@@ -55,6 +55,7 @@
 	coldBurst = 0.5              // of the window of the cold rule may be saved up and sent at once
 	peakLife  = 30 * time.Second // half-life of the most that a warm server was seen to serve
 	thinRate  = 5.0              // a node that sends a server fewer a second learns too late what it bears
+	halfFull  = 0.5              // unless servers tell that less than this part of their places is taken
 	fullLife  = 8 * time.Second  // half-life of the most that the ready servers could do
 	borneStep = 0.04             // part of the lost capacity that an answer in half its aim shows to be
 	borneFall = 0.20             // no loss, and that one later or missed shows to be one after all
--- a/logic/list.go
+++ b/logic/list.go
@@ -100,7 +100,8 @@
 		}
 	}
 	b.full = max(able, able+(b.full-able)*math.Exp2(-gap/float64(fullLife)))
-	if b.left = able / b.full * fit / b.nearSum; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) {
+	if b.left = able / b.full * fit / b.nearSum; b.asked.perSecond(b.now) > thinRate*float64(len(b.near)) ||
+		b.cfg.Slots && b.held*float64(len(b.near)) < halfFull*b.nearSum {
 		b.left = 1
 	}
 	return b.near
