--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,12 +7,12 @@
 	"log/slog"
 )
 
-// The keys. A line about a req, a backend or an attempt names it by these, so
+// The keys. A line about a request, a backend or an attempt names it by these, so
 // that all lines about one can be found.
 const (
 	Request = "req"     // the id of a request
 	Backend = "backend" // the id of a backend
-	Attempt = "attempt" // the number of an attempt of a req, from 0
+	Attempt = "attempt" // the number of an attempt of a request, from 0
 	Cause   = "cause"   // why, as an error or a word
 )
 
