Hand ownership over at an end, ask who is there before inviting, and test the gateway

Cause: a directory also holds machines that are down, and a dead one could be invited first (1.5 s); a node that says nothing was asked first by each new turn; a wide search waited for the dead; a client with little time left was refused while nothing was learned yet (assumed latency a third of the time-out; found by the gateway's first test). Change: candidates are asked for a sign of life, nodes silent for ten minutes leave the directory, processes that end hand their groups over, nodes that failed lately come last, the search ends when it is sure, classes state what to assume.

--- a/internal/anemometer/dispatch/dispatch.go
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	// connection, as parts of a usual request's worth.
 	crossCharge   = 0.03
 	connectCharge = 0.01
+	// usualShare is how many usual answers fit in a route's target, until answers tell.
+	usualShare = 2
 	// retryAfter is what refused clients are told.
 	retryAfter = 300 * time.Millisecond
 	// idleFor is how long a connection to a server rests before it is closed, connectWithin
@@ -241,7 +243,7 @@
 
 func classOf(r *routing.Route) logic.Class {
 	class := logic.Class{
-		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Worth: worthOf(r.Priority),
+		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Usual: r.TargetLatency / usualShare, Worth: worthOf(r.Priority),
 		Effect: logic.Unsafe, MaxAttempts: max(r.RetryLimit, 1), Stream: r.Class == routing.Streaming,
 	}
 	if r.Class == routing.Idempotent {
--- a/internal/anemometer/gateway/gateway.go
+++ b/internal/anemometer/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"pipitmux/internal/counters"
 	"pipitmux/internal/ingress"
 	"pipitmux/internal/message"
+	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/routing"
 )
 
@@ -35,10 +37,20 @@
 	historyBytes = 12 << 20
 )
 
+// Turns keeps what was said and what programs may still put out. *turnclient.Client is
+// the one that reaches the storage nodes.
+type Turns interface {
+	Admit(context.Context, protocol.AdmitArgs) (protocol.AdmitReply, error)
+	Finish(context.Context, protocol.FinishArgs) (protocol.TurnOutcome, error)
+	Find(ctx context.Context, attempt string) (history []byte, found bool, err error)
+}
+
+var _ Turns = (*turnclient.Client)(nil)
+
 // Options are what a Gateway needs.
 type Options struct {
 	Dispatcher *dispatch.Dispatcher
-	Turns      *turnclient.Client
+	Turns      Turns
 	Budget     *message.Budget
 	Count      *counters.Set
 	MaxOpen    int // requests that may be open at once
--- /dev/null
+++ b/internal/anemometer/gateway/gateway_test.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/anemometer/dispatch"
+	"pipitmux/internal/anemometer/turnclient"
+	"pipitmux/internal/station/protocol"
+)
+
+func stringReader(text string) io.Reader { return strings.NewReader(text) }
+
+var turnHeaders = []string{programHeader, "p", sessionHeader, "s", budgetHeader, "500", tokensHeader, "100,20"}
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	r := newRig(t, true, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Oakseam-Server-Seal", "seal")
+		w.Header().Set("Content-Type", "application/x-own")
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, "body")
+	})
+	response := r.ask(t, "POST", "/orders/x?q=1", "input", "X-Own", "v", "Connection", "X-Hop", "X-Hop", "gone", dispatch.TimeBudgetHeader, "900")
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusCreated)
+	assert.Equal(t, string(text), "body")
+	assert.Equal(t, response.Header.Get("Oakseam-Server-Seal"), "seal")
+	assert.Equal(t, response.Header.Get("Content-Type"), "application/x-own")
+	got := r.seen[0]
+	assert.Equal(t, got.RequestURI, "/orders/x?q=1")
+	assert.Equal(t, got.Host, "h")
+	assert.Equal(t, r.body[0], "input")
+	assert.Equal(t, got.Header.Get("X-Own"), "v")
+	assert.Equal(t, got.Header.Get("X-Hop"), "", "what concerns the connection stays behind")
+	assert.Equal(t, got.Header.Get(dispatch.TargetHeader), "i-tools")
+	assert.Equal(t, got.Header.Get(dispatch.AttemptHeader), "a1")
+	assert.Assert(t, got.Header.Get(dispatch.TimeBudgetHeader) <= "900")
+}
+
+func TestServersFailureIsPassedOn(t *testing.T) {
+	r := newRig(t, true, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Oakseam-Server-Seal", "seal")
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, "own words")
+	})
+	response := r.ask(t, "POST", "/orders/x", "")
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, string(text), "own words")
+	assert.Equal(t, response.Header.Get("Oakseam-Server-Seal"), "seal")
+	assert.Equal(t, len(r.seen), 1, "it ran: no second try")
+}
+
+func TestWhatNeverRanIsRefused(t *testing.T) {
+	r := newRig(t, true, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(dispatch.NotExecutedHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	response := r.ask(t, "POST", "/orders/x", "")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+}
+
+func TestOwnAnswers(t *testing.T) {
+	r := newRig(t, true, func(w http.ResponseWriter, _ *http.Request) { t.Error("a server was asked") })
+	for _, tt := range []struct {
+		name, path, body string
+		status           int
+		headers          []string
+	}{
+		{"no route", "/other/", "", http.StatusNotFound, nil},
+		{"no id", "/orders/", "", http.StatusBadRequest, []string{dispatch.AttemptHeader, ""}},
+		{"no time", "/orders/", "", http.StatusBadRequest, []string{dispatch.TimeBudgetHeader, "soon"}},
+		{"too long", "/orders/", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, r.ask(t, "POST", tt.path, tt.body, tt.headers...).StatusCode, tt.status)
+		})
+	}
+}
+
+func TestTurnBringsTheWholeLineAndIsKeptBeforeItsEnd(t *testing.T) {
+	r := newRig(t, true, stream("one", "two"))
+	r.turns.admit = func(a protocol.AdmitArgs) (protocol.AdmitReply, error) {
+		assert.Equal(t, a.Previous, "a0")
+		assert.Equal(t, a.Most, uint64(20))
+		assert.Equal(t, a.Budget, uint64(500))
+		return protocol.AdmitReply{Outcome: protocol.TurnGranted, History: []byte("before\n")}, nil
+	}
+	kept := make(chan struct{})
+	r.turns.finish = func(protocol.FinishArgs) (protocol.TurnOutcome, error) {
+		<-kept
+		return protocol.TurnGranted, nil
+	}
+	response := r.ask(t, "POST", "/turns/x", "input", append([]string{previousHeader, "a0"}, turnHeaders...)...)
+	lines := bufio.NewReader(response.Body)
+	for range 6 {
+		_, err := lines.ReadString('\n')
+		assert.NilError(t, err)
+	}
+	end := <-r.turns.ends // both events are out, the end of the stream is not
+	assert.Assert(t, end.Whole)
+	assert.Equal(t, string(end.Input), "input")
+	assert.Equal(t, string(end.Output), "one\ntwo\n")
+	assert.Equal(t, end.Tokens, uint64(4))
+	assert.Equal(t, end.Previous, "a0")
+	close(kept)
+	_, err := lines.ReadString('\n')
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, r.body[0], "before\ninput")
+	assert.Equal(t, r.seen[0].Header.Get(dispatch.PriorityHeader), "1")
+}
+
+func TestTurnThatCannotBeKeptDoesNotLookWhole(t *testing.T) {
+	r := newRig(t, true, stream("one"))
+	r.turns.finish = func(protocol.FinishArgs) (protocol.TurnOutcome, error) { return 0, turnclient.ErrUnavailable }
+	response := r.ask(t, "POST", "/turns/x", "input", turnHeaders...)
+	_, err := io.ReadAll(response.Body)
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+	<-r.turns.ends
+	assert.Assert(t, !(<-r.turns.ends).Whole, "what was handed out is settled")
+}
+
+func TestTurnIsNotSentWithoutAdmission(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		reply  protocol.AdmitReply
+		err    error
+		find   func(string) ([]byte, bool, error)
+		status int
+	}{
+		{"spent", protocol.AdmitReply{Outcome: protocol.TurnSpent}, nil, nil, http.StatusPaymentRequired},
+		{"nobody answers", protocol.AdmitReply{}, turnclient.ErrUnavailable, nil, http.StatusServiceUnavailable},
+		{"closed", protocol.AdmitReply{Outcome: protocol.TurnClosed}, nil, nil, http.StatusServiceUnavailable},
+		{"surely missing", protocol.AdmitReply{Outcome: protocol.TurnMissing}, nil, nil, http.StatusNotFound},
+		{"perhaps missing", protocol.AdmitReply{Outcome: protocol.TurnMissing}, nil, func(string) ([]byte, bool, error) {
+			return nil, false, turnclient.ErrUnsure
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, true, func(w http.ResponseWriter, _ *http.Request) { t.Error("a server was asked") })
+			r.turns.admit = func(protocol.AdmitArgs) (protocol.AdmitReply, error) { return tt.reply, tt.err }
+			r.turns.find = tt.find
+			response := r.ask(t, "POST", "/turns/x", "input", append([]string{previousHeader, "a0"}, turnHeaders...)...)
+			assert.Equal(t, response.StatusCode, tt.status)
+		})
+	}
+}
+
+func TestTurnGoesOnFromAnotherPartition(t *testing.T) {
+	r := newRig(t, true, stream("one"))
+	r.turns.admit = func(a protocol.AdmitArgs) (protocol.AdmitReply, error) {
+		if !a.Imported {
+			return protocol.AdmitReply{Outcome: protocol.TurnMissing}, nil
+		}
+		return protocol.AdmitReply{Outcome: protocol.TurnGranted}, nil
+	}
+	r.turns.find = func(string) ([]byte, bool, error) { return []byte("far\n"), true, nil }
+	response := r.ask(t, "POST", "/turns/x", "input", append([]string{previousHeader, "a0"}, turnHeaders...)...)
+	_, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, r.body[0], "far\ninput")
+	assert.Equal(t, string((<-r.turns.ends).Imported), "far\n", "and takes that along")
+}
+
+func TestClientThatLeavesFreesItsServer(t *testing.T) {
+	freed := make(chan struct{})
+	r := newRig(t, true, func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("Content-Type", dispatch.StreamType)
+		event(w, 1, "one")
+		<-request.Context().Done()
+		close(freed)
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	response, err := http.DefaultClient.Do(r.request(t, ctx, "POST", "/turns/x", "input", turnHeaders...))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	leave()
+	<-freed
+	end := <-r.turns.ends
+	assert.Assert(t, !end.Whole)
+	assert.Equal(t, end.Tokens, uint64(2), "the event that went out counts")
+}
+
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	r := newRig(t, false, stream())
+	waiting := make(chan int)
+	go func() {
+		response, err := http.DefaultClient.Do(r.request(t, context.Background(), "POST", "/other/", ""))
+		if err != nil {
+			t.Error(err)
+			close(waiting)
+			return
+		}
+		response.Body.Close()
+		waiting <- response.StatusCode
+	}()
+	r.gateway.Configure(parsed(t))
+	assert.Equal(t, <-waiting, http.StatusNotFound)
+}
--- /dev/null
+++ b/internal/anemometer/gateway/standin_test.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/anemometer/dispatch"
+	"pipitmux/internal/counters"
+	"pipitmux/internal/ingress"
+	"pipitmux/internal/lifecycle"
+	"pipitmux/internal/message"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+)
+
+// configuration has a route for turns, one for reads and one for orders.
+const configuration = `{"configRevision":1,"virtualServers":[
+{"name":"turns","hostHeader":"h","pathPrefix":"/turns/","trafficClass":"streaming","timeoutMs":5000,"targetLatencyMs":250,"priority":1,"poolName":"llm","retryLimit":2,"retained":true,"retentionS":60,"persistence":true},
+{"name":"reads","hostHeader":"h","pathPrefix":"/reads/","trafficClass":"idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2},
+{"name":"orders","hostHeader":"h","pathPrefix":"/orders/","trafficClass":"non_idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2}],
+"pools":[{"name":"llm","engine":{"streamChunk":2}},{"name":"tools"}],"limits":{"maxBodyBytes":1000}}`
+
+// turnsStandin records what the gateway tells the keepers of turns.
+type turnsStandin struct {
+	admit  func(protocol.AdmitArgs) (protocol.AdmitReply, error)
+	finish func(protocol.FinishArgs) (protocol.TurnOutcome, error)
+	find   func(string) ([]byte, bool, error)
+	ends   chan protocol.FinishArgs
+}
+
+func (s *turnsStandin) Admit(_ context.Context, a protocol.AdmitArgs) (protocol.AdmitReply, error) {
+	if s.admit == nil {
+		return protocol.AdmitReply{Outcome: protocol.TurnGranted}, nil
+	}
+	return s.admit(a)
+}
+
+func (s *turnsStandin) Finish(_ context.Context, a protocol.FinishArgs) (protocol.TurnOutcome, error) {
+	s.ends <- a
+	if s.finish == nil {
+		return protocol.TurnGranted, nil
+	}
+	return s.finish(a)
+}
+
+func (s *turnsStandin) Find(_ context.Context, attempt string) ([]byte, bool, error) {
+	if s.find == nil {
+		return nil, false, nil
+	}
+	return s.find(attempt)
+}
+
+// rig is a gateway before one server of each service.
+type rig struct {
+	gateway *Gateway
+	turns   *turnsStandin
+	address string
+
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+}
+
+// newRig starts the gateway on loopback; serve is what the servers do.
+func newRig(t *testing.T, configured bool, serve http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{turns: &turnsStandin{ends: make(chan protocol.FinishArgs, 16)}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		text, err := io.ReadAll(request.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		r.mu.Lock()
+		r.seen = append(r.seen, request)
+		r.body = append(r.body, string(text))
+		r.mu.Unlock()
+		w.Header().Set(dispatch.AttemptHeader, request.Header.Get(dispatch.AttemptHeader))
+		serve(w, request)
+	}))
+	t.Cleanup(server.Close)
+	budget := message.NewBudget(1 << 20)
+	d := dispatch.New(dispatch.Options{Zone: "z", Conns: 10, Budget: budget, Count: counters.New(), Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(d.Close)
+	r.gateway = New(Options{Dispatcher: d, Turns: r.turns, Budget: budget, Count: counters.New(), MaxOpen: 10})
+	if configured {
+		c, err := routing.Parse([]byte(configuration))
+		assert.NilError(t, err)
+		d.Configure(c)
+		for _, name := range []string{"llm", "tools"} {
+			one := protocol.Server{ID: "i-" + name, Address: server.Listener.Addr().String(), Zone: "z", Capacity: 8}
+			d.Servers(protocol.ServicePartition(name), append(othersOf(name, one), protocol.ServerList{Service: name, Version: 1, Servers: []protocol.Server{one}}))
+		}
+		r.gateway.Configure(c)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	front := ingress.New(ingress.Options{
+		Handler: r.gateway.Handle, Doubtful: func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) },
+		MaxSessions: 50, Overflow: 10, Lifecycle: lifecycle.TierTiming,
+		HeadWithin: time.Minute, BodyWithin: time.Minute, IdleFor: time.Minute, WriteWithin: time.Minute,
+	}, l, counters.New())
+	go front.Serve()
+	t.Cleanup(func() { front.Close() })
+	r.address = "http://" + l.Addr().String()
+	return r
+}
+
+// othersOf keeps the list of the service that shares the partition.
+func othersOf(name string, one protocol.Server) []protocol.ServerList {
+	if name == "tools" && protocol.ServicePartition("llm") == protocol.ServicePartition("tools") {
+		one.ID = "i-llm"
+		return []protocol.ServerList{{Service: "llm", Version: 1, Servers: []protocol.Server{one}}}
+	}
+	return nil
+}
+
+// ask makes a request with headers given by name and value in turn.
+func (r *rig) ask(t *testing.T, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	response, err := http.DefaultClient.Do(r.request(t, context.Background(), method, path, body, headers...))
+	assert.NilError(t, err)
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func (r *rig) request(t *testing.T, ctx context.Context, method, path, body string, headers ...string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, r.address+path, stringReader(body))
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set(dispatch.AttemptHeader, "a1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return request
+}
+
+// event writes one event of a stream.
+func event(w http.ResponseWriter, id int, data string) {
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
+	http.NewResponseController(w).Flush()
+}
+
+func stream(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", dispatch.StreamType)
+		w.Header().Set("Oakseam-Server-Seal", "seal")
+		for i, e := range events {
+			event(w, i+1, e)
+		}
+	}
+}
+
+func parsed(t *testing.T) *routing.Configuration {
+	t.Helper()
+	c, err := routing.Parse([]byte(configuration))
+	assert.NilError(t, err)
+	return c
+}
--- a/internal/anemometer/turnclient/turnclient.go
+++ b/internal/anemometer/turnclient/turnclient.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	tryWithin = 450 * time.Millisecond
 	// tryPause is the pause where no owner is known.
 	tryPause = 20 * time.Millisecond
+	// avoidFor is how long a node that didn't answer is asked after all others.
+	avoidFor = 700 * time.Millisecond
 )
 
 // ErrUnavailable tells that no owner answered in time. What was asked may have been done.
@@ -36,12 +39,13 @@
 
 	mu        sync.Mutex
 	directory protocol.Directory
-	owners    map[int]replica.NodeID // of partitions, as last seen
+	owners    map[int]replica.NodeID       // of partitions, as last seen
+	silent    map[replica.NodeID]time.Time // when a node last didn't answer
 }
 
 // New returns a Client that knows no node yet.
 func New(pool *link.Pool) *Client {
-	return &Client{pool: pool, owners: map[int]replica.NodeID{}}
+	return &Client{pool: pool, owners: map[int]replica.NodeID{}, silent: map[replica.NodeID]time.Time{}}
 }
 
 // Learn takes a directory on.
@@ -49,6 +53,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.directory = d
+	maps.DeleteFunc(c.silent, func(id replica.NodeID, _ time.Time) bool {
+		_, known := follow.NodeAddress(&d, id)
+		return !known
+	})
 }
 
 // Ready tells whether the partitions of the turns are known.
@@ -108,8 +116,11 @@
 			c.owned(partition, at)
 			return nil
 		}
+		if outcome == protocol.TurnUnknown {
+			c.avoid(at)
+		}
 		c.owned(partition, owner)
-		if owner != 0 && owner != at && ctx.Err() == nil {
+		if owner != 0 && owner != at && ctx.Err() == nil && !c.avoided(owner) {
 			continue
 		}
 		if !pause(ctx, tryPause) {
@@ -126,18 +137,40 @@
 	if partition = c.directory.TurnPartition(program); partition < 0 {
 		return partition, 0, "", false
 	}
-	if n, known := follow.NodeAddress(&c.directory, c.owners[partition]); known {
-		return partition, n.ID, n.Address, true
-	}
-	voters := c.directory.Partitions[partition].Voters
-	for i := range voters {
-		if n, known := follow.NodeAddress(&c.directory, voters[(turn+i)%len(voters)]); known {
-			return partition, n.ID, n.Address, true
+	order := append([]replica.NodeID{c.owners[partition]}, rotated(c.directory.Partitions[partition].Voters, turn)...)
+	for _, mayBeSilent := range []bool{false, true} {
+		for _, id := range order {
+			n, known := follow.NodeAddress(&c.directory, id)
+			if known && (mayBeSilent || time.Since(c.silent[id]) >= avoidFor) {
+				return partition, n.ID, n.Address, true
+			}
 		}
 	}
 	return partition, 0, "", false
 }
 
+// rotated returns the nodes from the one at a turn on.
+func rotated(nodes []replica.NodeID, turn int) []replica.NodeID {
+	if len(nodes) == 0 {
+		return nil
+	}
+	from := turn % len(nodes)
+	return slices.Concat(nodes[from:], nodes[:from])
+}
+
+// avoid notes that a node didn't answer.
+func (c *Client) avoid(id replica.NodeID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[id] = time.Now()
+}
+
+func (c *Client) avoided(id replica.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.silent[id]) < avoidFor
+}
+
 func (c *Client) owned(partition int, owner replica.NodeID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,40 +182,44 @@
 func (c *Client) Find(ctx context.Context, attempt string) (history []byte, found bool, err error) {
 	without := map[int]bool{}
 	for {
-		for _, reply := range c.ask(ctx, attempt) {
+		nodes, partitions := c.storages(), c.partitions()
+		one, cancel := context.WithTimeout(ctx, tryWithin)
+		replies := c.ask(one, nodes, attempt)
+		// A node that is lost says nothing: as soon as the others are sure, so is the answer.
+		for range nodes {
+			reply := <-replies
 			if reply.Found {
+				cancel()
 				return reply.History, true, nil
 			}
 			for _, partition := range reply.Without {
 				without[partition] = true
 			}
+			if partitions > 0 && len(without) == partitions {
+				cancel()
+				return nil, false, nil
+			}
 		}
-		if partitions := c.partitions(); partitions > 0 && len(without) == partitions {
-			return nil, false, nil
-		}
+		cancel()
 		if !pause(ctx, tryPause) {
 			return nil, false, ErrUnsure
 		}
 	}
 }
 
-// ask asks all storage nodes at once.
-func (c *Client) ask(ctx context.Context, attempt string) []protocol.FindReply {
-	ctx, cancel := context.WithTimeout(ctx, tryWithin)
-	defer cancel()
-	nodes := c.storages()
-	replies := make([]protocol.FindReply, len(nodes))
-	var done sync.WaitGroup
-	for i, n := range nodes {
-		done.Go(func() {
+// ask asks all storage nodes at once. Each gives one reply, an empty one where it fails.
+func (c *Client) ask(ctx context.Context, nodes []protocol.Node, attempt string) <-chan protocol.FindReply {
+	replies := make(chan protocol.FindReply, len(nodes))
+	for _, n := range nodes {
+		go func() {
 			args := protocol.FindArgs{Attempt: attempt, Within: tryWithin}
 			var reply protocol.FindReply
-			if c.pool.Call(ctx, n.Address, "Turns.Find", &args, &reply) == nil {
-				replies[i] = reply
+			if c.pool.Call(ctx, n.Address, "Turns.Find", &args, &reply) != nil {
+				reply = protocol.FindReply{}
 			}
-		})
+			replies <- reply
+		}()
 	}
-	done.Wait()
 	return replies
 }
 
--- a/internal/barograph/coordinator/coordinator.go
+++ b/internal/barograph/coordinator/coordinator.go
@@ -112,6 +112,7 @@
 	go c.register(ctx)
 	go c.tend(ctx)
 	go c.learn(ctx)
+	go c.clear(ctx)
 	go lister.New(platform, &listerDuty{c}).Run(ctx)
 	return c.node.Serve(ctx, l, map[string]any{"Control": &controlCalls{c}})
 }
@@ -198,12 +199,15 @@
 		return // the directory has yet to fill
 	}
 	view := repair.View{Status: status, Now: c.node.Now(), Silent: node.Silent, Nodes: c.withFirst(cores, status), Voters: Voters(c.losses, len(cores)), Everyone: true}
+	one, cancel := context.WithTimeout(ctx, submitWithin)
+	defer cancel()
+	if c.planners[group].Wanting(view) {
+		view.Alive = c.node.Alive(one, view.Nodes)
+	}
 	next, ok := c.planners[group].Plan(view)
 	if !ok {
 		return
 	}
-	one, cancel := context.WithTimeout(ctx, submitWithin)
-	defer cancel()
 	err = c.node.Host.ChangeMembers(one, group, next)
 	klog.InfoS("The members of a group change", "group", group, "from", status.Members, "to", next, "cause", err)
 }
--- a/internal/barograph/keeper/keeper.go
+++ b/internal/barograph/keeper/keeper.go
@@ -187,7 +187,11 @@
 		}
 	}
 	view := repair.View{Status: status, Now: k.node.Now(), Silent: node.Silent, Nodes: nodes, Retiring: d.Retiring, Voters: coordinator.Voters(k.losses, staying)}
-	next, due := k.planner(partition).Plan(view)
+	planner := k.planner(partition)
+	if planner.Wanting(view) {
+		view.Alive = k.node.Alive(ctx, nodes)
+	}
+	next, due := planner.Plan(view)
 	if !due {
 		return
 	}
--- a/internal/barograph/node/node.go
+++ b/internal/barograph/node/node.go
@@ -140,7 +140,13 @@
 	defer server.Close()
 	go server.Serve(l)
 	go n.introduce(ctx)
-	return n.Host.Run(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		n.HandOver()
+		stop()
+	})()
+	return n.Host.Run(running)
 }
 
 // Close closes the disk.
--- a/internal/barograph/repair/repair.go
+++ b/internal/barograph/repair/repair.go
@@ -21,6 +21,7 @@
 	Now      time.Duration
 	Silent   time.Duration   // a voter not heard from for this long counts as lost
 	Nodes    []protocol.Node // that may be members, of the right class
+	Alive    []protocol.Node // those of them that answer, where Wanting says so
 	Retiring []string        // names of nodes that must not be
 	Voters   int             // how many there should be
 	Everyone bool            // all other nodes follow as learners
@@ -58,6 +59,12 @@
 	return p.learners(v)
 }
 
+// Wanting tells whether the group needs another member: who of the nodes answers must be
+// known for Plan then.
+func (p *Planner) Wanting(v View) bool {
+	return v.Status.Settled && !v.Status.Pending && len(v.Status.Members.Voters)-len(p.lost(v)) < v.Voters
+}
+
 func (p *Planner) begin() {
 	if p.invited == nil {
 		p.invited = map[replica.NodeID]time.Duration{}
@@ -136,7 +143,7 @@
 // candidates are the nodes that may become voters, in the group's order.
 func (p *Planner) candidates(v View) []protocol.Node {
 	var nodes []protocol.Node
-	for _, n := range v.Nodes {
+	for _, n := range v.Alive {
 		if !slices.Contains(v.Status.Members.Voters, n.ID) && !slices.Contains(v.Retiring, n.Name) {
 			nodes = append(nodes, n)
 		}
--- a/internal/barograph/revisions/revisions.go
+++ b/internal/barograph/revisions/revisions.go
@@ -34,6 +34,7 @@
 	Assign   *Assignment    `cbor:"3,keyasint,omitempty"`
 	Moved    *Moved         `cbor:"4,keyasint,omitempty"`
 	Retire   *Retirement    `cbor:"5,keyasint,omitempty"`
+	Forget   replica.NodeID `cbor:"6,keyasint,omitempty"` // a node that is gone for good
 }
 
 // Assignment gives the partitions of the turns their first members. It counts once.
@@ -139,6 +140,8 @@
 		return m.move(c.Moved)
 	case c.Retire != nil:
 		return m.retire(c.Retire)
+	case c.Forget != 0:
+		return m.forget(c.Forget)
 	}
 	return Unreadable
 }
@@ -239,6 +242,22 @@
 	return Taken
 }
 
+// forget takes a node out of the directory. One that keeps a partition stays.
+func (m *Machine) forget(id replica.NodeID) Result {
+	for _, p := range m.state.Directory.Partitions {
+		if slices.Contains(p.Voters, id) {
+			return Conflict
+		}
+	}
+	nodes := slices.DeleteFunc(slices.Clone(m.state.Directory.Nodes), func(n protocol.Node) bool { return n.ID == id })
+	if len(nodes) == len(m.state.Directory.Nodes) {
+		return Missing
+	}
+	m.state.Directory.Nodes = nodes
+	m.state.Directory.Version++
+	return Taken
+}
+
 // Configuration returns the newest configuration and its revision, 0: none yet. The
 // bytes must not be changed.
 func (m *Machine) Configuration() (revision uint64, body []byte) {
--- a/logic/api.go
+++ b/logic/api.go
@@ -56,6 +56,7 @@
 	Name        string
 	Aim         time.Duration // an answer within it earns the full worth
 	AimStretch  float64       // the aim grows by this multiple of the work hint
+	Usual       time.Duration // the latency to assume until answers tell, 0: a third of the aim
 	Deadline    time.Duration // what a client waits in all, over its own retries
 	Worth       float64       // 0: unknown, the paper's example figures serve
 	LateWorth   float64       // part of the worth kept after the aim, 0 to 1
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -157,7 +157,7 @@
 }
 
 func newClass(c Class) *class {
-	n := &class{c, exampleR, exampleV, exampleC2, &habits{scale: c.Aim.Seconds() / 3}}
+	n := &class{c, exampleR, exampleV, exampleC2, &habits{scale: cmp.Or(c.Usual, c.Aim/3).Seconds()}}
 	if c.Worth > 0 {
 		n.r, n.v, n.c2 = c.Worth, c.Worth*exampleV/exampleR, c.Worth*retryPrice*exampleC2/exampleR
 	}
