Wait for a service's first server after a start, and say why requests aren't served

Cause: after a loss of all machines the first requests were refused in the moment between the configuration and the lists of servers; nothing in the log told why a request wasn't served. Change: a request waits for its service's first server as it does for the configuration; one line a second and cause.

--- a/internal/anemometer/dispatch/dispatch.go
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -71,6 +72,8 @@
 type service struct {
 	core    *core.Core
 	servers []protocol.Server // that take requests
+	listed  chan struct{}     // closed once it has had one
+	known   bool              // listed is closed
 }
 
 // New returns a Dispatcher without services.
@@ -120,7 +123,7 @@
 		klog.ErrorS(err, "A service can't be served", "service", name)
 		return
 	}
-	s := &service{core: owner}
+	s := &service{core: owner, listed: make(chan struct{})}
 	d.services[name] = s
 	go owner.Run(d.pool, nil)
 	d.list(s, d.lists[name])
@@ -156,6 +159,10 @@
 // list hands a service's servers to its owner.
 func (d *Dispatcher) list(s *service, servers []protocol.Server) {
 	s.servers = slices.DeleteFunc(slices.Clone(servers), func(x protocol.Server) bool { return x.Draining })
+	if len(s.servers) > 0 && !s.known {
+		s.known = true
+		defer close(s.listed) // once the owner has them
+	}
 	entries := make([]core.Entry, 0, len(servers))
 	for _, x := range servers {
 		state := logic.Serving
@@ -182,14 +189,21 @@
 	return false
 }
 
-// Owner returns what requests of a service are submitted to, nil where there is none.
-func (d *Dispatcher) Owner(name string) *core.Core {
+// Owner returns what requests of a service are submitted to, nil where there is none. It
+// waits until the service has had a server, or ctx ends: after a start the list comes a
+// moment behind the configuration.
+func (d *Dispatcher) Owner(ctx context.Context, name string) *core.Core {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.services[name]; s != nil {
-		return s.core
+	s := d.services[name]
+	d.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	select {
+	case <-s.listed:
+	case <-ctx.Done():
 	}
-	return nil
+	return s.core
 }
 
 // Prefer lists the servers to which the requests of one key keep: those of this node's
--- a/internal/anemometer/gateway/answer.go
+++ b/internal/anemometer/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,7 +62,9 @@
 // dispatch submits the request to its service's owner and waits for the answer. A client
 // that leaves ends it: the handler does not return then.
 func (x *exchange) dispatch(body []byte, affinity string, worth float64) core.Answer {
-	owner := x.gateway.opt.Dispatcher.Owner(x.service)
+	starting, cancel := context.WithDeadline(x.request.Context(), x.arrived.Add(startingWait))
+	owner := x.gateway.opt.Dispatcher.Owner(starting, x.service)
+	cancel()
 	left := time.Until(x.deadline)
 	if owner == nil || left <= 0 {
 		return core.Answer{Kind: core.Refused, RetryAfter: pressedRetryAfter}
@@ -110,13 +113,13 @@
 	case a.Kind == core.Refused && !a.Ran:
 		x.gateway.refuse(x.writer, max(a.RetryAfter, pressedRetryAfter), "answer.refused")
 	case a.Kind == core.Duplicate:
-		count.Add("answer.duplicate")
+		x.gateway.count("answer.duplicate")
 		http.Error(x.writer, "the id is in use", http.StatusConflict)
 	case time.Now().Before(x.deadline):
-		count.Add("answer.failed")
+		x.gateway.count("answer.failed")
 		http.Error(x.writer, "no server answered", http.StatusBadGateway)
 	default:
-		count.Add("answer.late")
+		x.gateway.count("answer.late")
 		http.Error(x.writer, "no server answered in time", http.StatusGatewayTimeout)
 	}
 }
@@ -142,11 +145,11 @@
 	if reply.Rest == nil {
 		x.writer.Write(reply.Body)
 	} else if !x.passStream(reply) {
-		x.gateway.opt.Count.Add("answer.broken")
+		x.gateway.count("answer.broken")
 		panic(http.ErrAbortHandler) // net/http's way to end a session short of its answer
 	}
 	if kept != nil && !kept() {
-		x.gateway.opt.Count.Add("answer.not-kept")
+		x.gateway.count("answer.not-kept")
 		panic(http.ErrAbortHandler)
 	}
 	x.gateway.opt.Count.Add("answer.served")
--- a/internal/anemometer/gateway/gateway.go
+++ b/internal/anemometer/gateway/gateway.go
@@ -10,12 +10,15 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"pipitmux/internal/anemometer/dispatch"
 	"pipitmux/internal/anemometer/history"
 	"pipitmux/internal/anemometer/turnclient"
 	"pipitmux/internal/counters"
 	"pipitmux/internal/ingress"
 	"pipitmux/internal/message"
+	"pipitmux/internal/station/journal"
 	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/routing"
 )
@@ -157,11 +160,22 @@
 }
 
 func (g *Gateway) refuse(w http.ResponseWriter, after time.Duration, why string) {
-	g.opt.Count.Add(why)
+	g.count(why)
 	w.Header().Set("Retry-After", seconds(after))
 	http.Error(w, "try again", http.StatusServiceUnavailable)
 }
 
+// logEvery is how often a line tells of requests that ended for one and the same reason.
+const logEvery = time.Second
+
+// count counts the end of a request that wasn't served, and says so in the log now and then.
+func (g *Gateway) count(why string) {
+	g.opt.Count.Add(why)
+	if skipped, ok := journal.Every(why, logEvery); ok {
+		klog.InfoS("A request is not served", "cause", why, "alike", skipped)
+	}
+}
+
 // serve has a request that came whole carried out and answered.
 func (x *exchange) serve() {
 	if x.isTurn() {
