--- a/cmd/anemometer/main.go
+++ b/cmd/anemometer/main.go
@@ -9,9 +9,9 @@
 	"github.com/alecthomas/kong"
 
 	"pipitmux/internal/anemometer/edge"
-	"pipitmux/internal/barograph/node"
 	"pipitmux/internal/station/journal"
 	"pipitmux/internal/station/process"
+	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/settings"
 )
 
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	n, err := edge.New(s, process.InternalSeeds(s, node.CorePort), journal.Logger())
+	n, err := edge.New(s, process.InternalSeeds(s, protocol.CorePort), journal.Logger())
 	if err != nil {
 		return err
 	}
--- a/cmd/barograph/main.go
+++ b/cmd/barograph/main.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	options, err := nodeOptions(s, protocol.Core, node.CorePort)
+	options, err := nodeOptions(s, protocol.Core, protocol.CorePort)
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	options, err := nodeOptions(s, protocol.Storage, node.StoragePort)
+	options, err := nodeOptions(s, protocol.Storage, protocol.StoragePort)
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 	}
 	return node.Options{
 		Name: s.NodeName, Zone: s.Zone, Class: class, Address: process.InternalAddress(s, offset), DataDir: s.DataDir,
-		First: s.Bootstrap, Seeds: process.InternalSeeds(s, node.CorePort),
+		First: s.Bootstrap, Seeds: process.InternalSeeds(s, protocol.CorePort),
 	}, nil
 }
 
--- a/internal/anemometer/edge/edge.go
+++ b/internal/anemometer/edge/edge.go
@@ -119,7 +119,7 @@
 	n.ending = true
 	n.mu.Unlock()
 	klog.InfoS("Ends: clients are sent to other nodes")
-	err = n.server.End(n.settings.Bounds.Grace - graceSlack)
+	err = n.server.End(max(n.settings.Bounds.Grace-graceSlack, n.settings.Bounds.Grace/2))
 	klog.InfoS("Ended", "cause", err)
 	return nil
 }
--- a/internal/anemometer/gateway/gateway.go
+++ b/internal/anemometer/gateway/gateway.go
@@ -134,6 +134,11 @@
 	}
 	x := &exchange{gateway: g, writer: w, request: r, conn: c, route: route, tables: t, arrived: arrived}
 	if fault := x.read(); fault != nil {
+		if fault.Status == http.StatusServiceUnavailable {
+			w.Header().Set("Connection", "close")
+			g.refuse(w, pressedRetryAfter, "answer.no-room")
+			return
+		}
 		g.opt.Count.Add("answer.malformed")
 		w.Header().Set("Connection", "close")
 		http.Error(w, fault.Error(), fault.Status)
--- a/internal/barograph/node/node.go
+++ b/internal/barograph/node/node.go
@@ -21,13 +21,6 @@
 	"pipitmux/internal/station/protocol"
 )
 
-// Port offsets in the range that the machine keeps free for the tier, one a role, since
-// two roles of one machine run as two processes.
-const (
-	CorePort    = 0
-	StoragePort = 1
-)
-
 // Timing is what the groups of a class of nodes keep. Followers of turns learn with the next
 // message what is committed; news of the configuration go out at once.
 func Timing(class protocol.Class) replica.Timing {
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -22,6 +22,13 @@
 	Storage                  // keeps turns and budgets
 )
 
+// Port offsets in the range that the machine keeps free for the tier, one a role, since
+// two roles of one machine run as two processes.
+const (
+	CorePort    = 0
+	StoragePort = 1
+)
+
 // Node is one incarnation of a node of the control plane, and where it is reached.
 type Node struct {
 	ID      replica.NodeID
