--- a/internal/tierlab/troubles.go
+++ b/internal/tierlab/troubles.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"pipitmux/internal/barograph/node"
 	play "pipitmux/internal/standin/tier"
 	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/settings"
@@ -198,6 +197,6 @@
 	defer cancel()
 	args := protocol.IndexArgs{Group: protocol.ConfigurationGroup, Within: ownerWithin}
 	var reply protocol.IndexReply
-	err := l.calls.Call(ctx, m.Internal(node.CorePort), "Replica.Index", &args, &reply)
+	err := l.calls.Call(ctx, m.Internal(protocol.CorePort), "Replica.Index", &args, &reply)
 	return err == nil && reply.Outcome == protocol.Done
 }
