--- a/internal/anemometer/gateway/turn.go
+++ b/internal/anemometer/gateway/turn.go
@@ -46,11 +46,12 @@
 	previous string
 	most     uint64
 	imported []byte // what was said before, where another partition keeps it
+	token    uint64 // drawn here: another node with the same try has another
 	gathered events.Gatherer
 }
 
 func (x *exchange) serveTurn() {
-	t := &turn{exchange: x, program: x.request.Header.Get(programHeader)}
+	t := &turn{exchange: x, program: x.request.Header.Get(programHeader), token: rand.Uint64()}
 	if x.route.Retained {
 		t.previous = x.request.Header.Get(previousHeader)
 	}
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(t.request.Context(), min(admitWithin, time.Until(t.deadline)))
 	defer cancel()
 	args := protocol.AdmitArgs{
-		Program: t.program, Attempt: t.attempt, Previous: t.previous, Most: t.most, Budget: t.budget(), Keep: t.route.Retention, Token: rand.Uint64(),
+		Program: t.program, Attempt: t.attempt, Previous: t.previous, Most: t.most, Budget: t.budget(), Keep: t.route.Retention, Token: t.token,
 	}
 	var known []byte
 	known, args.Known = t.gateway.history.Get(t.previous)
@@ -175,7 +176,7 @@
 }
 
 func (t *turn) ending(tokens uint64) protocol.FinishArgs {
-	return protocol.FinishArgs{Program: t.program, Attempt: t.attempt, Tokens: tokens, Keep: t.route.Retention}
+	return protocol.FinishArgs{Program: t.program, Attempt: t.attempt, Tokens: tokens, Keep: t.route.Retention, Token: t.token}
 }
 
 // settle tells the partition, in its own time, what a try without a whole answer has
--- /dev/null
+++ b/internal/anemometer/turnclient/turnclient_test.go
@@ -0,0 +1,275 @@
+package turnclient
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/protocol"
+)
+
+// testWithin bounds each wait of a test that should not wait.
+const testWithin = 20 * time.Second
+
+// storage is a storage node that answers as the test has it.
+type storage struct {
+	id      replica.NodeID
+	address string
+
+	mu     sync.Mutex
+	calls  int
+	admit  func(call int, args protocol.AdmitArgs) protocol.AdmitReply
+	finish func(call int, args protocol.FinishArgs) protocol.FinishReply
+	find   func(call int) protocol.FindReply
+}
+
+// Admit answers as the test has it.
+func (s *storage) Admit(args *protocol.AdmitArgs, reply *protocol.AdmitReply) error {
+	*reply = s.admit(s.count(), *args)
+	return nil
+}
+
+// Finish answers as the test has it.
+func (s *storage) Finish(args *protocol.FinishArgs, reply *protocol.FinishReply) error {
+	*reply = s.finish(s.count(), *args)
+	return nil
+}
+
+// Find answers as the test has it.
+func (s *storage) Find(_ *protocol.FindArgs, reply *protocol.FindReply) error {
+	*reply = s.find(s.count())
+	return nil
+}
+
+func (s *storage) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.calls
+}
+
+func (s *storage) called() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// start starts so many nodes, and a Client that knows them as members of all partitions.
+func start(t *testing.T, count int) (*Client, []*storage) {
+	t.Helper()
+	pool := link.NewPool(link.Options{})
+	t.Cleanup(pool.Close)
+	var nodes []*storage
+	for i := range count {
+		s := &storage{id: replica.NodeID(i + 1)}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s.address = listener.Addr().String()
+		server, err := link.NewServer(map[string]any{"Turns": s})
+		assert.NilError(t, err)
+		go server.Serve(listener)
+		t.Cleanup(func() { server.Close() })
+		nodes = append(nodes, s)
+	}
+	c := New(pool)
+	c.Learn(directoryOf(nodes, 2))
+	return c, nodes
+}
+
+func directoryOf(nodes []*storage, partitions int) protocol.Directory {
+	d := protocol.Directory{Version: 1}
+	var voters []replica.NodeID
+	for _, s := range nodes {
+		d.Nodes = append(d.Nodes, protocol.Node{ID: s.id, Class: protocol.Storage, Address: s.address})
+		voters = append(voters, s.id)
+	}
+	d.Nodes = append(d.Nodes, protocol.Node{ID: 99, Class: protocol.Core, Address: "127.0.0.1:1"})
+	for range partitions {
+		d.Partitions = append(d.Partitions, protocol.PartitionMembers{Voters: voters})
+	}
+	return d
+}
+
+func patient(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), testWithin)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// elsewhere answers that another node is the owner.
+func elsewhere(owner replica.NodeID) func(int, protocol.AdmitArgs) protocol.AdmitReply {
+	return func(int, protocol.AdmitArgs) protocol.AdmitReply {
+		return protocol.AdmitReply{Outcome: protocol.TurnNotOwner, Owner: owner}
+	}
+}
+
+func always(outcome protocol.TurnOutcome) func(int, protocol.AdmitArgs) protocol.AdmitReply {
+	return func(int, protocol.AdmitArgs) protocol.AdmitReply { return protocol.AdmitReply{Outcome: outcome} }
+}
+
+func TestNothingIsReachedWithoutADirectory(t *testing.T) {
+	pool := link.NewPool(link.Options{})
+	defer pool.Close()
+	c := New(pool)
+	assert.Assert(t, !c.Ready())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := c.Admit(ctx, protocol.AdmitArgs{Program: "p"})
+	assert.ErrorIs(t, err, ErrUnavailable)
+	_, err = c.Finish(ctx, protocol.FinishArgs{Program: "p"})
+	assert.ErrorIs(t, err, ErrUnavailable)
+	_, _, err = c.Find(ctx, "a")
+	assert.ErrorIs(t, err, ErrUnsure)
+}
+
+func TestOwnerIsFollowedAndRemembered(t *testing.T) {
+	c, nodes := start(t, 3)
+	d := directoryOf(nodes, 2)
+	nodes[0].admit, nodes[2].admit = elsewhere(2), elsewhere(2)
+	nodes[1].admit = func(_ int, args protocol.AdmitArgs) protocol.AdmitReply {
+		if args.Partition != d.TurnPartition("p") || args.Within != tryWithin || args.Attempt != "a" {
+			t.Errorf("asked with %+v", args)
+		}
+		return protocol.AdmitReply{Outcome: protocol.TurnGranted, History: []byte("before")}
+	}
+	for range 3 {
+		reply, err := c.Admit(patient(t), protocol.AdmitArgs{Program: "p", Attempt: "a"})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Outcome, protocol.TurnGranted)
+		assert.Equal(t, string(reply.History), "before")
+	}
+	assert.Assert(t, nodes[0].called()+nodes[2].called() <= 1, "the owner is known after the first call")
+	assert.Equal(t, nodes[1].called(), 3)
+}
+
+func TestWhatTheOwnerSaysIsFinal(t *testing.T) {
+	for _, outcome := range []protocol.TurnOutcome{protocol.TurnSpent, protocol.TurnMissing, protocol.TurnClosed} {
+		c, nodes := start(t, 1)
+		nodes[0].admit = always(outcome)
+		reply, err := c.Admit(patient(t), protocol.AdmitArgs{Program: "p"})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Outcome, outcome)
+		assert.Equal(t, nodes[0].called(), 1)
+	}
+}
+
+// What may have been done, or was not, is asked for again until an owner answers.
+func TestCallsAreMadeAgainUntilTheOwnerAnswers(t *testing.T) {
+	c, nodes := start(t, 1)
+	nodes[0].finish = func(call int, _ protocol.FinishArgs) protocol.FinishReply {
+		outcomes := []protocol.TurnOutcome{protocol.TurnUnknown, protocol.TurnUnavailable, protocol.TurnNotOwner, protocol.TurnGranted}
+		return protocol.FinishReply{Outcome: outcomes[call-1]}
+	}
+	outcome, err := c.Finish(patient(t), protocol.FinishArgs{Program: "p", Attempt: "a", Tokens: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, protocol.TurnGranted)
+	assert.Equal(t, nodes[0].called(), 4)
+}
+
+func TestNodeThatIsDownIsPassedOver(t *testing.T) {
+	c, nodes := start(t, 2)
+	d := directoryOf(nodes, 2)
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	d.Nodes[0].Address = down.Addr().String()
+	assert.NilError(t, down.Close())
+	c.Learn(d)
+	nodes[1].admit = always(protocol.TurnGranted)
+	reply, err := c.Admit(patient(t), protocol.AdmitArgs{Program: "p"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, protocol.TurnGranted)
+}
+
+// An owner that froze is left after one try, and not asked first again at once.
+func TestFrozenOwnerIsLeft(t *testing.T) {
+	c, nodes := start(t, 2)
+	frozen := make(chan struct{})
+	t.Cleanup(func() { close(frozen) })
+	nodes[0].admit = func(int, protocol.AdmitArgs) protocol.AdmitReply {
+		<-frozen
+		return protocol.AdmitReply{}
+	}
+	nodes[1].admit = func(call int, _ protocol.AdmitArgs) protocol.AdmitReply {
+		if call == 1 { // it has not heard of the new term yet
+			return protocol.AdmitReply{Outcome: protocol.TurnNotOwner, Owner: 1}
+		}
+		return protocol.AdmitReply{Outcome: protocol.TurnGranted}
+	}
+	d := directoryOf(nodes, 2)
+	c.owned(d.TurnPartition("p"), 1)
+	reply, err := c.Admit(patient(t), protocol.AdmitArgs{Program: "p"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, protocol.TurnGranted)
+	assert.Equal(t, nodes[0].called(), 1)
+}
+
+func TestAdmissionEndsWithItsContext(t *testing.T) {
+	c, nodes := start(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	nodes[0].admit = func(call int, _ protocol.AdmitArgs) protocol.AdmitReply {
+		if call == 3 {
+			cancel()
+		}
+		return protocol.AdmitReply{Outcome: protocol.TurnUnavailable}
+	}
+	_, err := c.Admit(ctx, protocol.AdmitArgs{Program: "p"})
+	assert.ErrorIs(t, err, ErrUnavailable)
+}
+
+func TestTurnIsMissingOnlyWhereEachPartitionIsWithoutIt(t *testing.T) {
+	c, nodes := start(t, 2)
+	nodes[0].find = func(int) protocol.FindReply { return protocol.FindReply{Without: []int{0}} }
+	nodes[1].find = func(call int) protocol.FindReply {
+		if call < 3 { // its owner is being elected
+			return protocol.FindReply{}
+		}
+		return protocol.FindReply{Without: []int{1}}
+	}
+	_, found, err := c.Find(patient(t), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	assert.Equal(t, nodes[1].called(), 3)
+}
+
+func TestFoundTurnCountsWhateverOthersSay(t *testing.T) {
+	c, nodes := start(t, 2)
+	nodes[0].find = func(int) protocol.FindReply { return protocol.FindReply{Without: []int{0}} }
+	nodes[1].find = func(int) protocol.FindReply { return protocol.FindReply{Found: true, History: []byte("said")} }
+	history, found, err := c.Find(patient(t), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, found)
+	assert.Equal(t, string(history), "said")
+}
+
+// Partitions that nobody speaks for leave it unsure, however long the others say no.
+func TestPartitionWithoutAnOwnerLeavesItUnsure(t *testing.T) {
+	c, nodes := start(t, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	nodes[0].find = func(call int) protocol.FindReply {
+		if call == 3 {
+			cancel()
+		}
+		return protocol.FindReply{Without: []int{0, 0}}
+	}
+	nodes[1].find = func(int) protocol.FindReply { return protocol.FindReply{Without: []int{0}} }
+	_, found, err := c.Find(ctx, "a")
+	assert.ErrorIs(t, err, ErrUnsure)
+	assert.Assert(t, !found)
+}
+
+func TestNodesThatLeftTheDirectoryAreForgotten(t *testing.T) {
+	c, nodes := start(t, 2)
+	c.avoid(1)
+	c.avoid(2)
+	d := directoryOf(nodes, 2)
+	d.Nodes = d.Nodes[1:]
+	c.Learn(d)
+	assert.Equal(t, len(c.silent), 1)
+	assert.Assert(t, c.avoided(2))
+}
--- a/internal/barograph/coordinator/authority.go
+++ b/internal/barograph/coordinator/authority.go
@@ -21,6 +21,12 @@
 	if err != nil {
 		return operators.ReplaceOutcome{Result: operators.ReplaceInvalid, Reason: err.Error()}
 	}
+	switch reached, err := c.reached(ctx, base); {
+	case err != nil:
+		return operators.ReplaceOutcome{Result: operators.ReplaceUncertain}
+	case !reached:
+		return operators.ReplaceOutcome{Result: operators.ReplaceConflict}
+	}
 	change := &revisions.Change{Base: base, Revision: configuration.Revision, Body: body}
 	switch c.order(ctx, &revisions.Command{Change: change}) {
 	case revisions.Taken:
@@ -33,6 +39,29 @@
 	return operators.ReplaceOutcome{Result: operators.ReplaceUncertain}
 }
 
+// reached tells whether a revision is or was in force. A change on one that isn't yet must
+// not get into the log: a try that a frozen process finds late could come into force there
+// after another try of the same change was refused.
+func (c *Coordinator) reached(ctx context.Context, revision uint64) (bool, error) {
+	if c.revision() >= revision {
+		return true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	if err := c.node.Confirm(ctx, protocol.ConfigurationGroup); err != nil {
+		return false, err
+	}
+	return c.revision() >= revision, nil
+}
+
+// revision is the newest one that this node has applied.
+func (c *Coordinator) revision() (revision uint64) {
+	c.node.Host.Peek(protocol.ConfigurationGroup, func(m host.Machine) {
+		revision, _ = m.(*revisions.Machine).Configuration()
+	})
+	return revision
+}
+
 // order has a command carried out and returns its result, 0 where that isn't known.
 func (c *Coordinator) order(ctx context.Context, command *revisions.Command) revisions.Result {
 	text, err := command.Encode()
--- a/internal/barograph/coordinator/duty.go
+++ b/internal/barograph/coordinator/duty.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"pipitmux/internal/barograph/host"
+	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/barograph/servers"
 	"pipitmux/internal/station/protocol"
 )
@@ -14,10 +17,20 @@
 // its term.
 type listerDuty struct{ c *Coordinator }
 
-// Held implements lister.Duty.
+// heldWithin bounds the look at the duty's group.
+const heldWithin = 100 * time.Millisecond
+
+// Held implements lister.Duty. The owner holds the duty under its lease only: one that was
+// cut off or frozen may not know yet that another holds it.
 func (d *listerDuty) Held() (epoch uint64, ok bool) {
 	status, err := d.c.node.Host.Status(protocol.ListerDuty)
-	return status.Term, err == nil && status.Settled
+	if err != nil || !status.Settled {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), heldWithin)
+	defer cancel()
+	err = d.c.node.Host.Read(ctx, protocol.ListerDuty, func(host.Machine) {})
+	return status.Term, err == nil
 }
 
 // Lists implements lister.Duty.
@@ -46,13 +59,17 @@
 	if err != nil {
 		return
 	}
-	for _, id := range status.Members.Voters {
-		if id == d.c.node.Self.ID {
-			continue
-		}
+	for _, id := range heirs(status.Members.Voters, d.c.node.Self.ID) {
 		if err := d.c.node.Host.Handover(protocol.ListerDuty, id); err == nil {
 			klog.InfoS("The lister's duty is handed over", "to", id)
 			return
 		}
 	}
 }
+
+// heirs are the other voters, from the one after self on and round: a duty that all hand on
+// in this order comes to each of them.
+func heirs(voters []replica.NodeID, self replica.NodeID) []replica.NodeID {
+	at := slices.Index(voters, self)
+	return slices.Concat(voters[at+1:], voters[:max(at, 0)])
+}
--- a/internal/barograph/keeper/calls.go
+++ b/internal/barograph/keeper/calls.go
@@ -46,7 +46,7 @@
 	group := protocol.TurnGroup(args.Partition)
 	ending := &turns.Ending{
 		Program: args.Program, Attempt: args.Attempt, Whole: args.Whole, Tokens: args.Tokens, Previous: args.Previous,
-		Imported: args.Imported, Input: args.Input, Output: args.Output, Keep: args.Keep,
+		Imported: args.Imported, Input: args.Input, Output: args.Output, Keep: args.Keep, Token: args.Token,
 	}
 	result, err := s.k.propose(ctx, group, &turns.Command{End: ending})
 	reply.Outcome, reply.Owner = outcomeOf(result, err)
@@ -109,7 +109,7 @@
 	case protocol.NotOwner:
 		return protocol.TurnNotOwner, owner
 	case protocol.Unknown:
-		return protocol.TurnUnknown, 0
+		return protocol.TurnUnknown, owner
 	}
 	return protocol.TurnUnavailable, 0
 }
--- a/internal/barograph/keeper/keeper.go
+++ b/internal/barograph/keeper/keeper.go
@@ -192,7 +192,7 @@
 		view.Alive = k.node.Alive(ctx, nodes)
 	}
 	next, due := planner.Plan(view)
-	if !due {
+	if !due || !k.announce(ctx, partition, status, d, next) {
 		return
 	}
 	err := k.node.Host.ChangeMembers(ctx, protocol.TurnGroup(partition), next)
@@ -221,21 +221,53 @@
 	return false
 }
 
-// report has the directory tell who keeps a partition now.
+// report has the directory tell who keeps a partition now, also where somebody who was
+// announced didn't become a voter.
 func (k *Keeper) report(ctx context.Context, partition int, status replica.Status, d protocol.Directory) {
 	told := d.Partitions[partition]
 	if status.Pending || slices.Equal(told.Voters, status.Members.Voters) {
 		return
 	}
-	moved := &revisions.Moved{Partition: partition, Change: status.Changed, Voters: status.Members.Voters}
+	moved := &revisions.Moved{Partition: partition, Change: status.Commit, Voters: status.Members.Voters}
+	if told.Change == status.Commit {
+		moved.Step = told.Step + 1
+	}
+	if _, err := k.move(ctx, moved); err != nil {
+		klog.V(1).InfoS("The directory isn't told of a partition's members yet", "partition", partition, "cause", err)
+	}
+}
+
+// announce has the directory tell who is about to become a voter of a partition. Where it is
+// false nobody may: the directory is another by now, or the node is to be emptied.
+func (k *Keeper) announce(ctx context.Context, partition int, status replica.Status, d protocol.Directory, next replica.Members) bool {
+	if len(next.Voters) <= len(status.Members.Voters) {
+		return true // nobody becomes a voter: one comes or goes at a time
+	}
+	moved := &revisions.Moved{Partition: partition, Change: status.Commit, Ahead: true, Voters: next.Voters}
+	if told := d.Partitions[partition]; told.Change == status.Commit {
+		moved.Step = told.Step + 1
+	}
+	result, err := k.move(ctx, moved)
+	if err != nil || result != revisions.Taken {
+		klog.V(1).InfoS("A partition gets no new voter yet", "partition", partition, "result", result, "cause", err)
+		return false
+	}
+	now, err := k.node.Host.Status(status.Group)
+	return err == nil && now.Term == status.Term && now.Changed == status.Changed
+}
+
+// move tells the directory of a partition's members.
+func (k *Keeper) move(ctx context.Context, moved *revisions.Moved) (revisions.Result, error) {
 	command := revisions.Command{Moved: moved}
 	text, err := command.Encode()
 	if err != nil {
-		return
+		return 0, err
 	}
-	if _, err := k.node.Submit(ctx, protocol.ConfigurationGroup, text); err != nil {
-		klog.V(1).InfoS("The directory isn't told of a partition's members yet", "partition", partition, "cause", err)
+	answer, err := k.node.Submit(ctx, protocol.ConfigurationGroup, text)
+	if err != nil {
+		return 0, err
 	}
+	return revisions.ReadResult(answer)
 }
 
 // forget drops programs that are kept no longer, in the partitions that this node owns.
--- /dev/null
+++ b/internal/barograph/lister/lister_test.go
@@ -0,0 +1,198 @@
+package lister
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/servers"
+	"pipitmux/internal/station/protocol"
+)
+
+var errRefused = errors.New("refused")
+
+// standIn is a platform and a duty, as the test has them. What is published is held.
+type standIn struct {
+	t         *testing.T
+	epoch     uint64 // 0: not held
+	lists     map[string][]protocol.Server
+	listErr   error
+	listings  int
+	partition map[int]*servers.Machine
+	refuses   map[int]bool
+	published []published
+	givenUp   int
+}
+
+type published struct {
+	partition int
+	servers.Publication
+}
+
+func newStandIn(t *testing.T) *standIn {
+	s := &standIn{t: t, epoch: 3, partition: map[int]*servers.Machine{}, refuses: map[int]bool{}}
+	for i := range protocol.ServicePartitions {
+		s.partition[i] = servers.New(nil)
+	}
+	return s
+}
+
+func (s *standIn) List(context.Context) (map[string][]protocol.Server, error) {
+	s.listings++
+	return s.lists, s.listErr
+}
+
+func (s *standIn) Held() (uint64, bool) { return s.epoch, s.epoch != 0 }
+
+func (s *standIn) Lists(partition int) []protocol.ServerList {
+	lists, _ := s.partition[partition].Lists()
+	return lists
+}
+
+func (s *standIn) Publish(_ context.Context, partition int, p *servers.Publication) error {
+	if s.refuses[partition] {
+		return errRefused
+	}
+	s.published = append(s.published, published{partition, *p})
+	text, err := p.Encode()
+	assert.NilError(s.t, err)
+	assert.DeepEqual(s.t, s.partition[partition].Apply(text), servers.Applied)
+	return nil
+}
+
+func (s *standIn) GiveUp() { s.givenUp++ }
+
+// names are so many services of a partition.
+func names(partition, count int) []string {
+	var found []string
+	for i := 0; len(found) < count; i++ {
+		if name := fmt.Sprintf("service-%d", i); protocol.ServicePartition(name) == partition {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
+func server(id string) protocol.Server {
+	return protocol.Server{ID: id, Address: id + ":1", Capacity: 1}
+}
+
+func TestNothingIsListedWithoutTheDuty(t *testing.T) {
+	s := newStandIn(t)
+	s.epoch = 0
+	New(s, s).Once(t.Context())
+	assert.Equal(t, s.listings, 0)
+}
+
+func TestOnlyChangesArePublished(t *testing.T) {
+	s := newStandIn(t)
+	one, other := names(0, 2), names(2, 1)
+	s.lists = map[string][]protocol.Server{one[0]: {server("a")}, one[1]: {server("b")}, other[0]: {server("c")}}
+	l := New(s, s)
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 2)
+	assert.Equal(t, s.published[0].partition, 0)
+	assert.Equal(t, s.published[0].Epoch, uint64(3))
+	assert.Equal(t, len(s.published[0].Services), 2)
+	assert.Equal(t, s.published[1].partition, 2)
+	assert.Assert(t, s.published[1].Sequence > s.published[0].Sequence)
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 2, "nothing has changed")
+	s.lists[one[1]] = []protocol.Server{server("b"), server("d")}
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 3)
+	assert.DeepEqual(t, s.published[2].Services, []servers.Service{{Name: one[1], Servers: s.lists[one[1]]}})
+}
+
+func TestServiceThatIsListedNoLongerGoes(t *testing.T) {
+	s := newStandIn(t)
+	name := names(1, 1)[0]
+	s.lists = map[string][]protocol.Server{name: {server("a")}}
+	l := New(s, s)
+	l.Once(t.Context())
+	s.lists = map[string][]protocol.Server{}
+	l.Once(t.Context())
+	assert.Equal(t, len(s.Lists(1)), 0)
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 2)
+}
+
+func TestWhatIsLeftOfAWarmUpIsNoChange(t *testing.T) {
+	s := newStandIn(t)
+	name, warming := names(1, 1)[0], server("a")
+	warming.Warmup = time.Second
+	s.lists = map[string][]protocol.Server{name: {warming}}
+	l := New(s, s)
+	l.Once(t.Context())
+	warming.Warmup = time.Millisecond
+	s.lists = map[string][]protocol.Server{name: {warming}}
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 1)
+	warming.Draining = true
+	s.lists = map[string][]protocol.Server{name: {warming}}
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 2)
+}
+
+func TestWhatDidNotGetThroughIsSentAgain(t *testing.T) {
+	s := newStandIn(t)
+	s.refuses[0] = true
+	s.lists = map[string][]protocol.Server{names(0, 1)[0]: {server("a")}, names(3, 1)[0]: {server("b")}}
+	l := New(s, s)
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 1, "the other partition has its part")
+	s.refuses[0] = false
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 2)
+	assert.Equal(t, s.published[1].partition, 0)
+}
+
+func TestDutyIsHandedOnAfterFailuresInARow(t *testing.T) {
+	s := newStandIn(t)
+	l := New(s, s)
+	fail := func(times int) {
+		s.listErr = errRefused
+		for range times {
+			l.Once(t.Context())
+		}
+		s.listErr = nil
+	}
+	fail(giveUpAfter - 1)
+	l.Once(t.Context())
+	fail(giveUpAfter - 1)
+	assert.Equal(t, s.givenUp, 0, "one success counts")
+	fail(1)
+	assert.Equal(t, s.givenUp, 1)
+	fail(giveUpAfter - 1)
+	assert.Equal(t, s.givenUp, 1, "the next one has as many again")
+	s.epoch = 0
+	l.Once(t.Context())
+	s.epoch = 5
+	fail(1)
+	assert.Equal(t, s.givenUp, 1, "what failed before the duty was lost doesn't count")
+}
+
+// A platform that can't be read takes no server away.
+func TestFailureChangesNoList(t *testing.T) {
+	s := newStandIn(t)
+	name := names(0, 1)[0]
+	s.lists = map[string][]protocol.Server{name: {server("a")}}
+	l := New(s, s)
+	l.Once(t.Context())
+	s.lists, s.listErr = nil, errRefused
+	l.Once(t.Context())
+	assert.Equal(t, len(s.published), 1)
+	assert.Equal(t, len(s.Lists(0)), 1)
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	s := newStandIn(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	New(s, s).Run(ctx)
+	assert.Equal(t, s.listings, 1)
+}
--- a/internal/barograph/node/calls.go
+++ b/internal/barograph/node/calls.go
@@ -64,17 +64,22 @@
 	return nil
 }
 
-// OutcomeOf gives a failure the form that calls hand back.
+// OutcomeOf gives a failure the form that calls hand back, and who is the owner where that is
+// known. A proposal that a deposed owner took may still come into force.
 func OutcomeOf(err error) (protocol.Outcome, replica.NodeID) {
 	var notOwner *replica.NotOwnerError
+	owner := replica.NodeID(0)
+	if errors.As(err, &notOwner) {
+		owner = notOwner.Owner
+	}
 	var unknown *host.UnknownOutcomeError
 	switch {
 	case err == nil:
 		return protocol.Done, 0
-	case errors.As(err, &notOwner):
-		return protocol.NotOwner, notOwner.Owner
 	case errors.As(err, &unknown):
-		return protocol.Unknown, 0
+		return protocol.Unknown, owner
+	case notOwner != nil:
+		return protocol.NotOwner, owner
 	}
 	return protocol.Unavailable, 0
 }
--- a/internal/barograph/repair/repair.go
+++ b/internal/barograph/repair/repair.go
@@ -4,6 +4,7 @@
 package repair
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +16,10 @@
 // catchUpWithin is how long a learner may take to be heard from before another is tried.
 const catchUpWithin = 1500 * time.Millisecond
 
+// lagMost is how many committed entries a learner may lack to become a voter. While commands
+// come in all the time it always lacks the newest ones; they are on their way to it.
+const lagMost = 64
+
 // View is what a group's owner knows.
 type View struct {
 	Status   replica.Status
@@ -115,12 +120,16 @@
 // invite makes a node a learner, or gives up one that isn't heard from.
 func (p *Planner) invite(v View) (replica.Members, bool) {
 	now := v.Status.Members
-	for id, since := range p.invited {
+	for _, id := range slices.Sorted(maps.Keys(p.invited)) {
 		if !slices.Contains(now.Learners, id) {
 			delete(p.invited, id)
 			continue
 		}
-		if heard(v, id) || v.Now-since < catchUpWithin {
+		if n, known := find(v.Nodes, id); !known || slices.Contains(v.Retiring, n.Name) {
+			delete(p.invited, id) // it is to be emptied, or came back as another
+			return without(now, id), true
+		}
+		if heard(v, id) || v.Now-p.invited[id] < catchUpWithin {
 			return now, false // it is on its way
 		}
 		delete(p.invited, id)
@@ -132,7 +141,11 @@
 			continue
 		}
 		if slices.Contains(now.Learners, n.ID) {
-			continue // it follows anyhow and will catch up
+			if v.Everyone {
+				continue // it follows anyhow and will catch up
+			}
+			p.invited[n.ID] = v.Now // by an earlier owner
+			return now, false
 		}
 		p.invited[n.ID] = v.Now
 		return replica.Members{Voters: now.Voters, Learners: append(slices.Clone(now.Learners), n.ID)}, true
@@ -189,9 +202,10 @@
 	return ok && v.Now-at <= v.Silent/2
 }
 
-// caughtUp tells whether a learner holds all that is committed.
+// caughtUp tells whether a learner holds all that is committed, but for the newest entries.
 func caughtUp(v View, id replica.NodeID) bool {
-	return v.Status.Matched[id] >= v.Status.Commit
+	matched := v.Status.Matched[id]
+	return matched > 0 && matched+lagMost >= v.Status.Commit
 }
 
 func without(m replica.Members, id replica.NodeID) replica.Members {
--- /dev/null
+++ b/internal/barograph/repair/repair_test.go
@@ -0,0 +1,507 @@
+package repair
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/protocol"
+)
+
+const (
+	silent = 1500 * time.Millisecond
+	step   = 150 * time.Millisecond // between two looks of the owner
+)
+
+// group is a group as its owner sees it: nodes that follow, lag, fall silent or get lost.
+type group struct {
+	t        *testing.T
+	planner  *Planner
+	now      time.Duration
+	self     replica.NodeID
+	members  replica.Members
+	nodes    []protocol.Node
+	retiring []string
+	voters   int
+	everyone bool
+	down     map[replica.NodeID]bool
+	lag      map[replica.NodeID]uint64 // entries that a member lacks
+	heard    map[replica.NodeID]time.Duration
+	seems    map[replica.NodeID]bool // is down, and still seems to answer
+	met      map[replica.NodeID]bool // has answered since it was invited
+	commit   uint64
+	changes  []replica.Members
+}
+
+func newGroup(t *testing.T, voters, nodes int) *group {
+	g := &group{
+		t: t, planner: &Planner{}, self: 1, voters: voters, commit: 1000, now: time.Minute,
+		down: map[replica.NodeID]bool{}, lag: map[replica.NodeID]uint64{}, heard: map[replica.NodeID]time.Duration{},
+		met: map[replica.NodeID]bool{}, seems: map[replica.NodeID]bool{},
+	}
+	for id := 1; id <= nodes; id++ {
+		g.nodes = append(g.nodes, machine(id))
+		if id <= voters {
+			g.members.Voters = append(g.members.Voters, replica.NodeID(id))
+			g.heard[replica.NodeID(id)] = g.now
+			g.met[replica.NodeID(id)] = true
+		}
+	}
+	return g
+}
+
+func machine(id int) protocol.Node {
+	name := fmt.Sprintf("s%d", id)
+	return protocol.Node{ID: replica.NodeID(id), Name: name, Class: protocol.Storage, Address: name + ":1"}
+}
+
+func (g *group) view() View {
+	status := replica.Status{
+		Group: "turns-1", Self: g.self, Owner: g.self, Members: g.members.Clone(), Settled: true, Commit: g.commit,
+		Heard: map[replica.NodeID]time.Duration{}, Matched: map[replica.NodeID]uint64{},
+	}
+	for _, id := range g.members.All() {
+		if id != g.self {
+			status.Heard[id] = g.heard[id]
+			if g.met[id] {
+				status.Matched[id] = g.commit - g.lag[id]
+			}
+		}
+	}
+	return View{
+		Status: status, Now: g.now, Silent: silent, Nodes: slices.Clone(g.nodes), Retiring: g.retiring,
+		Voters: g.voters, Everyone: g.everyone, Alive: g.alive(),
+	}
+}
+
+// alive are the nodes that answer, or seemed to.
+func (g *group) alive() []protocol.Node {
+	return slices.DeleteFunc(slices.Clone(g.nodes), func(n protocol.Node) bool { return g.down[n.ID] && !g.seems[n.ID] })
+}
+
+// look lets the owner look once, and carries out what it wants.
+func (g *group) look() bool {
+	g.t.Helper()
+	g.now += step
+	for _, id := range g.members.All() {
+		if !g.down[id] {
+			g.heard[id], g.met[id] = g.now-step/2, true
+		}
+	}
+	next, due := g.planner.Plan(g.view())
+	if !due {
+		return false
+	}
+	g.check(next)
+	for _, id := range next.Learners {
+		if !g.members.Contains(id) {
+			g.heard[id], g.met[id] = g.now, false // as an owner counts a new member
+		}
+	}
+	g.members = next
+	g.changes = append(g.changes, next)
+	return true
+}
+
+// check holds a change to what no change may do.
+func (g *group) check(next replica.Members) {
+	g.t.Helper()
+	now := g.members
+	assert.Assert(g.t, overlap(now, next), "quorums of %v and %v need not overlap", now, next)
+	assert.Assert(g.t, len(next.Voters) > 0)
+	all := next.All()
+	slices.Sort(all)
+	assert.Equal(g.t, len(slices.Compact(all)), len(next.All()), "a node stands twice: %v", next)
+	for _, id := range next.Voters {
+		if !now.IsVoter(id) {
+			assert.Assert(g.t, now.IsLearner(id) && g.met[id] && g.now-g.heard[id] < silent, "%d becomes a voter unheard: %v", id, now)
+		}
+	}
+	if g.well(now) >= now.Quorum() {
+		assert.Assert(g.t, g.well(next) >= next.Quorum(), "%v has a majority, %v has none; down: %v", now, next, g.down)
+	}
+}
+
+// well counts the voters that the owner was in touch with of late.
+func (g *group) well(m replica.Members) int {
+	count := 0
+	for _, id := range m.Voters {
+		if _, known := find(g.nodes, id); id == g.self || known && g.now-g.heard[id] <= silent {
+			count++
+		}
+	}
+	return count
+}
+
+func (g *group) up(m replica.Members) int {
+	count := 0
+	for _, id := range m.Voters {
+		if !g.down[id] {
+			count++
+		}
+	}
+	return count
+}
+
+// overlap tries all pairs of quorums.
+func overlap(a, b replica.Members) bool {
+	for _, one := range quorums(a) {
+		for _, other := range quorums(b) {
+			if !slices.ContainsFunc(one, func(id replica.NodeID) bool { return slices.Contains(other, id) }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func quorums(m replica.Members) [][]replica.NodeID {
+	var found [][]replica.NodeID
+	for mask := range 1 << len(m.Voters) {
+		var chosen []replica.NodeID
+		for i, id := range m.Voters {
+			if mask>>i&1 == 1 {
+				chosen = append(chosen, id)
+			}
+		}
+		if len(chosen) == m.Quorum() {
+			found = append(found, chosen)
+		}
+	}
+	return found
+}
+
+// rest looks until nothing is due for long, or fails.
+func (g *group) rest() {
+	g.t.Helper()
+	quiet := 0
+	for range 400 {
+		if g.look() {
+			quiet = 0
+		} else if quiet++; quiet > 50 {
+			return
+		}
+	}
+	g.t.Fatalf("comes to no rest: %v, changes %v", g.members, g.changes)
+}
+
+func (g *group) hasVoters(ids ...replica.NodeID) {
+	g.t.Helper()
+	assert.DeepEqual(g.t, slices.Sorted(slices.Values(g.members.Voters)), ids)
+}
+
+func TestSoundGroupStaysAsItIs(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	for range 100 {
+		assert.Assert(t, !g.look(), "%v", g.changes)
+	}
+}
+
+func TestGroupGrowsToItsSize(t *testing.T) {
+	g := newGroup(t, 1, 5)
+	g.voters = 3
+	g.rest()
+	assert.Equal(t, len(g.members.Voters), 3)
+	assert.Equal(t, len(g.members.Learners), 0)
+	assert.Equal(t, len(g.changes), 4, "two are invited and promoted")
+}
+
+func TestGroupShrinksToItsSizeWithoutItsOwner(t *testing.T) {
+	g := newGroup(t, 5, 5)
+	g.voters, g.self = 3, 5
+	g.rest()
+	assert.Equal(t, len(g.members.Voters), 3)
+	assert.Assert(t, g.members.IsVoter(5))
+}
+
+func TestSilentVoterIsReplaced(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2] = true
+	g.rest()
+	g.hasVoters(1, 3, 4)
+	assert.Equal(t, len(g.changes), 3, "invited, promoted, the lost one out: %v", g.changes)
+}
+
+func TestSilentVoterStaysWhereNobodyCanTakeItsPlace(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	g.down[2] = true
+	g.rest()
+	g.hasVoters(1, 2, 3)
+	assert.Equal(t, len(g.changes), 0)
+}
+
+func TestLostDiskIsReplacedByWhatCameBack(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	g.down[2] = true
+	came := machine(2)
+	came.ID = 9
+	g.nodes[1] = came
+	g.rest()
+	g.hasVoters(1, 3, 9)
+}
+
+func TestRetiredVoterIsReplacedBeforeItLeaves(t *testing.T) {
+	for _, self := range []replica.NodeID{1, 2} {
+		g := newGroup(t, 3, 4)
+		g.self, g.retiring = self, []string{"s2"}
+		g.rest()
+		g.hasVoters(1, 3, 4)
+		for _, m := range g.changes {
+			assert.Assert(t, len(m.Voters) >= 3)
+		}
+	}
+}
+
+func TestAllVotersAreReplacedOneAfterTheOther(t *testing.T) {
+	g := newGroup(t, 3, 6)
+	g.retiring = []string{"s1", "s2", "s3"}
+	g.rest()
+	g.hasVoters(4, 5, 6)
+}
+
+func TestLearnerThatIsNeverHeardIsGivenUpForAnother(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	g.down[2] = true
+	first := g.planner.candidates(g.view())[0].ID
+	g.down[first], g.seems[first] = true, true
+	g.rest()
+	g.hasVoters(slices.Sorted(slices.Values([]replica.NodeID{1, 3, 9 - first}))...)
+	assert.Equal(t, len(g.members.Learners), 0)
+}
+
+func TestNodeThatIsNotThereIsNotInvited(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2], g.down[4] = true, true
+	g.rest()
+	assert.Equal(t, len(g.changes), 0)
+}
+
+// An invited node that misses one question goes on to catch up.
+func TestInvitedNodeThatSeemsAwayForAMomentStays(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2] = true
+	for len(g.members.Learners) == 0 {
+		g.look()
+	}
+	g.lag[4] = 900
+	g.look()
+	g.down[4] = true
+	assert.Assert(t, !g.look(), "%v", g.changes)
+}
+
+// A node that is invited and then to be emptied must not stand in another's way.
+func TestInvitedNodeThatRetiresMakesWayForAnother(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	g.down[2] = true
+	for len(g.members.Learners) == 0 {
+		g.look()
+	}
+	invited := g.members.Learners[0]
+	g.lag[invited] = 900
+	g.retiring = []string{fmt.Sprintf("s%d", invited)}
+	g.rest()
+	g.hasVoters(slices.Sorted(slices.Values([]replica.NodeID{1, 3, 9 - invited}))...)
+	assert.Equal(t, len(g.members.Learners), 0)
+}
+
+// A new owner goes on with whom the one before invited.
+func TestNewOwnerKeepsTheLearnerThatIsOnItsWay(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2] = true
+	for len(g.members.Learners) == 0 {
+		g.look()
+	}
+	g.lag[4] = 900
+	g.planner, g.self = &Planner{}, 3
+	before := len(g.changes)
+	for range 20 {
+		g.look()
+	}
+	assert.Equal(t, len(g.changes), before, "%v", g.changes)
+	g.lag[4] = 0
+	g.rest()
+	g.hasVoters(1, 3, 4)
+}
+
+// In a group that takes commands all the time a learner always lacks the newest ones.
+func TestLearnerThatLacksTheNewestEntriesOnlyBecomesAVoter(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2] = true
+	g.lag[4] = 20
+	g.rest()
+	g.hasVoters(1, 3, 4)
+}
+
+func TestLearnerThatIsFarBehindBecomesNoVoter(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.down[2] = true
+	g.lag[4] = 900
+	g.rest()
+	g.hasVoters(1, 2, 3)
+	assert.DeepEqual(t, g.members.Learners, []replica.NodeID{4})
+}
+
+func TestEveryoneFollows(t *testing.T) {
+	g := newGroup(t, 3, 6)
+	g.everyone = true
+	g.rest()
+	g.hasVoters(1, 2, 3)
+	assert.DeepEqual(t, g.members.Learners, []replica.NodeID{4, 5, 6})
+	g.nodes = g.nodes[:5]
+	g.rest()
+	assert.DeepEqual(t, g.members.Learners, []replica.NodeID{4, 5})
+}
+
+func TestNothingIsDueAtAnOwnerThatIsNotSettled(t *testing.T) {
+	for _, change := range []func(*replica.Status){
+		func(s *replica.Status) { s.Settled = false },
+		func(s *replica.Status) { s.Pending = true },
+	} {
+		g := newGroup(t, 1, 3)
+		g.voters = 3
+		v := g.view()
+		change(&v.Status)
+		_, due := g.planner.Plan(v)
+		assert.Assert(t, !due)
+	}
+}
+
+// A node that falls silent again and again is replaced once, and then stays out.
+func TestFlappingNodeIsReplacedOnce(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	for range 20 {
+		g.down[2] = true
+		for range 14 {
+			g.look()
+		}
+		g.down[2] = false
+		for range 14 {
+			g.look()
+		}
+	}
+	g.hasVoters(1, 3, 4)
+	assert.Assert(t, len(g.changes) <= 3, "%d changes: %v", len(g.changes), g.changes)
+}
+
+// Shorter silences change nothing at all.
+func TestShortSilencesChangeNothing(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	for i := range 300 {
+		g.down[2], g.down[3] = i%9 < 6, i%7 < 3
+		g.look()
+	}
+	assert.Equal(t, len(g.changes), 0)
+}
+
+// Whatever happens, each change holds what check asks for; and once all is calm the group has
+// its size, without lost, retired or surplus members, and comes to rest.
+func TestPlansOfRandomGroups(t *testing.T) {
+	for seed := range uint64(1000) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		g := newGroup(t, 1+random.IntN(5), 5+random.IntN(4))
+		g.everyone = random.IntN(3) == 0
+		next := len(g.nodes) + 1
+		for range 60 {
+			g.upset(random, &next)
+			for range 1 + random.IntN(8) {
+				g.look()
+			}
+		}
+		g.calm()
+		g.rest()
+		g.checkRest(seed)
+	}
+}
+
+// upset makes something else of the group, and keeps a majority of its voters.
+func (g *group) upset(random *rand.Rand, next *int) {
+	pick := g.nodes[random.IntN(len(g.nodes))]
+	switch random.IntN(7) {
+	case 0:
+		if g.down[pick.ID] = true; pick.ID == g.self || g.up(g.members) < g.members.Quorum()+1 {
+			delete(g.down, pick.ID)
+		}
+	case 1:
+		clear(g.down)
+	case 2:
+		g.wipe(pick, next)
+	case 3:
+		g.retire(pick)
+	case 4:
+		g.lag[pick.ID] = uint64(random.IntN(3)) * 400
+	case 5:
+		g.elect(random)
+	case 6:
+		g.voters = []int{1, 3, 3, 3, 5}[random.IntN(5)]
+	}
+}
+
+// wipe has a machine lose its disk and come back as another node.
+func (g *group) wipe(pick protocol.Node, next *int) {
+	before := maps.Clone(g.down)
+	if g.down[pick.ID] = true; pick.ID == g.self || g.up(g.members) < g.members.Quorum()+1 {
+		g.down = before
+		return
+	}
+	came := pick
+	came.ID = replica.NodeID(*next)
+	*next++
+	at := slices.Index(g.nodes, pick)
+	g.nodes = slices.Clone(g.nodes)
+	g.nodes[at] = came
+}
+
+// retire has a machine emptied, where enough are left.
+func (g *group) retire(pick protocol.Node) {
+	if len(g.nodes)-len(g.retiring) > 5 && !slices.Contains(g.retiring, pick.Name) {
+		g.retiring = append(slices.Clone(g.retiring), pick.Name)
+	}
+}
+
+// elect gives the group another owner, who knows nothing of the one before.
+func (g *group) elect(random *rand.Rand) {
+	voter := g.members.Voters[random.IntN(len(g.members.Voters))]
+	if _, known := find(g.nodes, voter); !known || g.down[voter] {
+		return
+	}
+	g.self, g.planner = voter, &Planner{}
+	for _, id := range g.members.All() {
+		g.heard[id] = g.now
+	}
+}
+
+// calm ends all troubles but lost disks.
+func (g *group) calm() {
+	clear(g.lag)
+	for id := range g.down {
+		if _, known := find(g.nodes, id); known {
+			delete(g.down, id)
+		}
+	}
+	if !g.members.IsVoter(g.self) {
+		g.elect(rand.New(rand.NewPCG(1, 1)))
+	}
+}
+
+func (g *group) checkRest(seed uint64) {
+	g.t.Helper()
+	assert.Equal(g.t, len(g.members.Voters), g.voters, "seed %d: %v", seed, g.members)
+	for _, id := range g.members.All() {
+		n, known := find(g.nodes, id)
+		assert.Assert(g.t, known, "seed %d: %d is gone: %v", seed, id, g.members)
+		retired := slices.Contains(g.retiring, n.Name)
+		assert.Assert(g.t, !retired || g.members.IsLearner(id), "seed %d: %d is to be emptied: %v", seed, id, g.members)
+	}
+	if g.everyone {
+		assert.Equal(g.t, len(g.members.All()), len(g.nodes), "seed %d", seed)
+		return
+	}
+	// One that was invited in place of a voter that came back goes on to follow.
+	assert.Assert(g.t, len(g.members.Learners) <= 1, "seed %d: %v", seed, g.members)
+}
--- a/internal/barograph/revisions/revisions.go
+++ b/internal/barograph/revisions/revisions.go
@@ -40,10 +40,15 @@
 // Assignment gives the partitions of the turns their first members. It counts once.
 type Assignment struct{ Partitions [][]replica.NodeID }
 
-// Moved tells that a partition of the turns has other members.
+// Moved tells that a partition of the turns has other members, or is about to have them: a
+// node becomes a voter only after an announcement of it was taken, so that a retirement that
+// is asked for before is known to who would make it one, and one that is asked for later waits
+// until the node has left again.
 type Moved struct {
 	Partition int
-	Change    uint64 // index in the partition's log
+	Change    uint64 // index in the partition's log up to which all is committed
+	Step      uint64 // one more than the directory has at that index, any where it has an earlier one
+	Ahead     bool   // they are about to be the members
 	Voters    []replica.NodeID
 }
 
@@ -208,15 +213,25 @@
 	// The directory is handed out by reference: what is handed out stays as it is.
 	partitions := slices.Clone(m.state.Directory.Partitions)
 	p := &partitions[to.Partition]
-	if to.Change <= p.Change {
+	if to.Change < p.Change || to.Change == p.Change && to.Step != p.Step+1 {
 		return Conflict
 	}
-	p.Change, p.Voters = to.Change, to.Voters
+	if to.Ahead && m.addsRetiring(p.Voters, to.Voters) {
+		return Conflict
+	}
+	p.Change, p.Step, p.Voters = to.Change, to.Step, to.Voters
 	m.state.Directory.Partitions = partitions
 	m.state.Directory.Version++
 	return Taken
 }
 
+// addsRetiring tells whether a node that is to be emptied would become a voter.
+func (m *Machine) addsRetiring(from, to []replica.NodeID) bool {
+	return slices.ContainsFunc(m.state.Directory.Nodes, func(n protocol.Node) bool {
+		return slices.Contains(m.state.Directory.Retiring, n.Name) && slices.Contains(to, n.ID) && !slices.Contains(from, n.ID)
+	})
+}
+
 func (m *Machine) retire(r *Retirement) Result {
 	if slices.Contains(m.state.Directory.Retiring, r.Node) {
 		return Taken
@@ -267,10 +282,13 @@
 // Directory returns the directory. What it refers to must not be changed.
 func (m *Machine) Directory() protocol.Directory { return m.state.Directory }
 
-// Emptied tells whether no partition is kept by the node any more, and whether it is
-// known to be retiring.
+// Emptied tells whether no partition is kept by the node any more, nor will be, and whether
+// it is known to be retiring. Before the partitions are dealt out it may still get some.
 func (m *Machine) Emptied(node string) (emptied, retiring bool) {
 	retiring = slices.Contains(m.state.Directory.Retiring, node)
+	if len(m.state.Directory.Partitions) == 0 {
+		return false, retiring
+	}
 	for _, n := range m.state.Directory.Nodes {
 		if n.Name != node || n.Class != protocol.Storage {
 			continue
--- /dev/null
+++ b/internal/barograph/servers/servers_test.go
@@ -0,0 +1,75 @@
+package servers
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/station/protocol"
+)
+
+func apply(t *testing.T, m *Machine, epoch, sequence uint64, services ...Service) []byte {
+	t.Helper()
+	p := Publication{Epoch: epoch, Sequence: sequence, Services: services}
+	text, err := p.Encode()
+	assert.NilError(t, err)
+	return m.Apply(text)
+}
+
+func service(name string, ids ...string) Service {
+	s := Service{Name: name}
+	for _, id := range ids {
+		s.Servers = append(s.Servers, protocol.Server{ID: id})
+	}
+	return s
+}
+
+func TestPublicationsOfThePastAreRefused(t *testing.T) {
+	told := 0
+	m := New(func() { told++ })
+	assert.DeepEqual(t, apply(t, m, 2, 5, service("p", "a")), Applied)
+	for _, past := range [][2]uint64{{2, 5}, {2, 4}, {1, 9}} {
+		assert.DeepEqual(t, apply(t, m, past[0], past[1], service("p", "x")), Refused)
+	}
+	assert.DeepEqual(t, apply(t, m, 2, 6, service("p", "b")), Applied)
+	assert.DeepEqual(t, apply(t, m, 3, 1, service("p", "c")), Applied) // a new epoch begins anew
+	assert.Equal(t, told, 3)
+	lists, version := m.Lists()
+	assert.Equal(t, lists[0].Servers[0].ID, "c")
+	assert.Equal(t, version, uint64(3))
+}
+
+func TestServicesComeAndGo(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 1, 1, service("q", "a"), service("p", "b"), service("none"))
+	before, _ := m.Lists()
+	assert.Equal(t, before[0].Service, "p")
+	assert.Equal(t, before[1].Service, "q")
+	apply(t, m, 1, 2, service("p"), service("q", "a", "c"))
+	after, version := m.Lists()
+	assert.Equal(t, len(after), 1)
+	assert.Equal(t, len(after[0].Servers), 2)
+	assert.Equal(t, after[0].Version, version)
+	assert.Equal(t, len(before), 2, "what was handed out stays as it is")
+	assert.Equal(t, len(before[1].Servers), 1)
+}
+
+func TestSnapshotHoldsAll(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 4, 7, service("p", "a"))
+	told := 0
+	other := New(func() { told++ })
+	assert.NilError(t, other.Restore(m.Snapshot()))
+	assert.Equal(t, told, 1)
+	assert.DeepEqual(t, other.Snapshot(), m.Snapshot())
+	assert.DeepEqual(t, apply(t, other, 4, 7, service("p", "b")), Refused)
+	assert.NilError(t, other.Restore(nil))
+	lists, _ := other.Lists()
+	assert.Equal(t, len(lists), 0)
+	assert.ErrorContains(t, other.Restore([]byte{0xff}), "restore")
+}
+
+func TestUnreadablePublicationIsRefused(t *testing.T) {
+	m := New(func() { t.Fatal("told of a change") })
+	assert.DeepEqual(t, m.Apply([]byte("no publication")), Refused)
+}
--- /dev/null
+++ b/internal/barograph/simulation/configuration_test.go
@@ -0,0 +1,385 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/barograph/revisions"
+	"pipitmux/internal/station/protocol"
+)
+
+const (
+	orderWithin    = 3 * time.Second
+	patience       = orderWithin + 500*time.Millisecond
+	mostOrders     = 45 // in one history, so that it can be judged
+	judgeWithin    = 20 * time.Second
+	submitWithin   = 2 * time.Second
+	mostSendings   = 5
+	operatorsCount = 4
+)
+
+// configurationSubject plays the configuration's group, and operators that race each other.
+type configurationSubject struct {
+	world   *world
+	orders  []*order
+	reads   []*order
+	bases   map[uint64]*order // which change took the place of a revision
+	results map[uint64]string // by index
+	ticks   int64
+	seen    uint64 // the newest revision that an operator saw
+	lastOK  time.Duration
+}
+
+// order is an operator's change, or what an operator was shown.
+type order struct {
+	number   int
+	change   revisions.Change
+	sent     int
+	open     bool
+	call     int64 // of the first sending, or of the sending that was refused
+	taken    int64 // when it was first acknowledged
+	refused  int64
+	inForce  int64 // when a node first applied it with success
+	shown    bool  // it is a read
+	revision uint64
+}
+
+// operator calls one node at a time, and waits for the answer.
+type operator struct {
+	place endpoint
+	waits bool
+}
+
+func playConfiguration(seed uint64, defects flaws) *world {
+	w := newWorld(seed, protocol.Core, defects)
+	s := &configurationSubject{world: w, bases: map[uint64]*order{}, results: map[uint64]string{}}
+	w.subject = s
+	var members replica.Members
+	for range 3 + w.random.IntN(3) {
+		members.Voters = append(members.Voters, w.addNode().id)
+	}
+	for _, n := range w.nodes {
+		n.begin(protocol.ConfigurationGroup, members.Clone())
+		n.start()
+	}
+	for i := range operatorsCount {
+		o := &operator{place: firstClient + endpoint(i)}
+		w.every(20*time.Millisecond, 400*time.Millisecond, func() { s.operate(o) })
+	}
+	w.play()
+	return w
+}
+
+func (s *configurationSubject) tick() int64 {
+	s.ticks++
+	return s.ticks
+}
+
+func (s *configurationSubject) machine(*machineNode, replica.GroupID) machine {
+	return revisions.New(nil)
+}
+
+func (s *configurationSubject) directory(n *machineNode) protocol.Directory {
+	m := n.member(protocol.ConfigurationGroup)
+	if m == nil {
+		return protocol.Directory{}
+	}
+	return m.machine.(*revisions.Machine).Directory()
+}
+
+// tend does what a core node's loops do: it registers, and sees to the members.
+func (s *configurationSubject) tend(n *machineNode) {
+	d := s.directory(n)
+	if self := n.self(); !slices.Contains(d.Nodes, self) {
+		command := revisions.Command{Register: &self}
+		n.submit(protocol.ConfigurationGroup, s.encode(&command), submitWithin, func(outcome, verdict) {})
+	}
+	m := n.member(protocol.ConfigurationGroup)
+	if m == nil || len(d.Nodes) == 0 {
+		return
+	}
+	d.Nodes = s.withFirst(m, d.Nodes)
+	m.repair(d, true)
+}
+
+// withFirst adds the first members that have not registered yet.
+func (s *configurationSubject) withFirst(m *member, cores []protocol.Node) []protocol.Node {
+	nodes := slices.Clone(cores)
+	for _, id := range m.replica.Status(m.node.clock()).Members.Voters {
+		n := s.world.withID(id)
+		if n == nil {
+			continue
+		}
+		listed := slices.ContainsFunc(cores, func(o protocol.Node) bool { return o.ID == id || o.SameMachine(n.self()) })
+		if !listed {
+			nodes = append(nodes, n.self())
+		}
+	}
+	return nodes
+}
+
+func (s *configurationSubject) encode(c *revisions.Command) []byte {
+	text, err := c.Encode()
+	if err != nil {
+		s.world.fail("encode: %v", err)
+	}
+	return text
+}
+
+// applied holds that all nodes get the same results, and that no base is left twice.
+func (s *configurationSubject) applied(m *member, index uint64, command, result []byte) {
+	key := string(result)
+	if known, ok := s.results[index]; ok {
+		if known != key {
+			s.world.fail("node %d gets another result of entry %d than others", m.node.id, index)
+		}
+		return
+	}
+	s.results[index] = key
+	for _, o := range s.orders {
+		if o.inForce == 0 && string(result) == string(revisions.Taken.Bytes()) && string(s.command(o)) == string(command) {
+			s.force(o)
+		}
+	}
+}
+
+func (s *configurationSubject) force(o *order) {
+	o.inForce = s.tick()
+	if other := s.bases[o.change.Base]; other != nil {
+		s.world.fail("orders %d and %d both took the place of revision %d", other.number, o.number, o.change.Base)
+	}
+	s.bases[o.change.Base] = o
+	if o.refused != 0 {
+		s.world.fail("order %d of revision %d on %d was refused, and came into force", o.number, o.change.Revision, o.change.Base)
+	}
+}
+
+func (s *configurationSubject) command(o *order) []byte {
+	return s.encode(&revisions.Command{Change: &o.change})
+}
+
+// operate has an operator do something.
+func (s *configurationSubject) operate(at *operator) {
+	w := s.world
+	if at.waits {
+		return
+	}
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	unclear := slices.DeleteFunc(slices.Clone(s.orders), func(o *order) bool {
+		return o.open || o.refused != 0 || o.sent >= mostSendings
+	})
+	switch {
+	case w.chance(0.35):
+		s.show(at, n)
+	case len(unclear) > 0 && w.chance(0.4):
+		s.send(at, n, unclear[w.random.IntN(len(unclear))])
+	case len(s.orders) < mostOrders || !w.faulty:
+		s.orders = append(s.orders, s.newOrder())
+		s.send(at, n, s.orders[len(s.orders)-1])
+	}
+}
+
+// newOrder draws a change: on the newest revision that was seen most of the time, on an older
+// one, on one that isn't in force yet, or one that rises not at all.
+func (s *configurationSubject) newOrder() *order {
+	w := s.world
+	number := len(s.orders) + 1
+	o := &order{number: number}
+	o.change.Base = s.seen
+	if w.chance(0.1) && s.seen > 0 {
+		o.change.Base = w.random.Uint64N(s.seen + 1)
+	}
+	if len(s.orders) > 0 && (w.chance(0.25) || w.flaws.futureBase && w.chance(0.6)) {
+		o.change.Base = s.orders[len(s.orders)-1].change.Revision
+	}
+	o.change.Revision = o.change.Base + 1 + w.random.Uint64N(3)
+	if w.chance(0.1) {
+		o.change.Revision = w.random.Uint64N(o.change.Base + 1)
+	}
+	o.change.Body = []byte(fmt.Sprintf(`{"configRevision":%d,"order":%d}`, o.change.Revision, number))
+	return o
+}
+
+// send sends a change to a node, which has it carried out.
+func (s *configurationSubject) send(at *operator, n *machineNode, o *order) {
+	o.sent++
+	o.open = true
+	s.world.tally.orders++
+	began := s.tick()
+	if o.call == 0 {
+		o.call = began
+	}
+	at.waits = true
+	call(s.world, at.place, n, patience, func(answer func(orderReply)) {
+		s.replace(n, o, answer)
+	}, func(r orderReply, ok bool) {
+		o.open, at.waits = false, false
+		if !ok || !r.known {
+			s.world.tally.unclear++
+			return
+		}
+		s.answered(o, r.result, began)
+	})
+}
+
+// orderReply is what a node answers to an operator's change.
+type orderReply struct {
+	result revisions.Result
+	known  bool
+}
+
+// replace is what a core node does with a change: see coordinator.Replace.
+func (s *configurationSubject) replace(n *machineNode, o *order, answer func(orderReply)) {
+	if s.reached(n, o.change.Base) || s.world.flaws.futureBase {
+		s.propose(n, o, answer)
+		return
+	}
+	n.confirm(protocol.ConfigurationGroup, orderWithin, func(ok bool) {
+		switch {
+		case !ok:
+			answer(orderReply{})
+		case s.reached(n, o.change.Base):
+			s.propose(n, o, answer)
+		default:
+			answer(orderReply{revisions.Conflict, true})
+		}
+	})
+}
+
+// reached tells whether a node knows that a revision is or was in force.
+func (s *configurationSubject) reached(n *machineNode, revision uint64) bool {
+	m := n.member(protocol.ConfigurationGroup)
+	if m == nil {
+		return false
+	}
+	newest, _ := m.machine.(*revisions.Machine).Configuration()
+	return newest >= revision
+}
+
+func (s *configurationSubject) propose(n *machineNode, o *order, answer func(orderReply)) {
+	n.submit(protocol.ConfigurationGroup, s.command(o), orderWithin, func(got outcome, v verdict) {
+		if v != done {
+			answer(orderReply{})
+			return
+		}
+		result, err := revisions.ReadResult(got.result)
+		if err != nil {
+			s.world.fail("result: %v", err)
+		}
+		answer(orderReply{result, true})
+	})
+}
+
+// answered notes what an operator was told.
+func (s *configurationSubject) answered(o *order, result revisions.Result, began int64) {
+	w := s.world
+	switch result {
+	case revisions.Taken:
+		w.tally.taken++
+		if o.inForce == 0 {
+			w.fail("order %d is acknowledged, and no node has it in force", o.number)
+		}
+		if o.refused != 0 {
+			w.fail("order %d is acknowledged, and was refused before", o.number)
+		}
+		if o.taken == 0 {
+			o.taken = s.tick()
+		}
+		s.seen = max(s.seen, o.change.Revision)
+		s.lastOK = w.now
+	case revisions.Conflict, revisions.Stale:
+		w.tally.refused++
+		if o.inForce != 0 {
+			w.fail("order %d of revision %d on %d is in force, and was refused", o.number, o.change.Revision, o.change.Base)
+		}
+		o.refused, o.call = s.tick(), began
+	default:
+		w.fail("order %d has the result %d", o.number, result)
+	}
+}
+
+// show has a node show the newest configuration.
+func (s *configurationSubject) show(at *operator, n *machineNode) {
+	o := &order{shown: true, call: s.tick()}
+	type shown struct {
+		revision uint64
+		body     string
+		ok       bool
+	}
+	at.waits = true
+	call(s.world, at.place, n, patience, func(answer func(shown)) {
+		n.confirm(protocol.ConfigurationGroup, orderWithin, func(ok bool) {
+			if m := n.member(protocol.ConfigurationGroup); m != nil && ok {
+				revision, body := m.machine.(*revisions.Machine).Configuration()
+				answer(shown{revision, string(body), true})
+			}
+		})
+	}, func(r shown, ok bool) {
+		at.waits = false
+		if !ok || !r.ok {
+			return
+		}
+		if r.revision != 0 && !strings.HasPrefix(r.body, fmt.Sprintf(`{"configRevision":%d,`, r.revision)) {
+			s.world.fail("revision %d is shown as %s", r.revision, r.body)
+		}
+		s.world.tally.reads++
+		o.revision, o.taken = r.revision, s.tick()
+		s.seen = max(s.seen, r.revision)
+		s.reads = append(s.reads, o)
+	})
+}
+
+// recovered tells whether the group is kept well and an order was acknowledged.
+func (s *configurationSubject) recovered() bool {
+	voters := min(3, len(s.world.nodes))
+	for _, n := range s.world.nodes {
+		if !slices.Contains(s.directory(n).Nodes, n.self()) {
+			return false
+		}
+	}
+	return s.lastOK > s.world.healAt && s.world.keptWell(protocol.ConfigurationGroup, voters, nil)
+}
+
+// configurationModel is what the history must fit: one register with compare-and-set.
+var configurationModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		current, o := state.(uint64), input.(*order)
+		fits := o.change.Base == current && o.change.Revision > current
+		switch {
+		case o.shown:
+			return o.revision == current, current
+		case o.refused != 0:
+			return !fits, current
+		case fits:
+			return true, o.change.Revision
+		}
+		return false, current
+	},
+}
+
+// check judges the history. A change whose outcome no operator knows was carried out before
+// any node had it in force, or not at all.
+func (s *configurationSubject) check() {
+	var history []porcupine.Operation
+	for _, o := range slices.Concat(s.orders, s.reads) {
+		end := max(o.taken, o.refused)
+		if end == 0 {
+			end = o.inForce
+		}
+		if end != 0 {
+			history = append(history, porcupine.Operation{Input: o, Call: o.call, Return: end})
+		}
+	}
+	switch porcupine.CheckOperationsTimeout(configurationModel, history, judgeWithin) {
+	case porcupine.Illegal:
+		s.world.fail("the history of the configuration is not linearizable")
+	case porcupine.Unknown:
+		s.world.fail("the history of %d orders could not be judged in time", len(history))
+	}
+}
--- a/internal/barograph/turns/turns.go
+++ b/internal/barograph/turns/turns.go
@@ -34,6 +34,7 @@
 	Input    []byte        `cbor:"7,keyasint,omitempty"`
 	Output   []byte        `cbor:"8,keyasint,omitempty"`
 	Keep     time.Duration `cbor:"9,keyasint"`
+	Token    uint64        `cbor:"10,keyasint"` // of the try's admission: no other node ends it
 }
 
 // Command is one step of the machine. One of the fields is set.
@@ -208,7 +209,9 @@
 	return sum
 }
 
-// end settles a try to what was handed out, once.
+// end settles a try to what was handed out, once. A whole turn whose line was forgotten in
+// the meantime is not kept, since nobody could go on from it: the try stays open then, to be
+// ended with all that was said before, or as one that brought nothing.
 func (m *Machine) end(e *Ending) Result {
 	p := m.program(e.Program, e.Keep)
 	if _, ended := p.Ended[e.Attempt]; ended {
@@ -217,6 +220,12 @@
 		}
 		return Granted
 	}
+	if held, open := p.Reserved[e.Attempt]; open && held.Token != e.Token {
+		return Closed // it goes on at another node
+	}
+	if e.Whole && m.breaks(e) {
+		return Missing
+	}
 	p.Ended[e.Attempt] = struct{}{}
 	delete(p.Reserved, e.Attempt)
 	p.Spent += e.Tokens
@@ -226,6 +235,11 @@
 	return Granted
 }
 
+// breaks tells whether a turn would be kept without what was said before it.
+func (m *Machine) breaks(e *Ending) bool {
+	return e.Previous != "" && len(e.Imported) == 0 && m.state.Turns[e.Previous] == nil
+}
+
 // keep keeps a turn. What it goes on from may be another program's, which is forgotten at
 // a time of its own: then the turn takes the whole text along.
 func (m *Machine) keep(p *program, e *Ending) {
--- /dev/null
+++ b/internal/station/follow/follow_test.go
@@ -0,0 +1,276 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/protocol"
+)
+
+// testWithin bounds each wait of a test that should not wait.
+const testWithin = 20 * time.Second
+
+// core is a core node that answers as the test has it.
+type core struct {
+	address string
+	asked   atomic.Int32
+	answer  func(protocol.WatchArgs) protocol.WatchReply // called for each question
+}
+
+// Watch answers a question of a Follower.
+func (c *core) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
+	c.asked.Add(1)
+	*reply = c.answer(*args)
+	return nil
+}
+
+func startCore(t *testing.T, answer func(protocol.WatchArgs) protocol.WatchReply) *core {
+	t.Helper()
+	c := &core{answer: answer}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	c.address = listener.Addr().String()
+	server, err := link.NewServer(map[string]any{"Control": c})
+	assert.NilError(t, err)
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return c
+}
+
+// begin starts a Follower of the nodes, and gives what it tells.
+func begin(t *testing.T, slots int, seeds ...string) (*Follower, <-chan News) {
+	t.Helper()
+	told := make(chan News, 1000)
+	pool := link.NewPool(link.Options{})
+	f := New(Options{Name: "edge", Seeds: seeds, Slots: slots, Pool: pool, Told: func(n News) { told <- n }})
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+		done.Wait()
+	})
+	return f, told
+}
+
+func next(t *testing.T, told <-chan News) News {
+	t.Helper()
+	select {
+	case n := <-told:
+		return n
+	case <-time.After(testWithin):
+		t.Fatal("nothing is told")
+		return News{}
+	}
+}
+
+// await waits until a channel is closed.
+func await(t *testing.T, reached <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-reached:
+	case <-time.After(testWithin):
+		t.Fatal("nothing happens")
+	}
+}
+
+func directoryOf(version uint64, addresses ...string) *protocol.Directory {
+	d := &protocol.Directory{Version: version}
+	for i, a := range addresses {
+		d.Nodes = append(d.Nodes, protocol.Node{ID: replica.NodeID(i + 1), Name: a, Class: protocol.Core, Address: a})
+	}
+	return d
+}
+
+func TestConfigurationIsToldOnceItIsConfirmed(t *testing.T) {
+	var questions atomic.Int32
+	c := startCore(t, func(args protocol.WatchArgs) protocol.WatchReply {
+		reply := protocol.WatchReply{Revision: 7, Configuration: []byte("seven"), Directory: directoryOf(2)}
+		switch questions.Add(1) {
+		case 1:
+			if !args.Confirmed {
+				t.Error("the first question wants proof")
+			}
+		case 2:
+			reply.Confirmed = args.Confirmed
+		default:
+			if args.Confirmed || args.Revision != 7 || args.Directory != 2 {
+				t.Errorf("asks with %+v", args)
+			}
+			reply = protocol.WatchReply{Revision: 9, Configuration: []byte("nine")}
+		}
+		return reply
+	})
+	_, told := begin(t, 1, c.address)
+	assert.Equal(t, next(t, told).Directory.Version, uint64(2), "the directory needs no proof")
+	n := next(t, told)
+	assert.Equal(t, n.Revision, uint64(7))
+	assert.Equal(t, string(n.Configuration), "seven")
+	assert.Equal(t, questions.Load() >= 2, true)
+	assert.Equal(t, next(t, told).Revision, uint64(9))
+}
+
+func TestNothingOlderIsTold(t *testing.T) {
+	var questions atomic.Int32
+	c := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		reply := protocol.WatchReply{Confirmed: true, Revision: 5, Directory: directoryOf(5)}
+		reply.Services[1] = 5
+		switch questions.Add(1) {
+		case 2: // from a node that lags
+			reply.Revision, reply.Directory.Version, reply.Services[1] = 4, 4, 4
+		case 3:
+			reply.Revision = 6
+		}
+		return reply
+	})
+	f, told := begin(t, 1, c.address)
+	assert.Equal(t, next(t, told).Revision, uint64(5))
+	assert.Equal(t, next(t, told).Directory.Version, uint64(5))
+	assert.Equal(t, next(t, told).Partition, 1)
+	assert.Equal(t, next(t, told).Revision, uint64(6))
+	assert.Equal(t, f.Directory().Version, uint64(5))
+}
+
+func TestListsComeByPartition(t *testing.T) {
+	names := map[int]string{}
+	for i := 0; len(names) < protocol.ServicePartitions; i++ {
+		name := string(rune('a' + i))
+		names[protocol.ServicePartition(name)] = name
+	}
+	c := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		reply := protocol.WatchReply{Confirmed: true}
+		for partition, name := range names {
+			reply.Lists = append(reply.Lists, protocol.ServerList{Service: name})
+			reply.Services[partition] = 1
+		}
+		return reply
+	})
+	_, told := begin(t, 1, c.address)
+	for partition := range protocol.ServicePartitions {
+		n := next(t, told)
+		assert.Equal(t, n.Partition, partition)
+		assert.Equal(t, len(n.Lists), 1)
+		assert.Equal(t, n.Lists[0].Service, names[partition])
+	}
+}
+
+func TestForgottenListsAreToldAnew(t *testing.T) {
+	forgotten := make(chan struct{})
+	c := startCore(t, func(args protocol.WatchArgs) protocol.WatchReply {
+		reply := protocol.WatchReply{Confirmed: true}
+		if args.Services[2] == 0 {
+			reply.Services[2] = 3
+		} else {
+			<-forgotten
+		}
+		return reply
+	})
+	f, told := begin(t, 1, c.address)
+	assert.Equal(t, next(t, told).Partition, 2)
+	f.ForgetLists()
+	close(forgotten)
+	assert.Equal(t, next(t, told).Partition, 2)
+}
+
+// Each slot asks another node, so that one that froze holds nothing up.
+func TestFrozenNodeHoldsNothingUp(t *testing.T) {
+	frozen := make(chan struct{})
+	t.Cleanup(func() { close(frozen) })
+	asked := make(chan struct{})
+	var once sync.Once
+	silent := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		once.Do(func() { close(asked) })
+		<-frozen
+		return protocol.WatchReply{}
+	})
+	sound := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		<-asked
+		return protocol.WatchReply{Confirmed: true, Revision: 3}
+	})
+	_, told := begin(t, 2, silent.address, sound.address)
+	assert.Equal(t, next(t, told).Revision, uint64(3))
+	assert.Equal(t, silent.asked.Load(), int32(1))
+}
+
+func TestNodeThatIsDownIsPassedOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	down := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	sound := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		return protocol.WatchReply{Confirmed: true, Revision: 3}
+	})
+	_, told := begin(t, 1, down, sound.address)
+	assert.Equal(t, next(t, told).Revision, uint64(3))
+}
+
+// Once the directory is known its core nodes are asked, wherever the seeds are.
+func TestNodesOfTheDirectoryAreAsked(t *testing.T) {
+	reached := make(chan struct{})
+	var once sync.Once
+	other := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		once.Do(func() { close(reached) })
+		return protocol.WatchReply{Confirmed: true, Revision: 8}
+	})
+	seed := startCore(t, func(protocol.WatchArgs) protocol.WatchReply {
+		d := directoryOf(1, other.address)
+		d.Nodes = append(d.Nodes, protocol.Node{ID: 99, Class: protocol.Storage, Address: "127.0.0.1:1"})
+		return protocol.WatchReply{Confirmed: true, Directory: d}
+	})
+	f, told := begin(t, 1, seed.address)
+	assert.Equal(t, next(t, told).Directory.Version, uint64(1))
+	await(t, reached)
+	assert.Equal(t, next(t, told).Revision, uint64(8))
+	assert.Equal(t, seed.asked.Load(), int32(1))
+	assert.Assert(t, f.Silence() < testWithin)
+}
+
+func TestSlotsChooseDifferentNodes(t *testing.T) {
+	f := New(Options{Name: "edge", Seeds: []string{"a", "b", "c"}, Pool: link.NewPool(link.Options{})})
+	chosen := map[string]bool{}
+	for range 3 {
+		chosen[f.choose()] = true
+	}
+	assert.Equal(t, len(chosen), 3)
+	assert.Equal(t, f.choose(), "", "all are being asked")
+	f.free("b")
+	assert.Equal(t, f.choose(), "b")
+}
+
+func TestNodeThatFailedIsAskedAfterTheOthers(t *testing.T) {
+	f := New(Options{Name: "edge", Seeds: []string{"a", "b", "c"}, Pool: link.NewPool(link.Options{})})
+	first := f.choose()
+	f.free(first)
+	f.failed[first] = time.Now()
+	second := f.choose()
+	assert.Assert(t, second != first)
+	f.free(second)
+	f.failed[first] = time.Now().Add(-2 * avoidFor)
+	assert.Equal(t, f.choose(), first, "not for long")
+}
+
+func TestOneNodeAloneIsBelievedAfterAWhile(t *testing.T) {
+	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
+	reply := &protocol.WatchReply{Revision: 4}
+	assert.Equal(t, len(f.merge(reply)), 0)
+	f.start = time.Now().Add(-2 * unconfirmedAfter)
+	assert.Equal(t, f.merge(reply)[0].Revision, uint64(4))
+}
+
+func TestNodeAddress(t *testing.T) {
+	d := directoryOf(1, "a", "b")
+	n, known := NodeAddress(d, 2)
+	assert.Assert(t, known)
+	assert.Equal(t, n.Address, "b")
+	_, known = NodeAddress(d, 3)
+	assert.Assert(t, !known)
+}
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -44,9 +44,11 @@
 	return n.Class == o.Class && (n.Name == o.Name || n.Address == o.Address)
 }
 
-// PartitionMembers tells who keeps a partition of the turns.
+// PartitionMembers tells who keeps a partition of the turns. Who is about to become a voter
+// stands among the voters before: nobody else is one.
 type PartitionMembers struct {
-	Change uint64 // index of the change in the partition's own log, 0: as first assigned
+	Change uint64 // index in the partition's own log up to which all was committed when this was told, 0: as first assigned
+	Step   uint64 // counts what else was told at that index
 	Voters []replica.NodeID
 }
 
@@ -252,6 +254,7 @@
 	Imported  []byte // text before, where it came from another partition
 	Input     []byte
 	Output    []byte // the data of each event, a line feed behind each
+	Token     uint64 // of the admission
 	Keep      time.Duration
 	Within    time.Duration
 }
