Let a group whose members all start anew elect its owner without waiting

Cause: a voter that starts anew votes for nobody for 0.4 s, since it may have promised a lease before; after a loss of all machines each group waited that long for nothing, and programs with it. Ruled out: shorter elections (a slowed machine would lose ownerships).

--- a/internal/barograph/replica/ballot.go
+++ b/internal/barograph/replica/ballot.go
@@ -1,16 +1,30 @@
 package replica
 
+import (
+	"maps"
+	"slices"
+)
+
 // canvass asks the voters whether they would vote for this node, which opens no term: a node
 // that was cut off thus doesn't disturb an owner that the others hear.
 func (r *Replica) canvass() {
 	r.role, r.owner = canvasser, 0
 	r.grants = map[NodeID]bool{r.self: true}
+	r.unanimous, r.lives = r.returning(), map[NodeID]uint64{}
 	r.postpone()
-	if r.won() {
+	if r.would() {
 		r.campaign(false)
 		return
 	}
-	r.ask(Message{Kind: Canvass, Term: r.hard.Term + 1})
+	r.ask(Message{Kind: Canvass, Term: r.hard.Term + 1, Returning: r.unanimous})
+}
+
+// would tells whether a ballot would be won, by what the voters have said so far.
+func (r *Replica) would() bool {
+	if r.unanimous && !r.flaws.returnByMost {
+		return len(without(r.members().Voters, slices.Collect(maps.Keys(r.grants)))) == 0
+	}
+	return r.won()
 }
 
 // campaign opens the next term and asks for votes. The node's own vote counts once it is durable.
@@ -19,9 +33,10 @@
 	r.role = candidate
 	r.hard = HardState{Term: r.hard.Term + 1, Vote: r.self}
 	r.hardChanged = true
+	r.restarted = false
 	r.grants = map[NodeID]bool{}
 	r.postpone()
-	r.ask(Message{Kind: Vote, Term: r.hard.Term, Forced: forced})
+	r.ask(Message{Kind: Vote, Term: r.hard.Term, Forced: forced, Returning: r.unanimous})
 }
 
 // ask sends a message about this node's log to the other voters.
@@ -29,7 +44,7 @@
 	m.Index, m.LogTerm = r.log.last(), r.log.lastTerm()
 	for _, voter := range r.members().Voters {
 		if voter != r.self {
-			m.To = voter
+			m.To, m.Life = voter, r.lives[voter]
 			r.send(m)
 		}
 	}
@@ -50,7 +65,7 @@
 // voted: an owner's lease may run, the candidate's log is behind, or it is no member.
 // A candidate with more of a log than this node may know of newer members than this node does.
 func (r *Replica) refuses(m Message) bool {
-	if !m.Forced && !r.flaws.noRefusal && r.leaseMayRun() {
+	if !m.Forced && !r.flaws.noRefusal && r.leaseMayRun() && !r.excused(m) {
 		return true
 	}
 	order := r.compareLog(m)
@@ -82,7 +97,7 @@
 		r.reply(m, Message{Kind: CanvassReply, Reject: true})
 		return
 	}
-	r.reply(m, Message{Kind: CanvassReply, Term: m.Term})
+	r.reply(m, Message{Kind: CanvassReply, Term: m.Term, Life: r.life})
 }
 
 func (r *Replica) onCanvassReply(m Message) {
@@ -90,7 +105,8 @@
 		return
 	}
 	r.grants[m.From] = true
-	if r.won() {
+	r.lives[m.From] = m.Life
+	if r.would() {
 		r.campaign(false)
 	}
 }
@@ -105,6 +121,7 @@
 	if free {
 		r.hard.Vote = m.From
 		r.hardChanged = true
+		r.restarted = false
 		r.postpone()
 	}
 	r.reply(m, Message{Kind: VoteReply})
--- a/internal/barograph/replica/follow.go
+++ b/internal/barograph/replica/follow.go
@@ -4,6 +4,7 @@
 func (r *Replica) hear(from NodeID) {
 	r.follow(r.hard.Term, from)
 	r.heard = r.now
+	r.restarted = false
 	r.postpone()
 }
 
--- a/internal/barograph/replica/group_test.go
+++ b/internal/barograph/replica/group_test.go
@@ -140,3 +140,6 @@
 	r.Persisted(now, ready)
 	return ready
 }
+
+// lot is a source of lots of its own.
+func lot(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 2)) }
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -34,6 +34,7 @@
 	cachedLease   bool // Leased tells what held at the newest Tick
 	countOldTerms bool // entries of older terms are committed by counting
 	noRefusal     bool // votes are given while an owner's lease may run
+	returnByMost  bool // a majority suffices for a node that has started anew
 }
 
 // Replica is one member's part of one group. It isn't safe for use by several goroutines.
@@ -63,6 +64,10 @@
 	owner        NodeID        // 0: not known
 	heard        time.Duration // when an owner was last heard from; never: this node has promised none anything
 	campaignAt   time.Duration // when to campaign if no owner is heard from
+	life         uint64        // drawn at the start: names this life of the process
+	restarted    bool          // nothing but what was promised before the start binds this node
+	unanimous    bool          // the canvass under way needs every voter
+	lives        map[NodeID]uint64
 	grants       map[NodeID]bool
 	contradicted bool
 
@@ -94,7 +99,7 @@
 		log:    newLog(stored),
 		hard:   stored.Hard,
 		commit: stored.Snapshot.Index, applied: stored.Snapshot.Index,
-		heard: now,
+		heard: now, life: random.Uint64(), restarted: true,
 	}
 	r.handed, r.stable = r.log.last(), r.log.last()
 	if r.fresh() {
@@ -250,6 +255,9 @@
 	if r.timing.Spread > 0 {
 		r.campaignAt += time.Duration(r.random.Int64N(int64(r.timing.Spread)))
 	}
+	if r.returning() && r.members().IsVoter(r.self) {
+		r.campaignAt = min(r.campaignAt, r.returnAt())
+	}
 }
 
 // bound tells whether an owner was heard from less than Election ago, whose lease may run.
