Let voters that are bound by nothing count beside those that start anew

Change: a canvass is won by a majority of voters that are bound by nothing, or by all; only then may a vote reach those that start anew; the canvass goes on for three election times after a start. The host's test that measured one wait measures both.

--- a/internal/barograph/host/host_test.go
+++ b/internal/barograph/host/host_test.go
@@ -369,12 +369,17 @@
 	c.run("state", func() bool { return learner.machines[testGroup] != nil && learner.machines[testGroup].text() == "a b" })
 }
 
-// TestIdleHostWaitsForTheNextTick has a follower that nobody speaks to wait for its election.
+// TestIdleHostWaitsForTheNextTick has a follower that nobody speaks to wait for its election,
+// once it need no longer ask who else starts anew.
 func TestIdleHostWaitsForTheNextTick(t *testing.T) {
 	c := startNodes(t, 19, 0, 2, testGroup)
 	c.elect(testGroup)
 	c.restart(1)
 	assert.NilError(t, c.nodes[1].turn())
+	asks := c.nodes[1].wait()
+	assert.Assert(t, asks > 0 && asks < testTiming.Election, "%v", asks)
+	c.now += 3 * testTiming.Election
+	assert.NilError(t, c.nodes[1].turn())
 	wait := c.nodes[1].wait()
 	assert.Assert(t, wait >= testTiming.Election && wait <= testTiming.Election+testTiming.Spread, "%v", wait)
 	empty := startNodes(t, 20, 0, 1)
--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -88,8 +88,9 @@
 	Forced         bool          // of a Vote: the owner gave its lease up, so voters needn't keep it
 	Sent           time.Duration // on the owner's clock, given back in replies of its term: the lease counts from it
 	Snapshot       *Snapshot
-	// Returning asks voters that have started anew, as the sender has, not to wait for what
-	// they may have promised before; Life names the life of a process that a voter answered in.
+	// Returning asks voters that have started anew not to wait for what they may have promised
+	// before, and tells in their answer that they would have to; Life names the life of a
+	// process that a voter answered in.
 	Returning bool
 	Life      uint64
 }
--- a/internal/barograph/replica/ballot.go
+++ b/internal/barograph/replica/ballot.go
@@ -1,30 +1,35 @@
 package replica
 
-import (
-	"maps"
-	"slices"
-)
-
 // canvass asks the voters whether they would vote for this node, which opens no term: a node
 // that was cut off thus doesn't disturb an owner that the others hear.
 func (r *Replica) canvass() {
 	r.role, r.owner = canvasser, 0
 	r.grants = map[NodeID]bool{r.self: true}
-	r.unanimous, r.lives = r.returning(), map[NodeID]uint64{}
+	r.unanimous = false
+	r.excuses, r.lives = map[NodeID]bool{r.self: r.returning()}, map[NodeID]uint64{}
 	r.postpone()
 	if r.would() {
 		r.campaign(false)
 		return
 	}
-	r.ask(Message{Kind: Canvass, Term: r.hard.Term + 1, Returning: r.unanimous})
+	r.ask(Message{Kind: Canvass, Term: r.hard.Term + 1, Returning: true})
 }
 
-// would tells whether a ballot would be won, by what the voters have said so far.
+// would tells whether a ballot would be won, by what the voters have said so far: by a
+// majority of those that are bound by nothing, or by all of them.
 func (r *Replica) would() bool {
-	if r.unanimous && !r.flaws.returnByMost {
-		return len(without(r.members().Voters, slices.Collect(maps.Keys(r.grants)))) == 0
+	members, free, granted := r.members(), 0, 0
+	for _, voter := range members.Voters {
+		if !r.grants[voter] {
+			continue
+		}
+		granted++
+		if !r.excuses[voter] || r.flaws.returnByMost {
+			free++
+		}
 	}
-	return r.won()
+	r.unanimous = granted == len(members.Voters)
+	return free >= members.Quorum() || r.unanimous
 }
 
 // campaign opens the next term and asks for votes. The node's own vote counts once it is durable.
@@ -36,7 +41,7 @@
 	r.restarted = false
 	r.grants = map[NodeID]bool{}
 	r.postpone()
-	r.ask(Message{Kind: Vote, Term: r.hard.Term, Forced: forced, Returning: r.unanimous})
+	r.ask(Message{Kind: Vote, Term: r.hard.Term, Forced: forced, Returning: !forced && r.unanimous})
 }
 
 // ask sends a message about this node's log to the other voters.
@@ -97,7 +102,7 @@
 		r.reply(m, Message{Kind: CanvassReply, Reject: true})
 		return
 	}
-	r.reply(m, Message{Kind: CanvassReply, Term: m.Term, Life: r.life})
+	r.reply(m, Message{Kind: CanvassReply, Term: m.Term, Returning: r.leaseMayRun(), Life: r.life})
 }
 
 func (r *Replica) onCanvassReply(m Message) {
@@ -105,7 +110,7 @@
 		return
 	}
 	r.grants[m.From] = true
-	r.lives[m.From] = m.Life
+	r.excuses[m.From], r.lives[m.From] = m.Returning, m.Life
 	if r.would() {
 		r.campaign(false)
 	}
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -61,14 +61,16 @@
 	messages    []Message
 
 	role         role
-	owner        NodeID        // 0: not known
-	heard        time.Duration // when an owner was last heard from; never: this node has promised none anything
-	campaignAt   time.Duration // when to campaign if no owner is heard from
-	life         uint64        // drawn at the start: names this life of the process
-	restarted    bool          // nothing but what was promised before the start binds this node
-	unanimous    bool          // the canvass under way needs every voter
-	lives        map[NodeID]uint64
-	grants       map[NodeID]bool
+	owner        NodeID            // 0: not known
+	heard        time.Duration     // when an owner was last heard from; never: this node has promised none anything
+	campaignAt   time.Duration     // when to campaign if no owner is heard from
+	life         uint64            // drawn at the start: names this life of the process
+	restarted    bool              // nothing but what was promised before the start binds this node
+	started      time.Duration     // when this life began
+	grants       map[NodeID]bool   // who would vote, or has voted, for this node
+	excuses      map[NodeID]bool   // of those, who may have promised a lease before it started anew
+	lives        map[NodeID]uint64 // in which they answered
+	unanimous    bool              // all of them have: who starts anew may vote
 	contradicted bool
 
 	// Of an owner:
@@ -99,7 +101,7 @@
 		log:    newLog(stored),
 		hard:   stored.Hard,
 		commit: stored.Snapshot.Index, applied: stored.Snapshot.Index,
-		heard: now, life: random.Uint64(), restarted: true,
+		heard: now, life: random.Uint64(), restarted: true, started: now,
 	}
 	r.handed, r.stable = r.log.last(), r.log.last()
 	if r.fresh() {
@@ -255,7 +257,7 @@
 	if r.timing.Spread > 0 {
 		r.campaignAt += time.Duration(r.random.Int64N(int64(r.timing.Spread)))
 	}
-	if r.returning() && r.members().IsVoter(r.self) {
+	if r.mayReturn() && r.members().IsVoter(r.self) {
 		r.campaignAt = min(r.campaignAt, r.returnAt())
 	}
 }
--- a/internal/barograph/replica/returning.go
+++ b/internal/barograph/replica/returning.go
@@ -10,9 +10,8 @@
 
 // A node that starts anew may have promised an owner a lease before, and forgotten it: it
 // votes for nobody until Election has passed. Where all machines start anew at once that wait
-// would be in vain. So a node that has heard no owner since its start asks all voters, and
-// each that is in the same state may vote for it at once, if every single voter says that it
-// is no owner:
+// would be in vain. So voters that have heard no owner since their start may vote at once,
+// if every single voter says that it would, and so is no owner:
 //
 // An owner with a lease is a voter of the candidate's group, or has entries committed that
 // the candidate lacks, which then can't win. It was no owner when it answered, so it would
@@ -24,6 +23,7 @@
 	returnPause = 15 * time.Millisecond // between two canvasses of the first in order
 	returnStep  = 60 * time.Millisecond // longer for each one behind it, so that they don't meet
 	returnLot   = 20 * time.Millisecond // added by lot
+	returnTimes = 3                     // so many times Election after a start others may still come
 )
 
 // returning tells whether this node has started anew and only what it may have promised
@@ -38,14 +38,15 @@
 	return m.Returning && r.returning() && (m.Kind == Canvass || m.Life == r.life)
 }
 
-// returnAt is when to canvass next while all voters may be starting anew.
+// mayReturn tells whether other voters may still be starting anew, so that this node asks
+// them again and again.
+func (r *Replica) mayReturn() bool {
+	return r.restarted && r.heard != never && r.now-r.started < returnTimes*r.timing.Election
+}
+
+// returnAt is when to canvass next while that is so.
 func (r *Replica) returnAt() time.Duration {
-	lot := time.Duration(r.random.Int64N(int64(returnLot)))
-	at := r.now + returnPause + time.Duration(r.place())*returnStep + lot
-	if at-r.heard >= r.timing.Election {
-		return r.now + farAway // that time is over by then: as after any silence
-	}
-	return at
+	return r.now + returnPause + time.Duration(r.place())*returnStep + time.Duration(r.random.Int64N(int64(returnLot)))
 }
 
 // place is this node's place in the order of the group's voters.
