--- /dev/null
+++ b/internal/anemometer/gateway/capacity_test.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/anemometer/dispatch"
+	"pipitmux/internal/anemometer/turnclient"
+	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/counters"
+	"pipitmux/internal/ingress"
+	"pipitmux/internal/lifecycle"
+	"pipitmux/internal/message"
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+	"pipitmux/internal/station/scaletest"
+)
+
+const (
+	streamEvents = 20
+	betweenEvent = time.Millisecond
+	promptBytes  = 2000
+	host         = "tenant-00000.example"
+	bodyMemory   = 1 << 28
+)
+
+// began is what the stamps in events count from.
+var began = time.Now()
+
+// BenchmarkStream is one stream of 20 events, 1 ms apart, by the way that it takes to a
+// server: "direct"; by a "plain" reverse proxy of the standard library; by the "gateway" as
+// a request without a program; and by it as a "turn", whose storage node grants at once.
+// "first" counts from the request to the first event, "later" from the writing of an event
+// at the server to its reading at the client. docs/CAPACITY.md.
+func BenchmarkStream(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(speak))
+	b.Cleanup(server.Close)
+	target, err := url.Parse(server.URL)
+	assert.NilError(b, err)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	proxy.FlushInterval = -1
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 100}
+	plain := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Else the answer's first byte ends a body that is still under way.
+		assert.Check(b, http.NewResponseController(w).EnableFullDuplex() == nil)
+		proxy.ServeHTTP(w, r)
+	}))
+	b.Cleanup(plain.Close)
+	edge := startGateway(b, target.Host)
+	for _, streams := range []int{1, 16} {
+		for _, way := range []struct{ name, address, program string }{
+			{"direct", target.Host, ""}, {"plain", plain.Listener.Addr().String(), ""}, {"gateway", edge, ""}, {"turn", edge, "program"},
+		} {
+			b.Run(fmt.Sprintf("%s/streams=%d", way.name, streams), func(b *testing.B) {
+				benchmarkStream(b, way.address, way.program, streams)
+			})
+		}
+	}
+}
+
+// speak answers as a model server does, with the time in each event.
+func speak(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", dispatch.StreamType)
+	w.Header().Set(dispatch.AttemptHeader, r.Header.Get(dispatch.AttemptHeader))
+	control := http.NewResponseController(w)
+	tick := time.NewTicker(betweenEvent)
+	defer tick.Stop()
+	for i := range streamEvents {
+		if i > 0 {
+			<-tick.C
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, time.Since(began).Nanoseconds())
+		control.Flush()
+	}
+}
+
+// turnCalls grants all that is asked of a storage node.
+type turnCalls struct{}
+
+// Admit grants a turn.
+func (turnCalls) Admit(_ *protocol.AdmitArgs, reply *protocol.AdmitReply) error {
+	reply.Outcome = protocol.TurnGranted
+	return nil
+}
+
+// Finish keeps a turn.
+func (turnCalls) Finish(_ *protocol.FinishArgs, reply *protocol.FinishReply) error {
+	reply.Outcome = protocol.TurnGranted
+	return nil
+}
+
+// startGateway serves clients by a gateway that knows one server, and gives its address.
+func startGateway(b *testing.B, server string) string {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	count := counters.New()
+	budget := message.NewBudget(bodyMemory)
+	dispatcher := dispatch.New(dispatch.Options{Zone: "z", Conns: 100, Budget: budget, Count: count, Log: log})
+	b.Cleanup(dispatcher.Close)
+	g := New(Options{Dispatcher: dispatcher, Turns: startTurns(b), Budget: budget, Count: count, MaxOpen: 100})
+	configuration, err := routing.Parse(scaletest.Configuration(9, 15))
+	assert.NilError(b, err)
+	dispatcher.Configure(configuration)
+	service := scaletest.Service(0)
+	servers := []protocol.Server{{ID: "s", Address: server, Zone: "z", Capacity: 100}}
+	dispatcher.Servers(protocol.ServicePartition(service), []protocol.ServerList{{Service: service, Version: 1, Servers: servers}})
+	g.Configure(configuration)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	front := ingress.New(ingress.Options{
+		Handler: g.Handle, Doubtful: func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) },
+		MaxSessions: 100, WriteWithin: time.Minute, BodyWithin: time.Minute, Lifecycle: lifecycle.TierTiming,
+	}, l, count)
+	go front.Serve()
+	b.Cleanup(func() { front.Close() })
+	return l.Addr().String()
+}
+
+// startTurns gives a client of one storage node.
+func startTurns(b *testing.B) *turnclient.Client {
+	server, err := link.NewServer(map[string]any{"Turns": turnCalls{}})
+	assert.NilError(b, err)
+	l, err := link.Listen("127.0.0.1:0")
+	assert.NilError(b, err)
+	go server.Serve(l)
+	b.Cleanup(func() { server.Close() })
+	pool := link.NewPool(link.Options{})
+	b.Cleanup(pool.Close)
+	client := turnclient.New(pool)
+	const id = replica.NodeID(1)
+	client.Learn(protocol.Directory{
+		Version: 1, Nodes: []protocol.Node{{ID: id, Name: "s", Class: protocol.Storage, Address: l.Addr().String()}},
+		Partitions: []protocol.PartitionMembers{{Voters: []replica.NodeID{id}}},
+	})
+	return client
+}
+
+// seen are the times of events.
+type seen struct {
+	mu           sync.Mutex
+	first, later []time.Duration
+}
+
+func benchmarkStream(b *testing.B, address, program string, streams int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	defer client.CloseIdleConnections()
+	var all seen
+	var next atomic.Int64
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for range streams {
+		group.Go(func() {
+			for number := next.Add(1); number <= int64(b.N); number = next.Add(1) {
+				if err := follow(client, address, program, fmt.Sprintf("%s-%d-%d", b.Name(), b.N, number), &all); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	report(b, all.first, "first")
+	report(b, all.later, "later")
+}
+
+func report(b *testing.B, times []time.Duration, name string) {
+	slices.Sort(times)
+	if len(times) == 0 {
+		return
+	}
+	b.ReportMetric(float64(times[len(times)/2].Nanoseconds())/1000, name+"-p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Nanoseconds())/1000, name+"-p99-µs")
+}
+
+// follow makes one request and reads its stream.
+func follow(client *http.Client, address, program, id string, all *seen) error {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat", bytes.NewReader(make([]byte, promptBytes)))
+	if err != nil {
+		return err
+	}
+	request.Host = host
+	request.Header.Set(dispatch.AttemptHeader, id)
+	request.Header.Set(tokensHeader, "500,20")
+	if program != "" {
+		request.Header.Set(programHeader, program+id)
+	}
+	start := time.Since(began)
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var first time.Duration
+	var later []time.Duration
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		stamp, is := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !is {
+			continue
+		}
+		now := time.Since(began)
+		written, err := strconv.ParseInt(string(stamp), 10, 64)
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			first = now - start
+			continue
+		}
+		later = append(later, now-time.Duration(written))
+	}
+	if len(later) != streamEvents-1 {
+		return fmt.Errorf("status %d, %d later events: %w", response.StatusCode, len(later), lines.Err())
+	}
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	all.first = append(all.first, first)
+	all.later = append(all.later, later...)
+	return nil
+}
--- /dev/null
+++ b/internal/station/follow/capacity_test.go
@@ -0,0 +1,157 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/scaletest"
+)
+
+// cores are how many core nodes the followers of a benchmark ask, and slots how many of
+// them each asks side by side, as where one machine may be lost.
+const (
+	cores = 3
+	slots = 2
+	// toldWithin is how long a benchmark waits until all are told: the tier's bound for a
+	// configuration.
+	toldWithin = 16 * time.Second
+)
+
+// watched answers questions as a core node does, for the configuration alone.
+type watched struct {
+	mu       sync.Mutex
+	revision uint64
+	body     []byte
+	changed  chan struct{}
+	sent     atomic.Int64 // bytes of bodies handed out
+}
+
+// Watch answers when there is a newer configuration, and else after the wait.
+func (w *watched) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
+	reply.Confirmed = args.Confirmed
+	end := time.NewTimer(args.Wait)
+	defer end.Stop()
+	for {
+		w.mu.Lock()
+		revision, body, changed := w.revision, w.body, w.changed
+		w.mu.Unlock()
+		if revision > args.Revision {
+			reply.Revision, reply.Configuration = revision, body
+			w.sent.Add(int64(len(body)))
+			return nil
+		}
+		if args.Confirmed {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil
+		}
+	}
+}
+
+func (w *watched) change(body []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision, w.body = w.revision+1, body
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// BenchmarkChange is one change of a configuration of so many routes until so many processes
+// have it, by way of 3 core nodes, all on this machine. "told" is how many of them have it
+// within 16 s. docs/CAPACITY.md.
+func BenchmarkChange(b *testing.B) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	b.Cleanup(func() { klog.LogToStderr(true) })
+	for _, size := range []struct{ followers, routes int }{{30, 15}, {100, 15}, {372, 15}, {600, 15}, {30, 6700}, {100, 6700}, {372, 6700}} {
+		b.Run(fmt.Sprintf("followers=%d/routes=%d", size.followers, size.routes), func(b *testing.B) {
+			benchmarkChange(b, size.followers, scaletest.Configuration(9, size.routes))
+		})
+	}
+}
+
+func benchmarkChange(b *testing.B, followers int, body []byte) {
+	ctx, end := context.WithCancel(context.Background())
+	nodes, seeds := startCores(b)
+	var told, now atomic.Int64
+	before := heap()
+	var running sync.WaitGroup
+	b.Cleanup(func() { end(); running.Wait() })
+	for i := range followers {
+		pool := link.NewPool(link.Options{})
+		b.Cleanup(pool.Close)
+		f := New(Options{Name: fmt.Sprintf("edge-%d", i), Seeds: seeds, Slots: slots, Pool: pool, Told: func(n News) {
+			if n.Revision == uint64(now.Load()) {
+				told.Add(1)
+			}
+		}})
+		running.Go(func() { f.Run(ctx) })
+	}
+	change := func() (reached int64) {
+		now.Add(1)
+		told.Store(0)
+		for _, n := range nodes {
+			n.change(body)
+		}
+		for end := time.Now().Add(toldWithin); told.Load() < int64(followers) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		return told.Load()
+	}
+	change()
+	b.ResetTimer()
+	var sent int64
+	least := int64(followers)
+	for range b.N {
+		at := handedOut(nodes)
+		least = min(least, change())
+		sent += handedOut(nodes) - at
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(least), "told")
+	b.ReportMetric(float64(sent)/float64(b.N)/1e6, "MB/change")
+	b.ReportMetric(float64(int64(heap())-int64(before))/float64(followers)/1000, "heap-kB/follower")
+}
+
+func startCores(b *testing.B) (nodes []*watched, addresses []string) {
+	for range cores {
+		w := &watched{changed: make(chan struct{})}
+		server, err := link.NewServer(map[string]any{"Control": w})
+		assert.NilError(b, err)
+		l, err := link.Listen("127.0.0.1:0")
+		assert.NilError(b, err)
+		go server.Serve(l)
+		b.Cleanup(func() { server.Close() })
+		nodes, addresses = append(nodes, w), append(addresses, l.Addr().String())
+	}
+	return nodes, addresses
+}
+
+func handedOut(nodes []*watched) (sum int64) {
+	for _, n := range nodes {
+		sum += n.sent.Load()
+	}
+	return sum
+}
+
+// heap is what the process holds in memory.
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- /dev/null
+++ b/internal/station/protocol/capacity_test.go
@@ -0,0 +1,38 @@
+package protocol_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/scaletest"
+)
+
+// BenchmarkWatch is the encoding of what a process is told on one change, twice, with the
+// bytes of one on the wire: docs/CAPACITY.md.
+func BenchmarkWatch(b *testing.B) {
+	b.Run("nothing", func(b *testing.B) { benchmarkWire(b, &protocol.WatchReply{}) })
+	b.Run("question", func(b *testing.B) {
+		benchmarkWire(b, &protocol.WatchArgs{Node: "node-0001", Revision: 9, Directory: 9, Wait: 9e8})
+	})
+	for _, count := range []int{10, 100, 1000, 3900} {
+		reply := &protocol.WatchReply{Services: [protocol.ServicePartitions]uint64{1}, Lists: scaletest.Lists(count)}
+		b.Run(fmt.Sprintf("servers=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
+	}
+	for _, count := range []int{15, 1000, 6700} {
+		reply := &protocol.WatchReply{Revision: 9, Configuration: scaletest.Configuration(9, count)}
+		b.Run(fmt.Sprintf("routes=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
+	}
+	for _, count := range []int{30, 100, 380} {
+		reply := &protocol.WatchReply{Directory: scaletest.Directory(8, count-8)}
+		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
+	}
+}
+
+func benchmarkWire(b *testing.B, message any) {
+	bytes := 0
+	for b.Loop() {
+		bytes = scaletest.Wire(message)
+	}
+	b.ReportMetric(float64(bytes), "wire-bytes")
+}
--- /dev/null
+++ b/internal/station/scaletest/scaletest_test.go
@@ -0,0 +1,31 @@
+package scaletest
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
+)
+
+func TestMakesWhatTheTierTakes(t *testing.T) {
+	configuration, err := routing.Parse(Configuration(9, 100))
+	assert.NilError(t, err)
+	assert.Equal(t, configuration.Revision, uint64(9))
+	assert.Equal(t, len(configuration.Routes), 100)
+	count := 0
+	for _, list := range Lists(103) {
+		count += len(list.Servers)
+	}
+	assert.Equal(t, count, 103)
+	d := Directory(3, 10)
+	assert.Equal(t, len(d.Nodes), 13)
+	assert.Equal(t, len(d.Partitions), protocol.TurnPartitions(10))
+}
+
+func TestWireCountsAMessageWithoutItsType(t *testing.T) {
+	small, large := Wire(&protocol.AdmitReply{History: make([]byte, 100)}), Wire(&protocol.AdmitReply{History: make([]byte, 1100)})
+	assert.Assert(t, small > 100 && small < 120, "%d", small)
+	assert.Assert(t, large-small >= 1000 && large-small < 1010, "%d", large-small)
+}
