--- a/internal/anemometer/gateway/capacity_test.go
+++ b/internal/anemometer/gateway/capacity_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -163,6 +164,7 @@
 	defer client.CloseIdleConnections()
 	var all seen
 	var next atomic.Int64
+	before := processorTime()
 	b.ResetTimer()
 	var group sync.WaitGroup
 	for range streams {
@@ -177,10 +179,21 @@
 	}
 	group.Wait()
 	b.StopTimer()
+	used := processorTime() - before
+	b.ReportMetric(float64(used.Nanoseconds())/1000/float64(b.N*streamEvents), "cpu-µs/event")
 	report(b, all.first, "first")
 	report(b, all.later, "later")
 }
 
+// processorTime is what this process has used of the processors.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func report(b *testing.B, times []time.Duration, name string) {
 	slices.Sort(times)
 	if len(times) == 0 {
--- a/internal/station/follow/capacity_test.go
+++ b/internal/station/follow/capacity_test.go
@@ -18,10 +18,9 @@
 	"pipitmux/internal/station/scaletest"
 )
 
-// cores are how many core nodes the followers of a benchmark ask, and slots how many of
-// them each asks side by side, as where one machine may be lost.
+// slots are how many core nodes each follower of a benchmark asks side by side, as where
+// one machine may be lost.
 const (
-	cores = 3
 	slots = 2
 	// toldWithin is how long a benchmark waits until all are told: the tier's bound for a
 	// configuration.
@@ -71,22 +70,27 @@
 }
 
 // BenchmarkChange is one change of a configuration of so many routes until so many processes
-// have it, by way of 3 core nodes, all on this machine. "told" is how many of them have it
+// have it, by way of some core nodes, all on this machine. "told" is how many of them have it
 // within 16 s. docs/CAPACITY.md.
 func BenchmarkChange(b *testing.B) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	b.Cleanup(func() { klog.LogToStderr(true) })
-	for _, size := range []struct{ followers, routes int }{{30, 15}, {100, 15}, {372, 15}, {600, 15}, {30, 6700}, {100, 6700}, {372, 6700}} {
-		b.Run(fmt.Sprintf("followers=%d/routes=%d", size.followers, size.routes), func(b *testing.B) {
-			benchmarkChange(b, size.followers, scaletest.Configuration(9, size.routes))
+	for _, size := range []changeSize{
+		{30, 15, 3}, {100, 15, 3}, {372, 15, 3}, {372, 15, 8}, {200, 15, 2}, {300, 15, 2}, {30, 6700, 3}, {100, 6700, 3}, {372, 6700, 3}, {372, 6700, 8},
+	} {
+		b.Run(fmt.Sprintf("followers=%d/routes=%d/cores=%d", size.followers, size.routes, size.cores), func(b *testing.B) {
+			benchmarkChange(b, size)
 		})
 	}
 }
 
-func benchmarkChange(b *testing.B, followers int, body []byte) {
+type changeSize struct{ followers, routes, cores int }
+
+func benchmarkChange(b *testing.B, size changeSize) {
+	followers, body := size.followers, scaletest.Configuration(9, size.routes)
 	ctx, end := context.WithCancel(context.Background())
-	nodes, seeds := startCores(b)
+	nodes, seeds := startCores(b, size.cores)
 	var told, now atomic.Int64
 	before := heap()
 	var running sync.WaitGroup
@@ -127,7 +131,7 @@
 	b.ReportMetric(float64(int64(heap())-int64(before))/float64(followers)/1000, "heap-kB/follower")
 }
 
-func startCores(b *testing.B) (nodes []*watched, addresses []string) {
+func startCores(b *testing.B, cores int) (nodes []*watched, addresses []string) {
 	for range cores {
 		w := &watched{changed: make(chan struct{})}
 		server, err := link.NewServer(map[string]any{"Control": w})
--- a/internal/station/protocol/capacity_test.go
+++ b/internal/station/protocol/capacity_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/scaletest"
 )
@@ -12,6 +14,10 @@
 // bytes of one on the wire: docs/CAPACITY.md.
 func BenchmarkWatch(b *testing.B) {
 	b.Run("nothing", func(b *testing.B) { benchmarkWire(b, &protocol.WatchReply{}) })
+	beat := replica.Message{
+		Group: protocol.TurnGroup(700), From: 1 << 63, To: 1 << 62, Kind: replica.Append, Term: 9, Index: 1e6, LogTerm: 9, Commit: 1e6, Sent: time.Hour,
+	}
+	b.Run("heartbeat", func(b *testing.B) { benchmarkWire(b, &protocol.DeliverArgs{Messages: []replica.Message{beat}}) })
 	b.Run("question", func(b *testing.B) {
 		benchmarkWire(b, &protocol.WatchArgs{Node: "node-0001", Revision: 9, Directory: 9, Wait: 9e8})
 	})
@@ -26,6 +32,8 @@
 	for _, count := range []int{30, 100, 380} {
 		reply := &protocol.WatchReply{Directory: scaletest.Directory(8, count-8)}
 		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
+		hello := &protocol.HelloReply{Self: reply.Directory.Nodes[0], Nodes: reply.Directory.Nodes}
+		b.Run(fmt.Sprintf("hello/nodes=%d", count), func(b *testing.B) { benchmarkWire(b, hello) })
 	}
 }
 
