--- a/internal/anemometer/dispatch/dispatch.go
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -165,12 +165,7 @@
 
 // list hands a service's servers to its owner.
 func (d *Dispatcher) list(s *service, servers []protocol.Server) {
-	s.servers = make([]candidate, 0, len(servers))
-	for _, x := range servers {
-		if !x.Draining {
-			s.servers = append(s.servers, candidate{logic.ServerID(x.ID), hashing.Sum64(x.ID), x.Zone == d.opt.Zone})
-		}
-	}
+	s.servers = candidates(servers, d.opt.Zone)
 	if len(s.servers) > 0 && !s.known {
 		s.known = true
 		defer close(s.listed) // once the owner has them
@@ -233,6 +228,17 @@
 	return best(servers, key)
 }
 
+// candidates are the servers that take requests, as a node of the zone sees them.
+func candidates(servers []protocol.Server, zone string) []candidate {
+	taking := make([]candidate, 0, len(servers))
+	for _, x := range servers {
+		if !x.Draining {
+			taking = append(taking, candidate{logic.ServerID(x.ID), hashing.Sum64(x.ID), x.Zone == zone})
+		}
+	}
+	return taking
+}
+
 // ranked is a candidate with what it draws for a key.
 type ranked struct {
 	candidate
