Let core nodes vouch for what they tell, and askers leave those that can't

A process that started took after 5 s whatever one core node had. Change: heartbeats prove to each member how recent its state is (replica/freshness.go: a read index on the heartbeats, under the lease, told apart by life); Watch says how old its answer may be and whether it vouches, at once also to waiting questions; a Follower leaves who doesn't vouch, asks patiently where nobody does, and never believes an unconfirmed first configuration; an edge answers 503 instead of 404 where its configuration may be older than configApplyMs.

--- a/cmd/barograph/main.go
+++ b/cmd/barograph/main.go
@@ -55,7 +55,9 @@
 		return err
 	}
 	defer n.Close()
-	core, err := coordinator.New(coordinator.Options{Node: n, Losses: s.FaultTolerance.MachineLosses, First: options.First, Seeds: options.Seeds})
+	core, err := coordinator.New(coordinator.Options{
+		Node: n, Losses: s.FaultTolerance.MachineLosses, First: options.First, Seeds: options.Seeds, ConfigApply: s.Bounds.ConfigApply,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/anemometer/edge/edge.go
+++ b/internal/anemometer/edge/edge.go
@@ -46,8 +46,8 @@
 	answerBy = 150 * time.Millisecond
 	// graceSlack is kept of the grace period for the exit.
 	graceSlack = 500 * time.Millisecond
-	// aloneAfter is how long no core node may have answered before this node asks the
-	// platform itself, every aloneEvery.
+	// aloneAfter is how old what core nodes vouch for may be before this node asks the platform
+	// itself, every aloneEvery.
 	aloneAfter = 2500 * time.Millisecond
 	aloneEvery = 2 * time.Second
 )
@@ -80,7 +80,7 @@
 	pool := link.NewPool(link.Options{})
 	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Conns: int(serverShare * descriptors), Budget: budget, Count: n.count, Log: log})
 	n.turns = turnclient.New(pool)
-	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Count: n.count, MaxOpen: openMost})
+	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Count: n.count, MaxOpen: openMost, Current: n.current})
 	n.follower = follow.New(follow.Options{Name: s.NodeName, Seeds: seeds, Slots: s.FaultTolerance.MachineLosses + 1, Pool: pool, Told: n.told})
 	n.server = ingress.New(ingress.Options{
 		Handler: n.gateway.Handle, Doubtful: doubtful,
@@ -170,7 +170,10 @@
 	return !n.ending && n.gateway.Configured() && n.dispatcher.Ready() && n.turns.Ready()
 }
 
-// lookAlone asks the platform for the servers while no core node answers.
+// current tells whether the configuration is recent enough to say of a route that there is none.
+func (n *Node) current() bool { return n.follower.Age() <= n.settings.Bounds.ConfigApply }
+
+// lookAlone asks the platform for the servers while no core node vouches for its lists.
 func (n *Node) lookAlone(ctx context.Context) {
 	tick := time.NewTicker(aloneEvery)
 	defer tick.Stop()
@@ -180,12 +183,12 @@
 		case <-ctx.Done():
 			return
 		}
-		if n.follower.Silence() < aloneAfter {
+		if n.follower.Age() < aloneAfter {
 			continue
 		}
 		lists, err := n.platform.List(ctx)
 		if err != nil {
-			klog.V(1).InfoS("Neither a core node nor the platform answers", "cause", err)
+			klog.V(1).InfoS("Neither the core nodes nor the platform can tell the servers", "cause", err)
 			continue
 		}
 		n.takeAlone(lists)
--- a/internal/anemometer/gateway/gateway.go
+++ b/internal/anemometer/gateway/gateway.go
@@ -57,6 +57,9 @@
 	Budget     *message.Budget
 	Count      *counters.Set
 	MaxOpen    int // requests that may be open at once
+	// Current tells whether the configuration is surely recent; nil: it always is. A route that
+	// an older one lacks may be in force by now.
+	Current func() bool
 }
 
 // Gateway answers clients' requests.
@@ -128,8 +131,7 @@
 	}
 	route, ok := t.routes.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
-		g.opt.Count.Add("answer.no-route")
-		http.Error(w, "no route", http.StatusNotFound)
+		g.refuseRoute(w)
 		return
 	}
 	x := &exchange{gateway: g, writer: w, request: r, conn: c, route: route, tables: t, arrived: arrived}
@@ -164,6 +166,16 @@
 	return g.table.Load()
 }
 
+// refuseRoute answers a request that no route leads on: finally, if the configuration is recent.
+func (g *Gateway) refuseRoute(w http.ResponseWriter) {
+	if g.opt.Current != nil && !g.opt.Current() {
+		g.refuse(w, startingRetryAfter, "answer.out-of-touch")
+		return
+	}
+	g.opt.Count.Add("answer.no-route")
+	http.Error(w, "no route", http.StatusNotFound)
+}
+
 func (g *Gateway) refuse(w http.ResponseWriter, after time.Duration, why string) {
 	g.count(why)
 	w.Header().Set("Retry-After", seconds(after))
--- a/internal/anemometer/gateway/gateway_test.go
+++ b/internal/anemometer/gateway/gateway_test.go
@@ -208,3 +208,16 @@
 	r.gateway.Configure(parsed(t))
 	assert.Equal(t, <-waiting, http.StatusNotFound)
 }
+
+// A node that is out of touch can't know of a route that was added meanwhile.
+func TestNoRouteIsFinalOnlyWhereTheConfigurationIsRecent(t *testing.T) {
+	r := newRig(t, true, func(http.ResponseWriter, *http.Request) {})
+	for current, status := range map[bool]int{true: http.StatusNotFound, false: http.StatusServiceUnavailable} {
+		r.gateway.opt.Current = func() bool { return current }
+		response := r.ask(t, "POST", "/nowhere/x", "")
+		assert.Equal(t, response.StatusCode, status)
+		assert.Equal(t, response.Header.Get("Retry-After") != "", !current)
+	}
+	r.gateway.opt.Current = func() bool { return false }
+	assert.Equal(t, r.ask(t, "POST", "/orders/x", "").StatusCode, http.StatusOK, "routes that are known are served on")
+}
--- a/internal/barograph/coordinator/calls.go
+++ b/internal/barograph/coordinator/calls.go
@@ -16,8 +16,10 @@
 // controlCalls are the calls that other processes make to a core node.
 type controlCalls struct{ c *Coordinator }
 
-// Watch answers with what is newer than the caller has, when there is something.
+// Watch answers with what is newer than the caller has, when there is something, or when this
+// node can't vouch any more that there is nothing.
 func (s *controlCalls) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
+	came := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
 	defer cancel()
 	if args.Confirmed {
@@ -25,15 +27,44 @@
 	}
 	for {
 		changed := s.c.news.changed()
-		if s.c.collect(args, reply) || args.Confirmed {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		answer := s.c.look(args, reply) || args.Confirmed
+		reply.Held = time.Since(came)
+		if answer || ctx.Err() != nil {
 			return nil
 		}
+		s.c.rest(ctx, changed, reply)
+	}
+}
+
+// look fills in what is newer and how far it is vouched for, and tells whether that is to be
+// answered at once.
+func (c *Coordinator) look(args *protocol.WatchArgs, reply *protocol.WatchReply) bool {
+	// The age goes first: what is read after it is as recent at least.
+	reply.Age = c.age()
+	reply.Vouched = reply.Age <= c.staleAfter
+	news := c.collect(args, reply)
+	return news || reply.Vouched == args.Patient
+}
+
+// rest waits for news, until what was vouched for may lapse, or until the question has waited
+// for long enough.
+func (c *Coordinator) rest(ctx context.Context, changed <-chan struct{}, reply *protocol.WatchReply) {
+	again := time.NewTimer(c.staleAfter - min(reply.Age, c.staleAfter/2))
+	defer again.Stop()
+	select {
+	case <-changed:
+	case <-again.C:
+	case <-ctx.Done():
+	}
+}
+
+// age is how old what this node tells may be, over all groups that it tells of.
+func (c *Coordinator) age() time.Duration {
+	age := c.node.Host.Age(protocol.ConfigurationGroup)
+	for partition := range protocol.ServicePartitions {
+		age = max(age, c.node.Host.Age(protocol.ServiceGroup(partition)))
 	}
+	return age
 }
 
 func (c *Coordinator) confirm(ctx context.Context) bool {
--- a/internal/barograph/coordinator/coordinator.go
+++ b/internal/barograph/coordinator/coordinator.go
@@ -44,6 +44,8 @@
 	node   *node.Node
 	losses int // of machines, to be borne at once
 	news   *notifier
+	// staleAfter is the age at which this node no longer vouches for what it tells.
+	staleAfter time.Duration
 
 	mu       sync.Mutex
 	planners map[replica.GroupID]*repair.Planner
@@ -59,11 +61,34 @@
 	Platform lister.Platform
 	First    bool // the whole system starts for the first time
 	Seeds    []string
+	// ConfigApply is how soon after its acknowledgement a configuration must be in force
+	// everywhere; 0 for DefaultConfigApply.
+	ConfigApply time.Duration
+}
+
+// DefaultConfigApply is the time for which operators commonly ask.
+const DefaultConfigApply = 2 * time.Second
+
+// The part of that time after which a core node that hears no owner sends its askers elsewhere:
+// a second question, its answer and what they do with it must fit into the rest. An election
+// and the first proofs after it take 0.9 s, so that with the usual bounds most are not noticed.
+const (
+	stalePart  = 2
+	staleLeast = 400 * time.Millisecond
+	staleMost  = 2 * time.Second
+)
+
+// staleAfter is the age at which a core node no longer vouches for what it tells.
+func staleAfter(configApply time.Duration) time.Duration {
+	if configApply <= 0 {
+		configApply = DefaultConfigApply
+	}
+	return min(max(configApply/stalePart, staleLeast), staleMost)
 }
 
 // New restores or begins the groups of a core node.
 func New(o Options) (*Coordinator, error) {
-	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now()}
+	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now(), staleAfter: staleAfter(o.ConfigApply)}
 	var first replica.Members
 	if o.First {
 		for _, s := range o.Seeds {
--- a/internal/barograph/host/call.go
+++ b/internal/barograph/host/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -234,6 +235,23 @@
 	return g.applied, g.news
 }
 
+// Age is how old this node's state of a group may be, as Peek shows it: all that was committed
+// longer ago is applied here. Where that isn't proven, or the group isn't run, it is Unproven
+// or more.
+func (h *Host) Age(id replica.GroupID) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g, err := h.find(id)
+	if err != nil {
+		return Unproven
+	}
+	now := h.options.Now()
+	return now - g.replica.CurrentAt(now, g.applied)
+}
+
+// Unproven is an Age that says nothing.
+const Unproven = 1000 * time.Hour
+
 // closed is a channel with news for good.
 var closed = func() chan struct{} {
 	c := make(chan struct{})
--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -93,6 +93,10 @@
 	// process that a voter answered in.
 	Returning bool
 	Life      uint64
+	// Asked is the sender's time in an AppendReply, given back in an Append along with the life
+	// that it belongs to; Newest is the owner's commit index then. See freshness.go.
+	Asked  time.Duration
+	Newest uint64
 }
 
 // Ready is what a Replica wants done. The caller sends Early at once, makes Hard,
--- a/internal/barograph/replica/export_test.go
+++ b/internal/barograph/replica/export_test.go
@@ -9,6 +9,8 @@
 	FlawCachedLease   = Flaws{cachedLease: true}
 	FlawCountOldTerms = Flaws{countOldTerms: true}
 	FlawNoRefusal     = Flaws{noRefusal: true}
+	FlawVouchUnleased = Flaws{vouchUnleased: true}
+	FlawAnyLife       = Flaws{anyLife: true}
 )
 
 // SetFlaws gives the replica defects.
--- a/internal/barograph/replica/follow.go
+++ b/internal/barograph/replica/follow.go
@@ -13,6 +13,7 @@
 		return // no term has two owners: not from a member that is in its right mind
 	}
 	r.hear(m.From)
+	r.freshen(m)
 	if m.Index < r.commit {
 		m = r.skipCommitted(m)
 	}
@@ -44,7 +45,7 @@
 
 // confirm tells the owner that this node holds its log up to index.
 func (r *Replica) confirm(m Message, index uint64) {
-	r.reply(m, Message{Kind: AppendReply, Index: index})
+	r.answer(m, Message{Kind: AppendReply, Index: index})
 }
 
 // reject tells the owner how far the logs may match.
@@ -54,7 +55,15 @@
 		hint = r.commit
 		term, _ = r.log.term(hint)
 	}
-	r.reply(m, Message{Kind: AppendReply, Reject: true, Index: m.Index, Hint: hint, LogTerm: term})
+	r.answer(m, Message{Kind: AppendReply, Reject: true, Index: m.Index, Hint: hint, LogTerm: term})
+}
+
+// answer answers the owner and asks it, by the way, to prove this node's state recent.
+func (r *Replica) answer(to, m Message) {
+	if !r.timing.Lazy {
+		m.Asked, m.Life = r.now, r.life
+	}
+	r.reply(to, m)
 }
 
 // take puts the entries of m in the log, in place of what differs, and returns the last one's
--- a/internal/barograph/replica/owner.go
+++ b/internal/barograph/replica/owner.go
@@ -118,7 +118,9 @@
 		index, term = 0, 0
 	}
 	p.told = max(p.told, min(r.commit, p.matched))
-	r.sendEarly(Message{To: to, Kind: Append, Index: index, LogTerm: term, Commit: min(r.commit, index)})
+	m := Message{To: to, Kind: Append, Index: index, LogTerm: term, Commit: min(r.commit, index)}
+	r.witness(&m, p)
+	r.sendEarly(m)
 }
 
 // sendEarly queues a message of the owner that needn't wait for its writes.
@@ -187,6 +189,7 @@
 	}
 	p.heard = r.now
 	p.answered = max(p.answered, m.Sent)
+	p.asked, p.life = m.Asked, m.Life
 	if m.Reject {
 		r.onReject(m, p)
 		return
--- a/internal/barograph/replica/progress.go
+++ b/internal/barograph/replica/progress.go
@@ -18,6 +18,8 @@
 	probe    uint64        // the index before the entries of the newest append, while probing
 	install  uint64        // the index of the snapshot that is on the way; 0: none
 	shipped  time.Duration // when it was sent
+	asked    time.Duration // the member's own time in its newest answer
+	life     uint64        // of the member, that this time belongs to; 0: none
 }
 
 func newProgress(now time.Duration, next uint64) *progress {
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -35,6 +35,8 @@
 	countOldTerms bool // entries of older terms are committed by counting
 	noRefusal     bool // votes are given while an owner's lease may run
 	returnByMost  bool // a majority suffices for a node that has started anew
+	vouchUnleased bool // an owner proves members recent without its lease
+	anyLife       bool // what another life of the node asked proves this one recent
 }
 
 // Replica is one member's part of one group. It isn't safe for use by several goroutines.
@@ -72,6 +74,7 @@
 	lives        map[NodeID]uint64 // in which they answered
 	unanimous    bool              // all of them have: who starts anew may vote
 	contradicted bool
+	fresh        freshness
 
 	// Of an owner:
 	progress    map[NodeID]*progress
@@ -101,18 +104,19 @@
 		log:    newLog(stored),
 		hard:   stored.Hard,
 		commit: stored.Snapshot.Index, applied: stored.Snapshot.Index,
-		heard: now, life: random.Uint64(), restarted: true, started: now,
+		heard: now, life: max(random.Uint64(), 1), restarted: true, started: now,
+		fresh: freshness{current: never},
 	}
 	r.handed, r.stable = r.log.last(), r.log.last()
-	if r.fresh() {
+	if r.untouched() {
 		r.heard = never
 	}
 	r.postpone()
 	return r
 }
 
-// fresh tells whether the node has never taken part in a term, and so promised nothing.
-func (r *Replica) fresh() bool { return r.hard == HardState{} && r.log.last() == 0 }
+// untouched tells whether the node has never taken part in a term, and so promised nothing.
+func (r *Replica) untouched() bool { return r.hard == HardState{} && r.log.last() == 0 }
 
 // SetSnapshotSource tells where the newest durable snapshot is got when a member needs one.
 // It must be at least as new as the one last given to Compact.
--- a/internal/barograph/replica/simulation_book_test.go
+++ b/internal/barograph/replica/simulation_book_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"sort"
+	"time"
 
 	"pipitmux/internal/barograph/replica"
 )
@@ -22,6 +24,7 @@
 	places    map[place]placed
 	committed []replica.Entry // by index-1
 	states    []machine       // after each
+	since     []time.Duration // when a node first applied each
 	members   replica.Members // the newest that are committed
 }
 
@@ -32,6 +35,7 @@
 // look checks a node after each step: one owner per term, and a lease only while no later
 // term has an owner.
 func (b *book) look(n *node) {
+	b.checkFreshness(n)
 	if !n.replica.Owns() {
 		return
 	}
@@ -49,6 +53,26 @@
 	b.checkLease(n)
 }
 
+// rounding is what times lose on their way from a node's clock to the simulation's.
+const rounding = time.Microsecond
+
+// checkFreshness holds that a node lacks nothing of what any node had applied before the moment
+// as of which it takes its own state for recent.
+func (b *book) checkFreshness(n *node) {
+	at := n.replica.CurrentAt(n.clock(), n.machine.index)
+	if at < -time.Hour {
+		return // nothing is proven
+	}
+	proven := n.fromClock(at) - rounding
+	there := sort.Search(len(b.since), func(i int) bool { return b.since[i] > proven })
+	if uint64(there) > n.machine.index {
+		n.world.fail("node %d is said to be as recent as %v, holds %d, and %d was applied then", n.id, proven, n.machine.index, there)
+	}
+	if n.world.now-proven < 4*simulatedTiming.Heartbeat && !n.replica.Owns() {
+		n.world.counts.recent++
+	}
+}
+
 func (b *book) checkLeases(w *world) {
 	for _, n := range w.running() {
 		if !n.frozen && n.replica.Owns() {
@@ -107,6 +131,7 @@
 	}
 	b.committed = append(b.committed, entry)
 	b.states = append(b.states, n.machine)
+	b.since = append(b.since, n.world.now)
 	if entry.Kind == replica.Command {
 		n.world.client.effect[decodeOperation(entry.Data).number] = n.world.client.tick()
 	}
--- a/internal/barograph/replica/simulation_node_test.go
+++ b/internal/barograph/replica/simulation_node_test.go
@@ -27,7 +27,7 @@
 	held    []func()
 }
 
-// clock is the node's own: it starts anywhere and drifts by a percent at most.
+// clock is the node's own: it starts at zero or anywhere, and drifts by a percent at most.
 func (n *node) clock() time.Duration {
 	return n.offset + time.Duration(float64(n.world.now)*n.rate)
 }
@@ -43,6 +43,9 @@
 	n.life++
 	n.rate = 0.99 + 0.02*w.random.Float64()
 	n.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
+	if w.chance(0.5) {
+		n.offset = -time.Duration(float64(w.now) * n.rate) // counts from the start of the process
+	}
 	n.writing, n.tickAt, n.frozen, n.held = nil, 0, false, nil
 	n.waiting = map[uint64]*operation{}
 	n.machine = decodeMachine(n.disk.Snapshot)
--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -39,7 +39,7 @@
 
 // counts are of what happened in simulations: what never happens is not tested either.
 type counts struct {
-	owners, changes, restored, handovers, wipes, reads, writes uint64
+	owners, changes, restored, handovers, wipes, reads, writes, recent uint64
 }
 
 // tally sums counts up over simulations that run at once.
@@ -61,6 +61,7 @@
 	t.counts.wipes += c.wipes
 	t.counts.reads += c.reads
 	t.counts.writes += c.writes
+	t.counts.recent += c.recent
 }
 
 // checkSeen holds that the simulations did what they are for.
@@ -70,6 +71,7 @@
 	assert.Assert(test, c.owners > 2*seeds, "owners: %+v", c)
 	assert.Assert(test, c.changes > seeds && c.wipes > seeds/10, "changes of members: %+v", c)
 	assert.Assert(test, c.restored > seeds/10 && c.handovers > seeds/10, "snapshots, handovers: %+v", c)
+	assert.Assert(test, c.recent > 10*seeds, "members proven recent: %+v", c)
 	assert.Assert(test, c.reads > 10*seeds && c.writes > 10*seeds, "operations: %+v", c)
 }
 
@@ -106,6 +108,8 @@
 		{"lease not checked after a freeze", options{flaws: replica.FlawCachedLease}},
 		{"older terms committed by counting", options{flaws: replica.FlawCountOldTerms, frequent: true, startNodes: 5, faults: 10}},
 		{"votes given while a lease may run", options{flaws: replica.FlawNoRefusal}},
+		{"an owner without a lease proves members recent", options{flaws: replica.FlawVouchUnleased}},
+		{"what an earlier life asked proves this one recent", options{flaws: replica.FlawAnyLife}},
 	} {
 		t.Run(flawed.name, func(t *testing.T) {
 			flawed.options.safetyOnly = true
--- a/internal/station/follow/capacity_test.go
+++ b/internal/station/follow/capacity_test.go
@@ -38,7 +38,7 @@
 
 // Watch answers when there is a newer configuration, and else after the wait.
 func (w *watched) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
-	reply.Confirmed = args.Confirmed
+	reply.Confirmed, reply.Vouched = args.Confirmed, true
 	end := time.NewTimer(args.Wait)
 	defer end.Stop()
 	for {
--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -1,7 +1,8 @@
 // Package follow keeps a process up to date: it asks core nodes, with the versions that
 // it has, for what is newer. It asks as many nodes side by side as may be lost at once
 // and one more, chosen by rendezvous hashing, so that no core node is asked by all and
-// one that froze holds nothing up.
+// one that froze holds nothing up. A node that can't vouch for what it tells, since it hears
+// no owner, is left for the next one at once, until one is found that can.
 package follow
 
 import (
@@ -27,9 +28,6 @@
 	avoidFor = 3 * time.Second
 	// retryPause is the pause after a question that failed.
 	retryPause = 60 * time.Millisecond
-	// unconfirmedAfter is how long after its start a process that can't learn which
-	// configuration is the newest goes by what a single core node has.
-	unconfirmedAfter = 5 * time.Second
 )
 
 // News is what has changed. Nil fields have not.
@@ -53,8 +51,7 @@
 
 // Follower follows the control plane.
 type Follower struct {
-	opt   Options
-	start time.Time
+	opt Options
 
 	told sync.Mutex // held while news are told: they reach Told in order
 
@@ -64,14 +61,13 @@
 	directory protocol.Directory
 	services  [protocol.ServicePartitions]uint64
 	asked     map[string]bool      // addresses with an open question
-	failed    map[string]time.Time // when an address last didn't answer
-	heard     time.Time
+	failed    map[string]time.Time // when an address last didn't answer, or didn't vouch
+	vouched   time.Time            // what was told is as recent as this
 }
 
 // New returns a Follower that Run has yet to start.
 func New(o Options) *Follower {
-	now := time.Now()
-	return &Follower{opt: o, start: now, heard: now, asked: map[string]bool{}, failed: map[string]time.Time{}}
+	return &Follower{opt: o, vouched: time.Now(), asked: map[string]bool{}, failed: map[string]time.Time{}}
 }
 
 // Run asks until ctx ends.
@@ -83,11 +79,12 @@
 	done.Wait()
 }
 
-// Silence is how long no core node has answered.
-func (f *Follower) Silence() time.Duration {
+// Age is how old what was told may be: everything that had come into force before is known.
+// It counts from the start of the process until a first answer was vouched for.
+func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.heard)
+	return time.Since(f.vouched)
 }
 
 // ForgetLists has the lists of all services told anew: what the process goes by has come
@@ -107,20 +104,21 @@
 
 func (f *Follower) ask(ctx context.Context, slot int) {
 	for ctx.Err() == nil {
-		address := f.choose()
+		address, patient := f.choose()
 		if address == "" {
 			sleep(ctx, retryPause)
 			continue
 		}
-		if !f.question(ctx, address) {
+		if !f.question(ctx, address, patient) {
 			sleep(ctx, retryPause)
 		}
 	}
 }
 
 // choose books the node to be asked next: the first in this process's order that no other
-// slot asks and that has answered lately.
-func (f *Follower) choose() string {
+// slot asks and that has answered lately. Where none has, the one that failed longest ago is
+// asked to be patient: all are in the same plight, and questions must not become a storm.
+func (f *Follower) choose() (address string, patient bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -140,7 +138,7 @@
 	if best != "" {
 		f.asked[best] = true
 	}
-	return best
+	return best, !bestAt.IsZero()
 }
 
 // candidates are the addresses of all core nodes, or of the seeds while none is known.
@@ -151,7 +149,7 @@
 			addresses = append(addresses, n.Address)
 		}
 	}
-	if len(addresses) == 0 || time.Since(f.heard) > avoidFor {
+	if len(addresses) == 0 || time.Since(f.vouched) > avoidFor {
 		for _, s := range f.opt.Seeds {
 			if !slices.Contains(addresses, s) {
 				addresses = append(addresses, s)
@@ -161,21 +159,43 @@
 	return hashing.Rank(f.opt.Name, addresses, hashing.Sum64)
 }
 
-func (f *Follower) question(ctx context.Context, address string) bool {
+// question asks a node and tells what is news. It is false where the answer was of no use.
+func (f *Follower) question(ctx context.Context, address string, patient bool) bool {
 	defer f.free(address)
-	f.mu.Lock()
-	args := protocol.WatchArgs{Node: f.opt.Name, Revision: f.revision, Directory: f.directory.Version, Services: f.services, Confirmed: !f.confirmed, Wait: wait}
-	f.mu.Unlock()
+	args := f.args(patient)
 	ctx, cancel := context.WithTimeout(ctx, wait+answerWithin)
 	defer cancel()
 	var reply protocol.WatchReply
-	if err := f.opt.Pool.Call(ctx, address, "Control.Watch", &args, &reply); err != nil {
-		f.mu.Lock()
+	sent := time.Now()
+	err := f.opt.Pool.Call(ctx, address, "Control.Watch", &args, &reply)
+	useful := err == nil && f.take(&reply)
+	f.note(address, sent, &reply, err)
+	return useful
+}
+
+func (f *Follower) args(patient bool) protocol.WatchArgs {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return protocol.WatchArgs{
+		Node: f.opt.Name, Revision: f.revision, Directory: f.directory.Version, Services: f.services,
+		Confirmed: !f.confirmed, Patient: patient, Wait: wait,
+	}
+}
+
+// note remembers whether a node was a good source. It comes after the news were told: Age must
+// not promise what the process doesn't go by yet.
+func (f *Follower) note(address string, sent time.Time, reply *protocol.WatchReply, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil || !reply.Vouched {
 		f.failed[address] = time.Now()
-		f.mu.Unlock()
-		return false
+		return
+	}
+	delete(f.failed, address)
+	// The question came after it was sent, whatever its way back took.
+	if recent := sent.Add(reply.Held - reply.Age); recent.After(f.vouched) {
+		f.vouched = recent
 	}
-	return f.take(&reply)
 }
 
 func (f *Follower) free(address string) {
@@ -191,7 +211,7 @@
 	for _, n := range f.merge(reply) {
 		f.opt.Told(n)
 	}
-	return reply.Confirmed || f.isConfirmed()
+	return reply.Vouched && f.isConfirmed()
 }
 
 func (f *Follower) isConfirmed() bool {
@@ -203,11 +223,10 @@
 func (f *Follower) merge(reply *protocol.WatchReply) []News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard = time.Now()
 	var news []News
-	if !f.confirmed && (reply.Confirmed || time.Since(f.start) > unconfirmedAfter) {
+	if !f.confirmed && reply.Confirmed {
 		f.confirmed = true
-		klog.InfoS("The control plane answers", "confirmed", reply.Confirmed, "revision", reply.Revision)
+		klog.InfoS("The control plane answers", "revision", reply.Revision)
 	}
 	if f.confirmed && reply.Revision > f.revision {
 		f.revision = reply.Revision
--- a/internal/station/follow/follow_test.go
+++ b/internal/station/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,13 +26,17 @@
 	answer  func(protocol.WatchArgs) protocol.WatchReply // called for each question
 }
 
-// Watch answers a question of a Follower.
+// Watch answers a question of a Follower. An answer whose age isn't unproven is vouched for.
 func (c *core) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
 	c.asked.Add(1)
 	*reply = c.answer(*args)
+	reply.Vouched = reply.Age != unproven
 	return nil
 }
 
+// unproven is the age of what a node can't vouch for.
+const unproven = time.Hour
+
 func startCore(t *testing.T, answer func(protocol.WatchArgs) protocol.WatchReply) *core {
 	t.Helper()
 	c := &core{answer: answer}
@@ -231,38 +236,98 @@
 	await(t, reached)
 	assert.Equal(t, next(t, told).Revision, uint64(8))
 	assert.Equal(t, seed.asked.Load(), int32(1))
-	assert.Assert(t, f.Silence() < testWithin)
+	assert.Assert(t, f.Age() < testWithin)
+}
+
+// chosen is the node that a Follower asks next.
+func chosen(f *Follower) string {
+	address, _ := f.choose()
+	return address
 }
 
 func TestSlotsChooseDifferentNodes(t *testing.T) {
 	f := New(Options{Name: "edge", Seeds: []string{"a", "b", "c"}, Pool: link.NewPool(link.Options{})})
-	chosen := map[string]bool{}
+	seen := map[string]bool{}
 	for range 3 {
-		chosen[f.choose()] = true
+		seen[chosen(f)] = true
 	}
-	assert.Equal(t, len(chosen), 3)
-	assert.Equal(t, f.choose(), "", "all are being asked")
+	assert.Equal(t, len(seen), 3)
+	assert.Equal(t, chosen(f), "", "all are being asked")
 	f.free("b")
-	assert.Equal(t, f.choose(), "b")
+	assert.Equal(t, chosen(f), "b")
 }
 
 func TestNodeThatFailedIsAskedAfterTheOthers(t *testing.T) {
 	f := New(Options{Name: "edge", Seeds: []string{"a", "b", "c"}, Pool: link.NewPool(link.Options{})})
-	first := f.choose()
+	first := chosen(f)
 	f.free(first)
 	f.failed[first] = time.Now()
-	second := f.choose()
+	second := chosen(f)
 	assert.Assert(t, second != first)
 	f.free(second)
 	f.failed[first] = time.Now().Add(-2 * avoidFor)
-	assert.Equal(t, f.choose(), first, "not for long")
+	assert.Equal(t, chosen(f), first, "not for long")
+}
+
+// Where no node was a good source of late, the next question waits for one to become so.
+func TestQuestionsArePatientWhereNobodyVouches(t *testing.T) {
+	f := New(Options{Name: "edge", Seeds: []string{"a", "b"}, Pool: link.NewPool(link.Options{})})
+	for _, address := range []string{"a", "b"} {
+		_, patient := f.choose()
+		assert.Assert(t, !patient)
+		f.note(address, time.Now(), &protocol.WatchReply{}, nil)
+		f.free("a")
+		f.free("b")
+	}
+	address, patient := f.choose()
+	assert.Assert(t, patient)
+	f.note(address, time.Now(), &protocol.WatchReply{Vouched: true}, nil)
+	f.free(address)
+	again, patient := f.choose()
+	assert.Equal(t, again, address)
+	assert.Assert(t, !patient)
+}
+
+// A core node that is cut off from the owners is left for one that isn't, wherever both stand
+// in the order, and though it answers.
+func TestNodeThatCantVouchIsLeft(t *testing.T) {
+	answer := func(revision uint64, age time.Duration) func(protocol.WatchArgs) protocol.WatchReply {
+		return func(args protocol.WatchArgs) protocol.WatchReply {
+			return protocol.WatchReply{Confirmed: args.Confirmed && age == 0, Revision: revision, Age: age}
+		}
+	}
+	cutOff, sound := startCore(t, answer(4, unproven)), startCore(t, answer(7, 0))
+	f, told := begin(t, 1, cutOff.address, sound.address)
+	assert.Equal(t, next(t, told).Revision, uint64(7))
+	assert.Assert(t, f.Age() < testWithin)
+	lone, _ := begin(t, 1, cutOff.address)
+	for cutOff.asked.Load() < 3 {
+		runtime.Gosched()
+	}
+	assert.Equal(t, lone.isConfirmed(), false)
+}
+
+// Age counts from what the answering node had proof of, not from when its answer came.
+func TestAgeIsOfWhatWasVouchedFor(t *testing.T) {
+	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
+	f.vouched = time.Now().Add(-time.Hour)
+	sent := time.Now().Add(-10 * time.Second)
+	f.note("a", sent, &protocol.WatchReply{Vouched: true, Held: 3 * time.Second, Age: time.Second}, nil)
+	assert.Assert(t, f.Age() >= 8*time.Second && f.Age() < time.Minute, "%v", f.Age())
+	f.note("a", sent, &protocol.WatchReply{Held: 9 * time.Second}, nil)
+	assert.Assert(t, f.Age() >= 8*time.Second, "it didn't vouch")
+	f.note("a", sent.Add(-time.Minute), &protocol.WatchReply{Vouched: true}, nil)
+	assert.Assert(t, f.Age() < time.Minute, "an answer that was overtaken")
 }
 
-func TestOneNodeAloneIsBelievedAfterAWhile(t *testing.T) {
+// What a single core node has may be of long ago: a process that starts has nothing to hold it to.
+func TestOneNodeAloneIsNeverBelieved(t *testing.T) {
 	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
-	reply := &protocol.WatchReply{Revision: 4}
+	reply := &protocol.WatchReply{Revision: 4, Vouched: true}
 	assert.Equal(t, len(f.merge(reply)), 0)
-	f.start = time.Now().Add(-2 * unconfirmedAfter)
+	f.vouched = time.Now().Add(-time.Hour)
+	assert.Equal(t, len(f.merge(reply)), 0, "nor after a while")
+	reply.Confirmed = true
 	assert.Equal(t, f.merge(reply)[0].Revision, uint64(4))
 }
 
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -193,12 +193,19 @@
 	Directory uint64
 	Services  [ServicePartitions]uint64
 	Confirmed bool // the answer's configuration must be no older than the newest at this moment
+	Patient   bool // the caller knows of nobody better: no answer is wanted before there is news or a proof
 	Wait      time.Duration
 }
 
 // WatchReply holds what is newer. A nil pointer or zero version: nothing.
 type WatchReply struct {
-	Confirmed     bool
+	Confirmed bool
+	// Vouched: what the node tells is recent, proven by the owners of the groups. Age is how old
+	// it was at the most when the answer was made, Held how long before that the question came.
+	// A node that can't vouch says so at once, also to questions that wait.
+	Vouched   bool
+	Age, Held time.Duration
+
 	Revision      uint64
 	Configuration []byte
 	Directory     *Directory
