--- a/internal/anemometer/dispatch/codec.go
+++ b/internal/anemometer/dispatch/codec.go
@@ -48,10 +48,12 @@
 	dst.WriteString("\r\n")
 }
 
-// Judge implements upstream.Codec.
+// Judge implements upstream.Codec. Every answer of a server names the try that it is for. One
+// that names another, or none, proves nothing about this one: neither a success, nor the
+// promise that it never ran.
 func (codec) Judge(call *message.Call, response *http.Response) upstream.Verdict {
 	v := upstream.Verdict{Report: report(response.Header.Get(LoadHeader))}
-	if id := response.Header.Get(AttemptHeader); id != "" && id != call.ID {
+	if response.Header.Get(AttemptHeader) != call.ID {
 		v.Foreign = true
 		return v
 	}
--- a/internal/barograph/coordinator/authority.go
+++ b/internal/barograph/coordinator/authority.go
@@ -27,7 +27,10 @@
 	case !reached:
 		return operators.ReplaceOutcome{Result: operators.ReplaceConflict}
 	}
-	change := &revisions.Change{Base: base, Revision: configuration.Revision, Body: body}
+	change, err := c.change(base, configuration.Revision, body)
+	if err != nil {
+		return operators.ReplaceOutcome{Result: operators.ReplaceInvalid, Reason: err.Error()}
+	}
 	switch c.order(ctx, &revisions.Command{Change: change}) {
 	case revisions.Taken:
 		return operators.ReplaceOutcome{Result: operators.ReplaceTaken}
@@ -39,6 +42,14 @@
 	return operators.ReplaceOutcome{Result: operators.ReplaceUncertain}
 }
 
+// change makes the difference that goes into the log, on a base that was reached here.
+func (c *Coordinator) change(base, revision uint64, body []byte) (change *revisions.Change, err error) {
+	c.node.Host.Peek(protocol.ConfigurationGroup, func(m host.Machine) {
+		change, err = m.(*revisions.Machine).Change(base, revision, body)
+	})
+	return change, err
+}
+
 // reached tells whether a revision is or was in force. A change on one that isn't yet must
 // not get into the log: a try that a frozen process finds late could come into force there
 // after another try of the same change was refused.
--- a/internal/barograph/coordinator/calls.go
+++ b/internal/barograph/coordinator/calls.go
@@ -78,13 +78,16 @@
 	news := false
 	c.node.Host.Peek(protocol.ConfigurationGroup, func(m host.Machine) {
 		machine := m.(*revisions.Machine)
-		if revision, body := machine.Configuration(); revision > args.Revision {
-			reply.Revision, reply.Configuration, news = revision, body, true
+		if revision, _ := machine.Configuration(); revision > args.Revision && !args.DirectoryOnly {
+			reply.Revision, reply.Steps, news = revision, machine.Since(args.Revision), true
 		}
 		if d := machine.Directory(); d.Version > args.Directory {
 			reply.Directory, news = &d, true
 		}
 	})
+	if args.DirectoryOnly {
+		return news
+	}
 	for partition := range protocol.ServicePartitions {
 		c.node.Host.Peek(protocol.ServiceGroup(partition), func(m host.Machine) {
 			lists, version := m.(*servers.Machine).Lists()
--- a/internal/barograph/revisions/capacity_test.go
+++ b/internal/barograph/revisions/capacity_test.go
@@ -22,11 +22,12 @@
 
 func benchmarkChange(b *testing.B, routes int) {
 	m := New(nil)
-	body := scaletest.Configuration(9, routes)
 	bytes := 0
 	revision := uint64(0)
 	for b.Loop() {
-		command := Command{Change: &Change{Base: revision, Revision: revision + 1, Body: body}}
+		change, err := m.Change(revision, revision+1, scaletest.Configuration(int(revision+1), routes))
+		assert.NilError(b, err)
+		command := Command{Change: change}
 		text, err := command.Encode()
 		assert.NilError(b, err)
 		if m.Apply(text)[0] != byte(Taken) {
@@ -40,7 +41,7 @@
 
 func benchmarkSnapshot(b *testing.B, taken int) {
 	m := New(nil)
-	m.state.Body = scaletest.Configuration(9, 6700)
+	m.body = scaletest.Configuration(9, 6700)
 	m.state.Taken = make([]Digest, taken)
 	bytes := 0
 	for b.Loop() {
--- a/internal/barograph/revisions/revisions.go
+++ b/internal/barograph/revisions/revisions.go
@@ -5,12 +5,14 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -21,10 +23,11 @@
 // Digest identifies a change by its bytes.
 type Digest [sha256.Size]byte
 
-// Change is a whole configuration that takes the place of the one at Base.
+// Change is a configuration that takes the place of the one at Base. Machine.Change makes it.
 type Change struct {
 	Base, Revision uint64
-	Body           []byte
+	Digest         Digest // of the base and the body
+	Patch          []byte // the body as its difference to the one at Base; empty: Base was left long ago
 }
 
 // Command is one step of the machine. One of the pointers is set.
@@ -90,7 +93,7 @@
 // state is what snapshots hold.
 type state struct {
 	Revision  uint64
-	Body      []byte
+	Packed    []byte   // the body as a patch without a base; in snapshots only
 	Taken     []Digest // oldest first
 	Directory protocol.Directory
 }
@@ -98,6 +101,8 @@
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct {
 	state   state
+	body    []byte
+	steps   steps
 	known   map[Digest]struct{}
 	changed func()
 }
@@ -155,8 +160,7 @@
 // acknowledged whenever it comes again: by its base and its bytes it is known to be
 // that very one.
 func (m *Machine) replace(c *Change) Result {
-	digest := digestOf(c)
-	if _, ok := m.known[digest]; ok {
+	if _, ok := m.known[c.Digest]; ok {
 		return Taken
 	}
 	switch {
@@ -165,9 +169,14 @@
 	case c.Revision <= m.state.Revision:
 		return Stale
 	}
-	m.state.Revision, m.state.Body = c.Revision, c.Body
-	m.state.Taken = append(m.state.Taken, digest)
-	m.known[digest] = struct{}{}
+	body, err := patch.Apply(m.body, c.Patch)
+	if err != nil || DigestOf(c.Base, body) != c.Digest {
+		return Unreadable
+	}
+	m.state.Revision, m.state.Packed, m.body = c.Revision, nil, body
+	m.steps.add(Step{Base: c.Base, Revision: c.Revision, Patch: c.Patch})
+	m.state.Taken = append(m.state.Taken, c.Digest)
+	m.known[c.Digest] = struct{}{}
 	if over := len(m.state.Taken) - takenMost; over > 0 {
 		for _, old := range m.state.Taken[:over] {
 			delete(m.known, old)
@@ -177,14 +186,30 @@
 	return Taken
 }
 
-func digestOf(c *Change) Digest {
+// DigestOf identifies the change of a base to a body.
+func DigestOf(base uint64, body []byte) Digest {
 	sum := sha256.New()
-	sum.Write([]byte{byte(c.Base >> 56), byte(c.Base >> 48), byte(c.Base >> 40), byte(c.Base >> 32),
-		byte(c.Base >> 24), byte(c.Base >> 16), byte(c.Base >> 8), byte(c.Base)})
-	sum.Write(c.Body)
+	sum.Write(binary.BigEndian.AppendUint64(nil, base))
+	sum.Write(body)
 	return Digest(sum.Sum(nil))
 }
 
+// Change makes the change of a base to a body. The base must be or have been in force here: one
+// that was left can't be changed any more, so that nothing but the digest is of interest then.
+// Fails with patch.ErrTooLong.
+func (m *Machine) Change(base, revision uint64, body []byte) (*Change, error) {
+	c := &Change{Base: base, Revision: revision, Digest: DigestOf(base, body)}
+	if base != m.state.Revision {
+		return c, nil
+	}
+	text, err := patch.Make(m.body, body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "revision %d", revision)
+	}
+	c.Patch = text
+	return c, nil
+}
+
 // register takes a node on. An earlier incarnation of it has gone for good.
 func (m *Machine) register(n protocol.Node) Result {
 	nodes := slices.DeleteFunc(slices.Clone(m.state.Directory.Nodes), func(o protocol.Node) bool {
@@ -276,7 +301,31 @@
 // Configuration returns the newest configuration and its revision, 0: none yet. The
 // bytes must not be changed.
 func (m *Machine) Configuration() (revision uint64, body []byte) {
-	return m.state.Revision, m.state.Body
+	return m.state.Revision, m.body
+}
+
+// Since returns the steps that lead from a revision to the newest one, none if it is that. Where
+// they are not known any more it is one step without a base.
+func (m *Machine) Since(revision uint64) []Step {
+	if revision == m.state.Revision {
+		return nil
+	}
+	if chain, ok := m.steps.from(revision); ok {
+		return chain
+	}
+	return []Step{{Revision: m.state.Revision, Patch: m.packed()}}
+}
+
+// packed is the body as a patch without a base.
+func (m *Machine) packed() []byte {
+	if m.state.Packed == nil {
+		text, err := patch.Make(nil, m.body)
+		if err != nil {
+			panic(err) // the body came out of a patch: it isn't too long
+		}
+		m.state.Packed = text
+	}
+	return m.state.Packed
 }
 
 // Directory returns the directory. What it refers to must not be changed.
@@ -304,6 +353,7 @@
 
 // Snapshot returns the state.
 func (m *Machine) Snapshot() []byte {
+	m.packed()
 	text, err := cbor.Marshal(&m.state)
 	if err != nil {
 		panic(err) // the state is made of plain values only
@@ -319,7 +369,14 @@
 			return errors.Wrap(err, "restore configuration state")
 		}
 	}
-	m.state = next
+	var body []byte
+	if len(next.Packed) > 0 {
+		var err error
+		if body, err = patch.Apply(nil, next.Packed); err != nil {
+			return errors.Wrap(err, "restore configuration")
+		}
+	}
+	m.state, m.body, m.steps = next, body, steps{}
 	m.known = make(map[Digest]struct{}, len(next.Taken))
 	for _, d := range next.Taken {
 		m.known[d] = struct{}{}
--- a/internal/barograph/revisions/revisions_test.go
+++ b/internal/barograph/revisions/revisions_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -19,17 +20,21 @@
 	return result
 }
 
-func change(base, revision uint64, body string) Command {
-	return Command{Change: &Change{Base: base, Revision: revision, Body: []byte(body)}}
+// replace applies the change of a base, as a node makes it that has what m has.
+func replace(t *testing.T, m *Machine, base, revision uint64, body string) Result {
+	t.Helper()
+	c, err := m.Change(base, revision, []byte(body))
+	assert.NilError(t, err)
+	return apply(t, m, Command{Change: c})
 }
 
 func TestChangesAreComparedAndSet(t *testing.T) {
 	m := New(nil)
-	assert.Equal(t, apply(t, m, change(3, 4, "early")), Conflict)
-	assert.Equal(t, apply(t, m, change(0, 5, "a")), Taken)
-	assert.Equal(t, apply(t, m, change(0, 6, "late")), Conflict, "two changes on one base")
-	assert.Equal(t, apply(t, m, change(5, 5, "same number")), Stale)
-	assert.Equal(t, apply(t, m, change(5, 9, "b")), Taken)
+	assert.Equal(t, replace(t, m, 3, 4, "early"), Conflict)
+	assert.Equal(t, replace(t, m, 0, 5, "a"), Taken)
+	assert.Equal(t, replace(t, m, 0, 6, "late"), Conflict, "two changes on one base")
+	assert.Equal(t, replace(t, m, 5, 5, "same number"), Stale)
+	assert.Equal(t, replace(t, m, 5, 9, "b"), Taken)
 	revision, body := m.Configuration()
 	assert.Equal(t, revision, uint64(9))
 	assert.Equal(t, string(body), "b")
@@ -37,25 +42,27 @@
 
 func TestTakenChangeIsAcknowledgedAgain(t *testing.T) {
 	m := New(nil)
-	first := change(0, 5, "a")
-	assert.Equal(t, apply(t, m, first), Taken)
-	assert.Equal(t, apply(t, m, change(5, 6, "b")), Taken)
-	assert.Equal(t, apply(t, m, first), Taken, "also behind later ones")
+	first, err := m.Change(0, 5, []byte("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, apply(t, m, Command{Change: first}), Taken)
+	assert.Equal(t, replace(t, m, 5, 6, "b"), Taken)
+	assert.Equal(t, apply(t, m, Command{Change: first}), Taken, "also behind later ones")
+	assert.Equal(t, replace(t, m, 0, 5, "a"), Taken, "made by a node that has gone on")
 	revision, _ := m.Configuration()
 	assert.Equal(t, revision, uint64(6), "and it doesn't come into force again")
-	assert.Equal(t, apply(t, m, change(0, 5, "other bytes")), Conflict, "the same number is not the same change")
-	assert.Equal(t, apply(t, m, change(5, 6, "a")), Conflict, "nor are the same bytes on another base")
+	assert.Equal(t, replace(t, m, 0, 5, "other bytes"), Conflict, "the same number is not the same change")
+	assert.Equal(t, replace(t, m, 5, 6, "a"), Conflict, "nor are the same bytes on another base")
 }
 
 func TestHistoryIsBounded(t *testing.T) {
 	m := New(nil)
 	for i := range uint64(takenMost + 2) {
-		assert.Equal(t, apply(t, m, change(i, i+1, fmt.Sprint(i))), Taken)
+		assert.Equal(t, replace(t, m, i, i+1, fmt.Sprint(i)), Taken)
 	}
 	assert.Equal(t, len(m.state.Taken), takenMost)
 	assert.Equal(t, len(m.known), takenMost)
-	assert.Equal(t, apply(t, m, change(0, 1, "0")), Conflict, "the oldest are forgotten")
-	assert.Equal(t, apply(t, m, change(takenMost+1, takenMost+2, fmt.Sprint(takenMost+1))), Taken)
+	assert.Equal(t, replace(t, m, 0, 1, "0"), Conflict, "the oldest are forgotten")
+	assert.Equal(t, replace(t, m, takenMost+1, takenMost+2, fmt.Sprint(takenMost+1)), Taken)
 }
 
 func node(id int, name string, class protocol.Class) protocol.Node {
@@ -105,13 +112,13 @@
 	m := New(nil)
 	n := node(1, "a", protocol.Core)
 	apply(t, m, Command{Register: &n})
-	apply(t, m, change(0, 5, "a"))
+	replace(t, m, 0, 5, "a")
 	told := 0
 	other := New(func() { told++ })
 	assert.NilError(t, other.Restore(m.Snapshot()))
 	assert.Equal(t, told, 1)
 	assert.DeepEqual(t, other.Directory(), m.Directory())
-	assert.Equal(t, apply(t, other, change(0, 5, "a")), Taken, "the history too")
+	assert.Equal(t, replace(t, other, 0, 5, "a"), Taken, "the history too")
 	assert.DeepEqual(t, other.Snapshot(), m.Snapshot())
 	assert.ErrorContains(t, other.Restore([]byte{0xff}), "restore")
 }
@@ -123,3 +130,69 @@
 	_, err = ReadResult([]byte{200})
 	assert.ErrorType(t, err, &ResultError{})
 }
+
+// What a node lacks comes as the steps from what it has, or whole.
+func TestStepsLeadToTheNewest(t *testing.T) {
+	m := New(nil)
+	bodies := map[uint64]string{0: ""}
+	for i := range uint64(stepsMost + 10) {
+		bodies[i+1] = fmt.Sprint("body ", i+1)
+		assert.Equal(t, replace(t, m, i, i+1, bodies[i+1]), Taken)
+	}
+	newest := uint64(stepsMost + 10)
+	assert.Equal(t, len(m.Since(newest)), 0)
+	for _, from := range []uint64{0, 9, 10, 11, newest - 1, newest + 5} {
+		steps := m.Since(from)
+		known := from >= 10 && from < newest
+		assert.Equal(t, len(steps) == int(newest-from), known, "from %d: %d steps", from, len(steps))
+		body := ""
+		if known {
+			body = bodies[from]
+		}
+		for _, s := range steps {
+			next, err := patch.Apply([]byte(body), s.Patch)
+			assert.NilError(t, err)
+			body = string(next)
+		}
+		assert.Equal(t, body, bodies[newest], "from %d", from)
+	}
+	assert.Equal(t, m.steps.size <= stepsMostSize, true)
+	other := New(nil)
+	assert.NilError(t, other.Restore(m.Snapshot()))
+	_, body := other.Configuration()
+	assert.Equal(t, string(body), bodies[newest])
+	assert.Equal(t, len(other.Since(newest-1)), 1)
+	assert.Equal(t, replace(t, other, newest, newest+1, "on"), Taken)
+	assert.Equal(t, len(other.Since(newest)), 1)
+}
+
+func TestLongStepsAreNotRemembered(t *testing.T) {
+	var s steps
+	s.add(Step{Base: 1, Revision: 2, Patch: make([]byte, stepsMostSize/2)})
+	s.add(Step{Base: 2, Revision: 3, Patch: make([]byte, stepsMostSize/2+1)})
+	assert.Equal(t, len(s.list), 1)
+	s.add(Step{Base: 3, Revision: 4, Patch: make([]byte, stepsMostSize+1)})
+	assert.Equal(t, len(s.list), 0)
+	assert.Equal(t, s.size, 0)
+}
+
+// A change that doesn't fit what is in force changes nothing, alike on all members.
+func TestChangeWhosePatchDoesntFitIsRefusedWhole(t *testing.T) {
+	m := New(nil)
+	assert.Equal(t, replace(t, m, 0, 5, "first"), Taken)
+	fitting, err := m.Change(5, 6, []byte("second"))
+	assert.NilError(t, err)
+	foreign, err := New(nil).Change(0, 6, []byte("second"))
+	assert.NilError(t, err)
+	before := string(m.Snapshot())
+	for name, c := range map[string]Change{
+		"without a patch":    {Base: 5, Revision: 6, Digest: fitting.Digest},
+		"of another base":    {Base: 5, Revision: 6, Digest: fitting.Digest, Patch: foreign.Patch},
+		"cut short":          {Base: 5, Revision: 6, Digest: fitting.Digest, Patch: fitting.Patch[:20]},
+		"of another content": {Base: 5, Revision: 6, Digest: foreign.Digest, Patch: fitting.Patch},
+	} {
+		assert.Equal(t, apply(t, m, Command{Change: &c}), Unreadable, name)
+		assert.Equal(t, string(m.Snapshot()), before, name)
+	}
+	assert.Equal(t, apply(t, m, Command{Change: fitting}), Taken)
+}
--- a/internal/barograph/simulation/configuration_test.go
+++ b/internal/barograph/simulation/configuration_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/fxamacker/cbor/v2"
 
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/barograph/revisions"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -29,6 +31,7 @@
 	orders  []*order
 	reads   []*order
 	bases   map[uint64]*order // which change took the place of a revision
+	bodies  map[uint64]string // by revision that was in force
 	results map[uint64]string // by index
 	ticks   int64
 	seen    uint64 // the newest revision that an operator saw
@@ -38,7 +41,11 @@
 // order is an operator's change, or what an operator was shown.
 type order struct {
 	number   int
-	change   revisions.Change
+	base     uint64
+	rises    uint64 // the change's revision
+	before   string // the body that it is thought to take the place of
+	body     string
+	digest   revisions.Digest
 	sent     int
 	open     bool
 	call     int64 // of the first sending, or of the sending that was refused
@@ -57,7 +64,7 @@
 
 func playConfiguration(seed uint64, defects flaws) *world {
 	w := newWorld(seed, protocol.Core, defects)
-	s := &configurationSubject{world: w, bases: map[uint64]*order{}, results: map[uint64]string{}}
+	s := &configurationSubject{world: w, bases: map[uint64]*order{}, bodies: map[uint64]string{}, results: map[uint64]string{}}
 	w.subject = s
 	var members replica.Members
 	for range 3 + w.random.IntN(3) {
@@ -141,8 +148,12 @@
 		return
 	}
 	s.results[index] = key
+	var applied revisions.Command
+	if err := cbor.Unmarshal(command, &applied); err != nil {
+		s.world.fail("entry %d: %v", index, err)
+	}
 	for _, o := range s.orders {
-		if o.inForce == 0 && string(result) == string(revisions.Taken.Bytes()) && string(s.command(o)) == string(command) {
+		if o.inForce == 0 && applied.Change != nil && applied.Change.Digest == o.digest && string(result) == string(revisions.Taken.Bytes()) {
 			s.force(o)
 		}
 	}
@@ -150,17 +161,31 @@
 
 func (s *configurationSubject) force(o *order) {
 	o.inForce = s.tick()
-	if other := s.bases[o.change.Base]; other != nil {
-		s.world.fail("orders %d and %d both took the place of revision %d", other.number, o.number, o.change.Base)
+	if other := s.bases[o.base]; other != nil {
+		s.world.fail("orders %d and %d both took the place of revision %d", other.number, o.number, o.base)
 	}
-	s.bases[o.change.Base] = o
+	s.bases[o.base] = o
+	s.bodies[o.rises] = o.body
 	if o.refused != 0 {
-		s.world.fail("order %d of revision %d on %d was refused, and came into force", o.number, o.change.Revision, o.change.Base)
+		s.world.fail("order %d of revision %d on %d was refused, and came into force", o.number, o.rises, o.base)
 	}
 }
 
-func (s *configurationSubject) command(o *order) []byte {
-	return s.encode(&revisions.Command{Change: &o.change})
+// command makes an order's change as a node does: by what it has. A flawed node makes it by what
+// the order's base is thought to be, though it isn't in force yet.
+func (s *configurationSubject) command(n *machineNode, o *order) []byte {
+	m := revisions.New(nil)
+	if at := n.member(protocol.ConfigurationGroup); at != nil {
+		m = at.machine.(*revisions.Machine)
+	}
+	c, err := m.Change(o.base, o.rises, []byte(o.body))
+	if newest, _ := m.Configuration(); err == nil && newest < o.base {
+		c.Patch, err = patch.Make([]byte(o.before), []byte(o.body))
+	}
+	if err != nil {
+		s.world.fail("order %d: %v", o.number, err)
+	}
+	return s.encode(&revisions.Command{Change: c})
 }
 
 // operate has an operator do something.
@@ -190,18 +215,21 @@
 	w := s.world
 	number := len(s.orders) + 1
 	o := &order{number: number}
-	o.change.Base = s.seen
+	o.base = s.seen
 	if w.chance(0.1) && s.seen > 0 {
-		o.change.Base = w.random.Uint64N(s.seen + 1)
+		o.base = w.random.Uint64N(s.seen + 1)
 	}
+	o.before = s.bodies[o.base]
 	if len(s.orders) > 0 && (w.chance(0.25) || w.flaws.futureBase && w.chance(0.6)) {
-		o.change.Base = s.orders[len(s.orders)-1].change.Revision
+		last := s.orders[len(s.orders)-1]
+		o.base, o.before = last.rises, last.body
 	}
-	o.change.Revision = o.change.Base + 1 + w.random.Uint64N(3)
+	o.rises = o.base + 1 + w.random.Uint64N(3)
 	if w.chance(0.1) {
-		o.change.Revision = w.random.Uint64N(o.change.Base + 1)
+		o.rises = w.random.Uint64N(o.base + 1)
 	}
-	o.change.Body = []byte(fmt.Sprintf(`{"configRevision":%d,"order":%d}`, o.change.Revision, number))
+	o.body = fmt.Sprintf(`{"configRevision":%d,"order":%d}`, o.rises, number)
+	o.digest = revisions.DigestOf(o.base, []byte(o.body))
 	return o
 }
 
@@ -235,7 +263,7 @@
 
 // replace is what a core node does with a change: see coordinator.Replace.
 func (s *configurationSubject) replace(n *machineNode, o *order, answer func(orderReply)) {
-	if s.reached(n, o.change.Base) || s.world.flaws.futureBase {
+	if s.reached(n, o.base) || s.world.flaws.futureBase {
 		s.propose(n, o, answer)
 		return
 	}
@@ -243,7 +271,7 @@
 		switch {
 		case !ok:
 			answer(orderReply{})
-		case s.reached(n, o.change.Base):
+		case s.reached(n, o.base):
 			s.propose(n, o, answer)
 		default:
 			answer(orderReply{revisions.Conflict, true})
@@ -262,7 +290,7 @@
 }
 
 func (s *configurationSubject) propose(n *machineNode, o *order, answer func(orderReply)) {
-	n.submit(protocol.ConfigurationGroup, s.command(o), orderWithin, func(got outcome, v verdict) {
+	n.submit(protocol.ConfigurationGroup, s.command(n, o), orderWithin, func(got outcome, v verdict) {
 		if v != done {
 			answer(orderReply{})
 			return
@@ -290,12 +318,12 @@
 		if o.taken == 0 {
 			o.taken = s.tick()
 		}
-		s.seen = max(s.seen, o.change.Revision)
+		s.seen = max(s.seen, o.rises)
 		s.lastOK = w.now
 	case revisions.Conflict, revisions.Stale:
 		w.tally.refused++
 		if o.inForce != 0 {
-			w.fail("order %d of revision %d on %d is in force, and was refused", o.number, o.change.Revision, o.change.Base)
+			w.fail("order %d of revision %d on %d is in force, and was refused", o.number, o.rises, o.base)
 		}
 		o.refused, o.call = s.tick(), began
 	default:
@@ -350,14 +378,14 @@
 	Init: func() any { return uint64(0) },
 	Step: func(state, input, _ any) (bool, any) {
 		current, o := state.(uint64), input.(*order)
-		fits := o.change.Base == current && o.change.Revision > current
+		fits := o.base == current && o.rises > current
 		switch {
 		case o.shown:
 			return o.revision == current, current
 		case o.refused != 0:
 			return !fits, current
 		case fits:
-			return true, o.change.Revision
+			return true, o.rises
 		}
 		return false, current
 	},
--- a/internal/station/follow/capacity_test.go
+++ b/internal/station/follow/capacity_test.go
@@ -29,11 +29,11 @@
 
 // watched answers questions as a core node does, for the configuration alone.
 type watched struct {
-	mu       sync.Mutex
-	revision uint64
-	body     []byte
-	changed  chan struct{}
-	sent     atomic.Int64 // bytes of bodies handed out
+	mu      sync.Mutex
+	newest  protocol.ConfigurationStep // from the revision before
+	whole   protocol.ConfigurationStep
+	changed chan struct{}
+	sent    atomic.Int64 // bytes of patches handed out
 }
 
 // Watch answers when there is a newer configuration, and else after the wait.
@@ -43,11 +43,14 @@
 	defer end.Stop()
 	for {
 		w.mu.Lock()
-		revision, body, changed := w.revision, w.body, w.changed
+		newest, whole, changed := w.newest, w.whole, w.changed
 		w.mu.Unlock()
-		if revision > args.Revision {
-			reply.Revision, reply.Configuration = revision, body
-			w.sent.Add(int64(len(body)))
+		if newest.Revision > args.Revision {
+			if newest.Base != args.Revision {
+				newest = whole
+			}
+			reply.Revision, reply.Steps = newest.Revision, []protocol.ConfigurationStep{newest}
+			w.sent.Add(int64(len(newest.Patch)))
 			return nil
 		}
 		if args.Confirmed {
@@ -61,10 +64,10 @@
 	}
 }
 
-func (w *watched) change(body []byte) {
+func (w *watched) change(newest, whole protocol.ConfigurationStep) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.revision, w.body = w.revision+1, body
+	w.newest, w.whole = newest, whole
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -88,7 +91,10 @@
 type changeSize struct{ followers, routes, cores int }
 
 func benchmarkChange(b *testing.B, size changeSize) {
-	followers, body := size.followers, scaletest.Configuration(9, size.routes)
+	followers := size.followers
+	body := func(revision int64) string {
+		return string(scaletest.Configuration(int(1000+revision), size.routes))
+	}
 	ctx, end := context.WithCancel(context.Background())
 	nodes, seeds := startCores(b, size.cores)
 	var told, now atomic.Int64
@@ -106,10 +112,12 @@
 		running.Go(func() { f.Run(ctx) })
 	}
 	change := func() (reached int64) {
-		now.Add(1)
 		told.Store(0)
+		revision := now.Add(1)
+		newest := step(uint64(revision-1), body(revision-1), uint64(revision), body(revision))
+		whole := step(0, "", uint64(revision), body(revision))
 		for _, n := range nodes {
-			n.change(body)
+			n.change(newest, whole)
 		}
 		for end := time.Now().Add(toldWithin); told.Load() < int64(followers) && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -16,6 +16,7 @@
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/station/hashing"
 	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -44,7 +45,9 @@
 	Name  string
 	Seeds []string // net/rpc addresses of core nodes
 	Slots int      // nodes asked side by side
-	Pool  *link.Pool
+	// DirectoryOnly: neither the configuration nor the servers are of interest.
+	DirectoryOnly bool
+	Pool          *link.Pool
 	// Told gets all news, one at a time.
 	Told func(News)
 }
@@ -58,6 +61,8 @@
 	mu        sync.Mutex
 	confirmed bool
 	revision  uint64
+	body      []byte // of that revision
+	whole     bool   // the steps from it couldn't be followed
 	directory protocol.Directory
 	services  [protocol.ServicePartitions]uint64
 	asked     map[string]bool      // addresses with an open question
@@ -176,10 +181,14 @@
 func (f *Follower) args(patient bool) protocol.WatchArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return protocol.WatchArgs{
+	args := protocol.WatchArgs{
 		Node: f.opt.Name, Revision: f.revision, Directory: f.directory.Version, Services: f.services,
-		Confirmed: !f.confirmed, Patient: patient, Wait: wait,
+		Confirmed: !f.confirmed, DirectoryOnly: f.opt.DirectoryOnly, Patient: patient, Wait: wait,
 	}
+	if f.whole {
+		args.Revision = 0
+	}
+	return args
 }
 
 // note remembers whether a node was a good source. It comes after the news were told: Age must
@@ -228,9 +237,8 @@
 		f.confirmed = true
 		klog.InfoS("The control plane answers", "revision", reply.Revision)
 	}
-	if f.confirmed && reply.Revision > f.revision {
-		f.revision = reply.Revision
-		news = append(news, News{Revision: reply.Revision, Configuration: reply.Configuration})
+	if f.confirmed && reply.Revision > f.revision && f.follow(reply) {
+		news = append(news, News{Revision: f.revision, Configuration: f.body})
 	}
 	if reply.Directory != nil && reply.Directory.Version > f.directory.Version {
 		f.directory = *reply.Directory
@@ -249,6 +257,38 @@
 	return news
 }
 
+// follow takes the steps to a newer configuration. Those that this process has taken already, by
+// another node's answer, are passed over. Where a step doesn't fit, nothing is taken, and the
+// next question asks for the configuration whole.
+func (f *Follower) follow(reply *protocol.WatchReply) bool {
+	revision, body := f.revision, f.body
+	for _, step := range reply.Steps {
+		base := body
+		switch {
+		case step.Revision <= revision:
+			continue
+		case step.Base == 0:
+			base = nil
+		case step.Base != revision:
+			f.whole = true
+			return false
+		}
+		next, err := patch.Apply(base, step.Patch)
+		if err != nil {
+			f.whole = true
+			klog.ErrorS(err, "A change of the configuration can't be followed: it is asked for whole", "revision", step.Revision)
+			return false
+		}
+		revision, body = step.Revision, next
+	}
+	f.whole = revision != reply.Revision
+	if f.whole {
+		return false
+	}
+	f.revision, f.body = revision, body
+	return true
+}
+
 // NodeAddress finds a node of the directory by its id.
 func NodeAddress(d *protocol.Directory, id replica.NodeID) (protocol.Node, bool) {
 	at := slices.IndexFunc(d.Nodes, func(n protocol.Node) bool { return n.ID == id })
--- a/internal/station/follow/follow_test.go
+++ b/internal/station/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/station/link"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -26,11 +28,28 @@
 	answer  func(protocol.WatchArgs) protocol.WatchReply // called for each question
 }
 
-// Watch answers a question of a Follower. An answer whose age isn't unproven is vouched for.
+// whole is the step to a revision whose body is its number, from nothing.
+func whole(revision uint64) []protocol.ConfigurationStep {
+	return []protocol.ConfigurationStep{step(0, "", revision, strconv.FormatUint(revision, 10))}
+}
+
+func step(base uint64, before string, revision uint64, body string) protocol.ConfigurationStep {
+	text, err := patch.Make([]byte(before), []byte(body))
+	if err != nil {
+		panic(err) // only what is very long can't be made
+	}
+	return protocol.ConfigurationStep{Base: base, Revision: revision, Patch: text}
+}
+
+// Watch answers a question of a Follower. An answer whose age isn't unproven is vouched for, and
+// one without steps has the revision whole.
 func (c *core) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
 	c.asked.Add(1)
 	*reply = c.answer(*args)
 	reply.Vouched = reply.Age != unproven
+	if reply.Steps == nil && reply.Revision > 0 {
+		reply.Steps = whole(reply.Revision)
+	}
 	return nil
 }
 
@@ -99,7 +118,7 @@
 func TestConfigurationIsToldOnceItIsConfirmed(t *testing.T) {
 	var questions atomic.Int32
 	c := startCore(t, func(args protocol.WatchArgs) protocol.WatchReply {
-		reply := protocol.WatchReply{Revision: 7, Configuration: []byte("seven"), Directory: directoryOf(2)}
+		reply := protocol.WatchReply{Revision: 7, Directory: directoryOf(2)}
 		switch questions.Add(1) {
 		case 1:
 			if !args.Confirmed {
@@ -111,7 +130,7 @@
 			if args.Confirmed || args.Revision != 7 || args.Directory != 2 {
 				t.Errorf("asks with %+v", args)
 			}
-			reply = protocol.WatchReply{Revision: 9, Configuration: []byte("nine")}
+			reply = protocol.WatchReply{Revision: 9}
 		}
 		return reply
 	})
@@ -119,7 +138,7 @@
 	assert.Equal(t, next(t, told).Directory.Version, uint64(2), "the directory needs no proof")
 	n := next(t, told)
 	assert.Equal(t, n.Revision, uint64(7))
-	assert.Equal(t, string(n.Configuration), "seven")
+	assert.Equal(t, string(n.Configuration), "7")
 	assert.Equal(t, questions.Load() >= 2, true)
 	assert.Equal(t, next(t, told).Revision, uint64(9))
 }
@@ -323,7 +342,7 @@
 // What a single core node has may be of long ago: a process that starts has nothing to hold it to.
 func TestOneNodeAloneIsNeverBelieved(t *testing.T) {
 	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
-	reply := &protocol.WatchReply{Revision: 4, Vouched: true}
+	reply := &protocol.WatchReply{Revision: 4, Steps: whole(4), Vouched: true}
 	assert.Equal(t, len(f.merge(reply)), 0)
 	f.vouched = time.Now().Add(-time.Hour)
 	assert.Equal(t, len(f.merge(reply)), 0, "nor after a while")
@@ -331,6 +350,42 @@
 	assert.Equal(t, f.merge(reply)[0].Revision, uint64(4))
 }
 
+// Steps are taken from what a process has, those that it has taken already are passed over, and
+// where they don't fit the next question asks for the whole.
+func TestStepsOfTheConfigurationAreFollowed(t *testing.T) {
+	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
+	f.confirmed = true
+	take := func(revision uint64, steps ...protocol.ConfigurationStep) (string, bool) {
+		news := f.merge(&protocol.WatchReply{Revision: revision, Steps: steps})
+		if len(news) == 0 {
+			return "", false
+		}
+		return string(news[0].Configuration), true
+	}
+	ab, bc, cd := step(2, "a", 5, "b"), step(5, "b", 6, "c"), step(6, "c", 9, "d")
+	body, ok := take(2, step(0, "", 2, "a"))
+	assert.Assert(t, ok && body == "a")
+	body, ok = take(6, ab, bc)
+	assert.Assert(t, ok && body == "c")
+	body, ok = take(9, ab, bc, cd)
+	assert.Assert(t, ok && body == "d", "two steps were known from another node")
+	for name, steps := range map[string][]protocol.ConfigurationStep{
+		"from another revision": {step(8, "d", 10, "e")},
+		"of another base":       {step(9, "x", 10, "e")},
+		"none at all":           nil,
+		"not to the end":        {step(9, "d", 10, "e")},
+	} {
+		f.whole = false
+		_, ok = take(11, steps...)
+		assert.Assert(t, !ok && f.whole, name)
+		assert.Equal(t, f.args(false).Revision, uint64(0), name)
+		assert.Equal(t, string(f.body), "d", "nothing is half taken: "+name)
+	}
+	body, ok = take(11, step(0, "", 11, "f"))
+	assert.Assert(t, ok && body == "f" && !f.whole)
+	assert.Equal(t, f.args(false).Revision, uint64(11))
+}
+
 func TestNodeAddress(t *testing.T) {
 	d := directoryOf(1, "a", "b")
 	n, known := NodeAddress(d, 2)
--- a/internal/station/protocol/capacity_test.go
+++ b/internal/station/protocol/capacity_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/scaletest"
 )
@@ -26,7 +29,9 @@
 		b.Run(fmt.Sprintf("servers=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
 	}
 	for _, count := range []int{15, 1000, 6700} {
-		reply := &protocol.WatchReply{Revision: 9, Configuration: scaletest.Configuration(9, count)}
+		text, err := patch.Make(scaletest.Configuration(8, count), scaletest.Configuration(9, count))
+		assert.NilError(b, err)
+		reply := &protocol.WatchReply{Revision: 9, Steps: []protocol.ConfigurationStep{{Base: 8, Revision: 9, Patch: text}}}
 		b.Run(fmt.Sprintf("routes=%d", count), func(b *testing.B) { benchmarkWire(b, reply) })
 	}
 	for _, count := range []int{30, 100, 380} {
--- a/internal/station/protocol/protocol.go
+++ b/internal/station/protocol/protocol.go
@@ -193,8 +193,17 @@
 	Directory uint64
 	Services  [ServicePartitions]uint64
 	Confirmed bool // the answer's configuration must be no older than the newest at this moment
-	Patient   bool // the caller knows of nobody better: no answer is wanted before there is news or a proof
-	Wait      time.Duration
+	// DirectoryOnly: neither the configuration nor the lists of servers are wanted.
+	DirectoryOnly bool
+	Patient       bool // the caller knows of nobody better: no answer is wanted before there is news or a proof
+	Wait          time.Duration
+}
+
+// ConfigurationStep leads from the configuration at Base to the one at Revision: a patch of
+// package patch. Base 0: from nothing.
+type ConfigurationStep struct {
+	Base, Revision uint64
+	Patch          []byte
 }
 
 // WatchReply holds what is newer. A nil pointer or zero version: nothing.
@@ -206,11 +215,11 @@
 	Vouched   bool
 	Age, Held time.Duration
 
-	Revision      uint64
-	Configuration []byte
-	Directory     *Directory
-	Services      [ServicePartitions]uint64
-	Lists         []ServerList // of the partitions whose version is newer, whole
+	Revision  uint64              // that Steps lead to
+	Steps     []ConfigurationStep // from the caller's revision, or one without a base
+	Directory *Directory
+	Services  [ServicePartitions]uint64
+	Lists     []ServerList // of the partitions whose version is newer, whole
 }
 
 // Where a turn stands at the end of a call.
