--- a/internal/barograph/node/node.go
+++ b/internal/barograph/node/node.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// bulkStale is how long a connection that carries bulk may be silent with calls under way.
+const bulkStale = 5 * time.Second
+
 // Silent is how long a member may say nothing before it counts as lost.
 const Silent = 1500 * time.Millisecond
 
@@ -57,6 +60,7 @@
 	Addresses *Addresses
 	Pool      *link.Pool
 
+	bulk  *link.Pool // for what would hold up heartbeats
 	seeds []string
 	store store.Store
 	start time.Time
@@ -92,10 +96,10 @@
 		}
 	}
 	n.Addresses.Learn(n.Self)
-	n.Pool = link.NewPool(link.Options{})
+	n.Pool, n.bulk = link.NewPool(link.Options{}), link.NewPool(link.Options{Stale: bulkStale})
 	n.Host, err = host.New(host.Options{
 		Self: id, Timing: Timing(o.Class), Store: disk, Now: n.Now, Seed: rand.Uint64(), Unknown: o.Unknown,
-		Transport: &transport{addresses: n.Addresses, pool: n.Pool, under: map[replica.NodeID]int{}},
+		Transport: &transport{addresses: n.Addresses, prompt: lane{pool: n.Pool}, bulk: lane{pool: n.bulk}},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open groups")
@@ -142,5 +146,9 @@
 	return n.Host.Run(running)
 }
 
-// Close closes the disk.
-func (n *Node) Close() error { return n.store.Close() }
+// Close closes the connections and the disk.
+func (n *Node) Close() error {
+	n.Pool.Close()
+	n.bulk.Close()
+	return n.store.Close()
+}
--- a/internal/barograph/node/transport.go
+++ b/internal/barograph/node/transport.go
@@ -11,18 +11,28 @@
 )
 
 const (
-	// deliverWithin bounds one delivery: what is later is sent anew by the group.
+	// deliverWithin bounds one delivery, and perMegabyte is added for what it carries, so that a
+	// narrow link can take it: what is later is sent anew by the group.
 	deliverWithin = time.Second
-	// deliveriesMost is how many deliveries to one node may be under way. More would only
-	// queue behind a node that doesn't read; groups send again what is lost.
+	perMegabyte   = time.Second
+	// deliveriesMost is how many deliveries to one node may be under way on each of the two
+	// connections. More would only queue behind a node that doesn't read; groups send again what
+	// is lost.
 	deliveriesMost = 16
 )
 
 // transport carries messages between members of groups. It never blocks, and loses what
-// can't be sent.
+// can't be sent. Parts of snapshots have a connection of their own, so that heartbeats don't
+// queue behind them; entries go with the heartbeats, in whose order they are awaited.
 type transport struct {
 	addresses *Addresses
-	pool      *link.Pool
+	prompt    lane
+	bulk      lane
+}
+
+// lane is one of the two connections to each node.
+type lane struct {
+	pool *link.Pool
 
 	mu    sync.Mutex
 	under map[replica.NodeID]int // deliveries under way
@@ -31,33 +41,55 @@
 // Send implements host.Transport.
 func (t *transport) Send(to replica.NodeID, messages []replica.Message) {
 	n, ok := t.addresses.Find(to)
-	if !ok || !t.begin(to) {
+	if !ok {
 		return
 	}
-	go t.deliver(n, messages)
+	var prompt []replica.Message
+	size := 0
+	for _, m := range messages {
+		if m.Kind == replica.Install {
+			t.bulk.send(n, []replica.Message{m}, m.Bytes())
+			continue
+		}
+		prompt = append(prompt, m)
+		size += m.Bytes()
+	}
+	if len(prompt) > 0 {
+		t.prompt.send(n, prompt, size)
+	}
 }
 
-func (t *transport) begin(to replica.NodeID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.under[to] >= deliveriesMost {
+// send delivers messages of some size in bytes, unless too many are under way.
+func (l *lane) send(to protocol.Node, messages []replica.Message, size int) {
+	if l.begin(to.ID) {
+		go l.deliver(to, messages, deliverWithin+perMegabyte*time.Duration(size)/(1<<20))
+	}
+}
+
+func (l *lane) begin(to replica.NodeID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.under[to] >= deliveriesMost {
 		return false
 	}
-	t.under[to]++
+	if l.under == nil {
+		l.under = map[replica.NodeID]int{}
+	}
+	l.under[to]++
 	return true
 }
 
-func (t *transport) deliver(to protocol.Node, messages []replica.Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), deliverWithin)
+func (l *lane) deliver(to protocol.Node, messages []replica.Message, within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	args := protocol.DeliverArgs{Messages: messages}
 	var reply protocol.Nothing
 	// A delivery that fails is lost: the groups send again.
-	_ = t.pool.Call(ctx, to.Address, "Replica.Deliver", &args, &reply)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.under[to.ID]--
-	if t.under[to.ID] <= 0 {
-		delete(t.under, to.ID)
+	_ = l.pool.Call(ctx, to.Address, "Replica.Deliver", &args, &reply)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.under[to.ID]--
+	if l.under[to.ID] <= 0 {
+		delete(l.under, to.ID)
 	}
 }
--- a/internal/barograph/replica/api.go
+++ b/internal/barograph/replica/api.go
@@ -67,8 +67,9 @@
 	VoteReply                       //
 	Append                          // entries, or a heartbeat without any
 	AppendReply                     //
-	Install                         // a whole snapshot
+	Install                         // a part of a snapshot
 	Handover                        // the owner asks the receiver to campaign at once
+	InstallReply                    // how much of the snapshot has come
 )
 
 // Message goes from one member of a group to another.
@@ -87,7 +88,10 @@
 	Hint           uint64        // of a rejecting AppendReply: the receiver's newest index that may match, at most Index
 	Forced         bool          // of a Vote: the owner gave its lease up, so voters needn't keep it
 	Sent           time.Duration // on the owner's clock, given back in replies of its term: the lease counts from it
-	Snapshot       *Snapshot
+	// Snapshot holds, in an Install, the bytes of the state from Offset on; Size is the state's
+	// whole. Of an InstallReply Offset is how many bytes have come.
+	Snapshot     *Snapshot
+	Offset, Size uint64
 	// Returning asks voters that have started anew not to wait for what they may have promised
 	// before, and tells in their answer that they would have to; Life names the life of a
 	// process that a voter answered in.
--- a/internal/barograph/replica/export_test.go
+++ b/internal/barograph/replica/export_test.go
@@ -16,5 +16,8 @@
 // SetFlaws gives the replica defects.
 func (r *Replica) SetFlaws(defects Flaws) { r.flaws = defects }
 
-// SetBounds makes the replica keep tail entries before a snapshot and send batch entries at once.
-func (r *Replica) SetBounds(tail uint64, batch int) { r.tail, r.batch = tail, batch }
+// SetBounds makes the replica keep tail entries before a snapshot, and send batch entries, or so
+// many bytes of a state, at once.
+func (r *Replica) SetBounds(tail uint64, batch int, part uint64) {
+	r.tail, r.batch, r.part = tail, batch, part
+}
--- a/internal/barograph/replica/follow.go
+++ b/internal/barograph/replica/follow.go
@@ -104,14 +104,19 @@
 		return
 	}
 	r.hear(m.From)
-	snapshot := *m.Snapshot
-	if snapshot.Index <= r.commit {
+	if m.Snapshot.Index <= r.commit {
+		r.assembly = nil
 		r.confirm(m, r.commit)
 		return
 	}
-	if r.log.matches(snapshot.Index, snapshot.Term) {
-		r.commitTo(snapshot.Index)
-		r.confirm(m, snapshot.Index)
+	if r.log.matches(m.Snapshot.Index, m.Snapshot.Term) {
+		r.assembly = nil
+		r.commitTo(m.Snapshot.Index)
+		r.confirm(m, m.Snapshot.Index)
+		return
+	}
+	snapshot, whole := r.assemble(m)
+	if !whole {
 		return
 	}
 	r.log.reset(snapshot)
@@ -127,7 +132,7 @@
 	if snapshot.Index > r.applied {
 		return
 	}
-	r.log.compact(r.tailStart(snapshot.Index))
+	r.log.compact(min(r.tailStart(snapshot.Index), r.pinned(snapshot.Index)))
 }
 
 // tailStart returns the index after which entries are kept when a snapshot at index is durable.
--- a/internal/barograph/replica/group_test.go
+++ b/internal/barograph/replica/group_test.go
@@ -26,7 +26,9 @@
 	order    []NodeID
 	mail     []Message
 	lost     func(Message) bool
+	shuffle  *rand.Rand // puts messages out of order; nil: they come as they were sent
 	applied  map[NodeID][]Entry
+	restored map[NodeID]Snapshot
 	carried  []Message // all that were delivered
 }
 
@@ -41,7 +43,7 @@
 // newGroup starts voters 1 to count, of which 1 has become the settled owner.
 func newGroup(t *testing.T, count int) *group {
 	t.Helper()
-	g := &group{t: t, replicas: map[NodeID]*Replica{}, applied: map[NodeID][]Entry{}}
+	g := &group{t: t, replicas: map[NodeID]*Replica{}, applied: map[NodeID][]Entry{}, restored: map[NodeID]Snapshot{}}
 	var voters []NodeID
 	for id := range count {
 		voters = append(voters, NodeID(id+1))
@@ -69,6 +71,9 @@
 			r.Persisted(g.now, ready)
 			g.mail = append(g.mail, ready.Early...)
 			g.mail = append(g.mail, ready.Messages...)
+			if ready.Snapshot != nil {
+				g.restored[id] = *ready.Snapshot
+			}
 			g.applied[id] = append(g.applied[id], ready.Committed...)
 		}
 	}
@@ -78,6 +83,9 @@
 func (g *group) deliver() {
 	mail := g.mail
 	g.mail = nil
+	if g.shuffle != nil {
+		g.shuffle.Shuffle(len(mail), func(i, j int) { mail[i], mail[j] = mail[j], mail[i] })
+	}
 	for _, m := range mail {
 		receiver := g.replicas[m.To]
 		if receiver == nil || g.lost != nil && g.lost(m) {
--- a/internal/barograph/replica/log.go
+++ b/internal/barograph/replica/log.go
@@ -12,6 +12,18 @@
 // Size is the room that an entry takes, in bytes, about.
 func (e Entry) Size() int { return len(e.Data) + entryOverhead }
 
+// Bytes is the room that what a message carries takes, in bytes, about: nothing for a heartbeat.
+func (m *Message) Bytes() int {
+	size := 0
+	for _, entry := range m.Entries {
+		size += entry.Size()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.State) + entryOverhead
+	}
+	return size
+}
+
 // placedMembers are the members in force from Index on.
 type placedMembers struct {
 	Index   uint64
--- a/internal/barograph/replica/owner.go
+++ b/internal/barograph/replica/owner.go
@@ -154,6 +154,7 @@
 			r.sendInstall(to, p)
 			return
 		}
+		p.transfer = nil // the log will do
 		entries := r.log.slice(p.next, r.log.last(), r.batch, maxBatchBytes)
 		last := before + uint64(len(entries))
 		p.sent(r.now, last)
@@ -164,32 +165,26 @@
 	}
 }
 
-// sendInstall sends the newest snapshot, unless one is on the way.
-func (r *Replica) sendInstall(to NodeID, p *progress) {
-	if p.install != 0 && r.now-p.shipped < installRetry {
-		return
-	}
-	snapshot := r.source()
-	if snapshot.Index < p.next {
-		return // the source must be as new as what was compacted
-	}
-	p.install, p.shipped = snapshot.Index, r.now
-	r.sendEarly(Message{
-		To: to, Kind: Install, Index: snapshot.Index, LogTerm: snapshot.Term, Snapshot: &snapshot,
-	})
-}
-
-func (r *Replica) onAppendReply(m Message) {
+// hearFrom notes the answer of a member to this owner, nil if it is none.
+func (r *Replica) hearFrom(m Message) *progress {
 	p := r.progress[m.From]
 	if r.role != owner || p == nil {
-		return
+		return nil
 	}
 	if m.Sent == never || m.Sent > r.now {
-		return // to a message of an older term
+		return nil // to a message of an older term
 	}
 	p.heard = r.now
 	p.answered = max(p.answered, m.Sent)
 	p.asked, p.life = m.Asked, m.Life
+	return p
+}
+
+func (r *Replica) onAppendReply(m Message) {
+	p := r.hearFrom(m)
+	if p == nil {
+		return
+	}
 	if m.Reject {
 		r.onReject(m, p)
 		return
--- a/internal/barograph/replica/owner_test.go
+++ b/internal/barograph/replica/owner_test.go
@@ -211,7 +211,7 @@
 func TestCompactedMemberGetsOneSnapshotAtATime(t *testing.T) {
 	g := newGroup(t, 3)
 	r := g.replicas[1]
-	r.SetBounds(0, maxBatchEntries)
+	r.SetBounds(0, maxBatchEntries, partBytes)
 	g.isolate(3)
 	g.pass(testTiming.Election)
 	for range 10 {
--- a/internal/barograph/replica/progress.go
+++ b/internal/barograph/replica/progress.go
@@ -16,8 +16,7 @@
 	answered time.Duration // the sending time of the newest message that it answered
 	told     uint64        // the commit index that it was sent
 	probe    uint64        // the index before the entries of the newest append, while probing
-	install  uint64        // the index of the snapshot that is on the way; 0: none
-	shipped  time.Duration // when it was sent
+	transfer *transfer     // the snapshot that is on the way; nil: none
 	asked    time.Duration // the member's own time in its newest answer
 	life     uint64        // of the member, that this time belongs to; 0: none
 }
@@ -52,8 +51,8 @@
 	}
 	p.matched = max(p.matched, index)
 	p.next = max(p.next, p.matched+1)
-	if p.install <= p.matched {
-		p.install = 0
+	if p.transfer != nil && p.transfer.snapshot.Index <= p.matched {
+		p.transfer = nil
 	}
 	for len(p.flight) > 0 && p.flight[0] <= p.matched {
 		p.flight = p.flight[1:]
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -7,16 +7,15 @@
 
 // Bounds of what an owner sends and holds.
 const (
-	maxBatchEntries = 256         // entries in one append
-	maxBatchBytes   = 256 << 10   // bytes in one append, unless a single entry is larger
-	maxFlight       = 4           // unanswered appends to one member
-	maxUncommitted  = 64 << 20    // bytes that may wait for their commit
-	maxApply        = 4096        // committed entries in one Ready
-	tailEntries     = 512         // entries kept in memory before the newest snapshot
-	tailBytes       = 4 << 20     // and their bytes
-	installRetry    = time.Second // an unanswered snapshot is sent again after this
-	learnerPatience = 3           // a learner waits this many times Election longer than a voter
-	farAway         = time.Hour   // Next of a replica that waits for messages only
+	maxBatchEntries = 256       // entries in one append
+	maxBatchBytes   = 256 << 10 // bytes in one append, unless a single entry is larger
+	maxFlight       = 4         // unanswered appends to one member
+	maxUncommitted  = 64 << 20  // bytes that may wait for their commit
+	maxApply        = 4096      // committed entries in one Ready
+	tailEntries     = 512       // entries kept in memory before the newest snapshot
+	tailBytes       = 4 << 20   // and their bytes
+	learnerPatience = 3         // a learner waits this many times Election longer than a voter
+	farAway         = time.Hour // Next of a replica that waits for messages only
 )
 
 type role uint8
@@ -49,6 +48,7 @@
 	flaws  flaws
 	tail   uint64        // entries kept in memory before the newest snapshot
 	batch  int           // entries in one append
+	part   uint64        // bytes of a state in one message
 	now    time.Duration // the newest time that was told
 
 	log         *entryLog
@@ -59,6 +59,7 @@
 	applied     uint64 // committed entries up to here were handed out
 	hardChanged bool
 	incoming    *Snapshot // a snapshot to be handed out
+	assembly    *assembly // a snapshot that is on its way in; nil: none
 	early       []Message
 	messages    []Message
 
@@ -99,7 +100,7 @@
 	group GroupID, self NodeID, timing Timing, stored Stored, random *rand.Rand, now time.Duration,
 ) *Replica {
 	r := &Replica{
-		group: group, self: self, timing: timing, random: random, now: now, tail: tailEntries, batch: maxBatchEntries,
+		group: group, self: self, timing: timing, random: random, now: now, tail: tailEntries, batch: maxBatchEntries, part: partBytes,
 		source: func() Snapshot { return stored.Snapshot },
 		log:    newLog(stored),
 		hard:   stored.Hard,
@@ -187,6 +188,8 @@
 		r.onAppendReply(m)
 	case Install:
 		r.onInstall(m)
+	case InstallReply:
+		r.onInstallReply(m)
 	case Handover:
 		r.onHandover(m)
 	}
@@ -225,7 +228,7 @@
 		}
 	case Handover:
 		return false // from an owner whose entries this node doesn't have
-	case AppendReply:
+	case AppendReply, InstallReply:
 		if r.role == owner && r.progress[m.From] == nil {
 			return false // of a node that was removed
 		}
--- a/internal/barograph/replica/simulation_node_test.go
+++ b/internal/barograph/replica/simulation_node_test.go
@@ -52,7 +52,7 @@
 	lot := rand.New(rand.NewPCG(w.seed, w.random.Uint64()))
 	n.replica = replica.New(simulatedGroup, n.id, simulatedTiming, n.disk, lot, n.clock())
 	n.replica.SetFlaws(w.flaws)
-	n.replica.SetBounds(w.tail, w.batch)
+	n.replica.SetBounds(w.tail, w.batch, w.part)
 	n.replica.SetSnapshotSource(func() replica.Snapshot { return n.disk.Snapshot })
 	n.settle()
 }
--- a/internal/barograph/replica/simulation_world_test.go
+++ b/internal/barograph/replica/simulation_world_test.go
@@ -87,6 +87,7 @@
 	snapshotEvery uint64
 	tail          uint64
 	batch         int
+	part          uint64
 	delay         time.Duration
 }
 
@@ -103,6 +104,7 @@
 	w.tail = w.random.Uint64N(10)
 	w.batch = 1 + w.random.IntN(8)
 	w.delay = shortDelay
+	w.part = 1 + w.random.Uint64N(9)
 	return w
 }
 
