Wait for room on a full disk instead of ending again and again

Change: a change that found the disk full is rolled back, taken back in the store's own fields and fails with *FullError; the host tries the same batch again with pauses of 20 ms to 1 s and sends and answers nothing meanwhile, so the node votes for nothing and is missed as an owner; a store is opened without a write; a store that can't be made yet is waited for.

--- a/internal/barograph/host/host.go
+++ b/internal/barograph/host/host.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -63,6 +64,7 @@
 type Host struct {
 	options Options
 	wake    chan struct{} // holds one: there is something to do
+	pause   func(ctx context.Context, span time.Duration) bool
 
 	busy sync.Mutex // held for a whole round; taken before mu
 
@@ -110,6 +112,7 @@
 	h := &Host{
 		options: options,
 		wake:    make(chan struct{}, 1),
+		pause:   pause,
 		groups:  map[replica.GroupID]*group{},
 		loaded:  loaded,
 		held:    map[replica.GroupID]bool{},
--- a/internal/barograph/host/round.go
+++ b/internal/barograph/host/round.go
@@ -9,6 +9,7 @@
 
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/barograph/store"
+	"pipitmux/internal/station/journal"
 )
 
 // shortestWait bounds how often Run looks at groups that ask for it again and again.
@@ -53,7 +54,7 @@
 // drain carries out rounds until there is nothing to do or ctx ends.
 func (h *Host) drain(ctx context.Context) error {
 	for ctx.Err() == nil {
-		more, err := h.round()
+		more, err := h.round(ctx)
 		if err != nil || !more {
 			return err
 		}
@@ -75,7 +76,7 @@
 
 // round carries out what the replicas want now: it gathers, writes and syncs, then sends and
 // applies, then answers. It tells whether there was anything.
-func (h *Host) round() (more bool, err error) {
+func (h *Host) round(ctx context.Context) (more bool, err error) {
 	h.busy.Lock()
 	defer h.busy.Unlock()
 	jobs := h.gather()
@@ -83,7 +84,7 @@
 		return false, nil
 	}
 	h.send(jobs, func(j *job) []replica.Message { return j.ready.Early })
-	if err := h.write(jobs); err != nil {
+	if err := h.persist(ctx, jobs); err != nil {
 		return false, err
 	}
 	h.persisted(jobs)
@@ -147,6 +148,46 @@
 	return w, w.Hard != nil || w.Snapshot != nil || len(w.Entries) > 0
 }
 
+// The pauses between tries to write to a full disk, and how often the log tells of it.
+const (
+	fullPauseFirst = 20 * time.Millisecond
+	fullPauseMost  = time.Second
+	fullLogEvery   = 30 * time.Second
+)
+
+// persist writes what the jobs want. On a full disk it tries the same again until there is room:
+// what isn't durable is neither sent nor answered, so this node votes for nothing, is missed as
+// an owner by the others, and serves what it has meanwhile. It fails with the store's failure,
+// or the context's.
+func (h *Host) persist(ctx context.Context, jobs []*job) error {
+	pause := fullPauseFirst
+	for {
+		err := h.write(jobs)
+		if !errors.Is(err, store.ErrFull) {
+			return err
+		}
+		if skipped, ok := journal.Every("full disk", fullLogEvery); ok {
+			klog.ErrorS(err, "The disk is full: what is new waits for room", "alike", skipped)
+		}
+		if !h.pause(ctx, pause) {
+			return err
+		}
+		pause = min(2*pause, fullPauseMost)
+	}
+}
+
+// pause waits and is false when ctx ends first.
+func pause(ctx context.Context, span time.Duration) bool {
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (h *Host) write(jobs []*job) error {
 	var batch []store.Write
 	for _, j := range jobs {
--- a/internal/barograph/node/node.go
+++ b/internal/barograph/node/node.go
@@ -74,7 +74,7 @@
 // Open opens the node's disk and takes its identity from there.
 func Open(o Options) (*Node, error) {
 	n := &Node{seeds: o.Seeds, start: time.Now()}
-	disk, err := store.Open(o.DataDir)
+	disk, err := openStore(o.DataDir)
 	if err != nil {
 		return nil, errors.Wrap(err, "open store")
 	}
@@ -107,6 +107,27 @@
 	return n, nil
 }
 
+// The pauses between tries to open a store on a full disk.
+const (
+	openPauseFirst = 50 * time.Millisecond
+	openPauseMost  = 2 * time.Second
+)
+
+// openStore opens the store in a folder. Where there is none yet and no room for one, it waits.
+func openStore(folder string) (store.Store, error) {
+	for pause := openPauseFirst; ; pause = min(2*pause, openPauseMost) {
+		disk, err := store.Open(folder)
+		if err == nil {
+			return disk, nil
+		}
+		if !errors.Is(err, store.ErrFull) {
+			return nil, err
+		}
+		klog.ErrorS(err, "The disk is full: this node starts once there is room", "pause", pause)
+		time.Sleep(pause)
+	}
+}
+
 // identity returns the id that the disk holds, or gives it one. An empty disk means that
 // votes and copies are forgotten: the node is another one then.
 func identity(disk store.Store, o Options) (replica.NodeID, error) {
--- a/internal/barograph/store/memory.go
+++ b/internal/barograph/store/memory.go
@@ -21,6 +21,7 @@
 	disk    *content
 	broken  error
 	failing error               // the next change fails with it
+	full    bool                // changes fail as on a full disk
 	loses   bool                // Write answers nil and keeps nothing until Sync
 	unsaved []func(*content)    // what loses holds back
 	tears   *rand.Rand          // the next change fails, and is kept by lot
@@ -54,8 +55,17 @@
 // Fail lets the next change fail and keep nothing.
 func (m *Memory) Fail() { m.setFailing(&FailedError{Cause: errInjected}) }
 
-// Fill lets the next change fail as on a full disk, and keep nothing.
-func (m *Memory) Fill() { m.setFailing(&FailedError{Full: true, Cause: errInjected}) }
+// Fill lets changes fail as on a full disk, and keep nothing, until Empty.
+func (m *Memory) Fill() { m.setFull(true) }
+
+// Empty ends what Fill began.
+func (m *Memory) Empty() { m.setFull(false) }
+
+func (m *Memory) setFull(full bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.full = full
+}
 
 // Tear lets the next change fail, and whether it is kept is drawn: what a power loss during
 // a commit leaves.
@@ -186,6 +196,9 @@
 	if m.broken != nil {
 		return m.broken
 	}
+	if m.full {
+		return &FullError{Cause: errInjected}
+	}
 	if m.failing != nil {
 		m.broken = m.failing
 		if m.tears != nil && m.tears.IntN(2) == 0 {
--- a/internal/barograph/store/schema.go
+++ b/internal/barograph/store/schema.go
@@ -76,16 +76,18 @@
 	sqlBegin    = "BEGIN IMMEDIATE"
 	sqlCommit   = "COMMIT"
 	sqlRollback = "ROLLBACK"
-	sqlGroup    = "INSERT INTO groups (id, name) VALUES (?, ?)"
-	sqlHard     = "UPDATE groups SET term = ?, vote = ? WHERE id = ?"
-	sqlSnapshot = "INSERT OR REPLACE INTO snapshots (id, idx, term, members, state) VALUES (?, ?, ?, ?, ?)"
-	sqlCompact  = "DELETE FROM entries WHERE id = ? AND idx <= ?"
-	sqlTruncate = "DELETE FROM entries WHERE id = ? AND idx >= ?"
-	sqlAppend   = "INSERT INTO entries (seq, id, idx, term, kind, data) VALUES (?, ?, ?, ?, ?, ?)"
-	sqlIdentity = "INSERT OR REPLACE INTO meta (key, value) VALUES ('identity', ?)"
-	sqlDrop     = "DELETE FROM groups WHERE id = ?"
-	sqlDropSnap = "DELETE FROM snapshots WHERE id = ?"
-	sqlDropLog  = "DELETE FROM entries WHERE id = ?"
+	// sqlCheckpoint moves the write-ahead log into the database and lets it begin anew.
+	sqlCheckpoint = "PRAGMA wal_checkpoint(RESTART)"
+	sqlGroup      = "INSERT INTO groups (id, name) VALUES (?, ?)"
+	sqlHard       = "UPDATE groups SET term = ?, vote = ? WHERE id = ?"
+	sqlSnapshot   = "INSERT OR REPLACE INTO snapshots (id, idx, term, members, state) VALUES (?, ?, ?, ?, ?)"
+	sqlCompact    = "DELETE FROM entries WHERE id = ? AND idx <= ?"
+	sqlTruncate   = "DELETE FROM entries WHERE id = ? AND idx >= ?"
+	sqlAppend     = "INSERT INTO entries (seq, id, idx, term, kind, data) VALUES (?, ?, ?, ?, ?, ?)"
+	sqlIdentity   = "INSERT OR REPLACE INTO meta (key, value) VALUES ('identity', ?)"
+	sqlDrop       = "DELETE FROM groups WHERE id = ?"
+	sqlDropSnap   = "DELETE FROM snapshots WHERE id = ?"
+	sqlDropLog    = "DELETE FROM entries WHERE id = ?"
 )
 
 // The statements that read.
--- a/internal/barograph/store/sqlite.go
+++ b/internal/barograph/store/sqlite.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"syscall"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -26,8 +25,9 @@
 	values     []driver.NamedValue            // run's own, used again
 	groups     map[replica.GroupID]*group
 	nextID     int64
-	nextSeq    int64 // of the next entry, over all groups
-	broken     error // *FailedError or ErrClosed: no further change
+	nextSeq    int64    // of the next entry, over all groups
+	undo       []func() // what the change under way did to the fields above
+	broken     error    // *FailedError or ErrClosed: no further change
 	closed     bool
 }
 
@@ -111,6 +111,9 @@
 	if version != 0 && version != schemaVersion {
 		return &VersionError{Found: version}
 	}
+	if version == schemaVersion {
+		return nil // nothing needs to be written: a full disk can be read
+	}
 	_, err = s.connection.Exec("BEGIN IMMEDIATE;"+schema+versionLine+"COMMIT;", nil)
 	return wrap(openFailure(err), "make the tables")
 }
@@ -164,6 +167,7 @@
 			}
 		}
 		delete(s.groups, name)
+		s.undo = append(s.undo, func() { s.groups[name] = held })
 		return nil
 	})
 }
@@ -184,31 +188,49 @@
 	return wrap(errors.Join(failures...), "close the store")
 }
 
-// commit carries out the change in one durable transaction. Any failure is for good:
-// what the groups' spans say may then differ from the file.
+// commit carries out the change in one durable transaction. A full disk undoes it. Any other
+// failure is for good: what the groups' spans say may then differ from the file.
 func (s *SQLite) commit(change func() error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.broken != nil {
 		return s.broken
 	}
+	s.undo = s.undo[:0]
 	err := s.transact(change)
-	if err != nil {
-		s.broken = &FailedError{Full: isFull(err), Cause: err}
-		return s.broken
+	switch {
+	case err == nil:
+		return nil
+	case isFull(err):
+		s.takeBack()
+		return &FullError{Cause: err}
 	}
-	return nil
+	s.broken = &FailedError{Cause: err}
+	return s.broken
 }
 
 func (s *SQLite) transact(change func() error) error {
 	if err := s.run(sqlBegin); err != nil {
 		return wrap(err, "begin")
 	}
-	if err := change(); err != nil {
+	err := change()
+	if err == nil {
+		err = wrap(s.run(sqlCommit), "commit")
+	}
+	if err != nil {
 		_ = s.run(sqlRollback) // SQLite may have rolled back already; nothing more is written either way
-		return err
 	}
-	return wrap(s.run(sqlCommit), "commit")
+	return err
+}
+
+// takeBack undoes what a change that was rolled back did to the store's own fields. What the
+// write-ahead log holds is moved into the database, so that its room can be used again.
+func (s *SQLite) takeBack() {
+	for i := len(s.undo) - 1; i >= 0; i-- {
+		s.undo[i]()
+	}
+	s.undo = s.undo[:0]
+	_, _ = s.connection.Exec(sqlCheckpoint, nil) // it is only a help
 }
 
 func (s *SQLite) write(w *Write) error {
@@ -217,6 +239,7 @@
 		return err
 	}
 	before := held.span.last
+	s.undo = append(s.undo, func() { held.span.last = before })
 	if err := held.span.check(w); err != nil {
 		return err
 	}
@@ -258,6 +281,8 @@
 			return err
 		}
 	}
+	first := s.nextSeq
+	s.undo = append(s.undo, func() { s.nextSeq = first })
 	for i := range entries {
 		e := &entries[i]
 		if err := s.run(sqlAppend, s.nextSeq, id, int64(e.Index), int64(e.Term), int64(e.Kind), blob(e.Data)); err != nil {
@@ -279,6 +304,10 @@
 	}
 	s.nextID++
 	s.groups[name] = held
+	s.undo = append(s.undo, func() {
+		s.nextID--
+		delete(s.groups, name)
+	})
 	return held, nil
 }
 
@@ -302,13 +331,11 @@
 	return err
 }
 
-// isFull tells whether SQLite met a full disk.
+// isFull tells whether SQLite met a full disk, in a way that left no doubt: what it could not
+// write it has rolled back. A sync that fails for want of room isn't meant.
 func isFull(err error) bool {
 	var failure sqlite3.Error
-	if !errors.As(err, &failure) {
-		return false
-	}
-	return failure.Code == sqlite3.ErrFull || failure.SystemErrno == syscall.ENOSPC || failure.SystemErrno == syscall.EDQUOT
+	return errors.As(err, &failure) && failure.Code == sqlite3.ErrFull
 }
 
 // openFailure marks a failure of opening by what it tells.
--- a/internal/barograph/store/store.go
+++ b/internal/barograph/store/store.go
@@ -17,9 +17,12 @@
 //
 //   - A Write or SetIdentity that returned nil is durable: a Load after any crash shows it.
 //   - A Write is carried out whole or not at all; after a crash during one, either is found.
-//   - Once any call that changes the store has failed, every later call that changes it fails
-//     too: its error is a *FailedError (errors.Is ErrFailed), the process must end, and the
-//     next one finds out what was kept.
+//   - A change that found the disk full fails with a *FullError (errors.Is ErrFull). The store
+//     shows it not at all, and the same change may be tried again. Until it comes through, a
+//     crash may find it kept: no other change is to take its place.
+//   - Once a call that changes the store has failed otherwise, every later call that changes it
+//     fails too: its error is a *FailedError (errors.Is ErrFailed), the process must end, and
+//     the next one finds out what was kept.
 //   - What is given in is not kept, and what Load gives belongs to the caller.
 //
 // A Store may be used by many goroutines; its calls are carried out one after another.
@@ -61,25 +64,27 @@
 	ErrGap = errors.New("the entries leave a gap in the log")
 )
 
-// FailedError is a failure after which the store takes no further change.
-// errors.Is finds ErrFailed in it, and ErrFull where the disk was full.
-type FailedError struct {
-	Full  bool
-	Cause error
-}
+// FullError is a change that found the disk full. errors.Is finds ErrFull in it.
+type FullError struct{ Cause error }
 
 // Error implements error.
-func (e *FailedError) Error() string {
-	if e.Full {
-		return fmt.Sprintf("%v: %v: %v", ErrFailed, ErrFull, e.Cause)
-	}
-	return fmt.Sprintf("%v: %v", ErrFailed, e.Cause)
-}
+func (e *FullError) Error() string { return fmt.Sprintf("%v: %v", ErrFull, e.Cause) }
 
-// Is tells whether the target is one of the failures that this one stands for.
-func (e *FailedError) Is(target error) bool {
-	return target == ErrFailed || e.Full && target == ErrFull
-}
+// Is tells whether the target is the failure that this one stands for.
+func (e *FullError) Is(target error) bool { return target == ErrFull }
+
+// Unwrap gives the cause.
+func (e *FullError) Unwrap() error { return e.Cause }
+
+// FailedError is a failure after which the store takes no further change. errors.Is finds
+// ErrFailed in it.
+type FailedError struct{ Cause error }
+
+// Error implements error.
+func (e *FailedError) Error() string { return fmt.Sprintf("%v: %v", ErrFailed, e.Cause) }
+
+// Is tells whether the target is the failure that this one stands for.
+func (e *FailedError) Is(target error) bool { return target == ErrFailed }
 
 // Unwrap gives the cause.
 func (e *FailedError) Unwrap() error { return e.Cause }
