Keep what a follower knows of its sources in a pure type

Need: the choice of core nodes, their failures and the age of what is known are to be played in the simulation too. Change: follow.Sources, with the time handed in; Follower keeps its lock round it.

--- a/internal/barograph/coordinator/coordinator.go
+++ b/internal/barograph/coordinator/coordinator.go
@@ -78,8 +78,8 @@
 	staleMost  = 2 * time.Second
 )
 
-// staleAfter is the age at which a core node no longer vouches for what it tells.
-func staleAfter(configApply time.Duration) time.Duration {
+// StaleAfter is the age at which a core node no longer vouches for what it tells.
+func StaleAfter(configApply time.Duration) time.Duration {
 	if configApply <= 0 {
 		configApply = DefaultConfigApply
 	}
@@ -88,7 +88,7 @@
 
 // New restores or begins the groups of a core node.
 func New(o Options) (*Coordinator, error) {
-	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now(), staleAfter: staleAfter(o.ConfigApply)}
+	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now(), staleAfter: StaleAfter(o.ConfigApply)}
 	var first replica.Members
 	if o.First {
 		for _, s := range o.Seeds {
--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -20,17 +20,6 @@
 	"pipitmux/internal/station/protocol"
 )
 
-const (
-	// wait is how long a question may stay open without news.
-	wait = 900 * time.Millisecond
-	// answerWithin is how much longer its answer may take.
-	answerWithin = 700 * time.Millisecond
-	// avoidFor is how long a node that didn't answer is asked after all others.
-	avoidFor = 3 * time.Second
-	// retryPause is the pause after a question that failed.
-	retryPause = 60 * time.Millisecond
-)
-
 // News is what has changed. Nil fields have not.
 type News struct {
 	Revision      uint64
@@ -65,14 +54,12 @@
 	whole     bool   // the steps from it couldn't be followed
 	directory protocol.Directory
 	services  [protocol.ServicePartitions]uint64
-	asked     map[string]bool      // addresses with an open question
-	failed    map[string]time.Time // when an address last didn't answer, or didn't vouch
-	vouched   time.Time            // what was told is as recent as this
+	sources   *Sources
 }
 
 // New returns a Follower that Run has yet to start.
 func New(o Options) *Follower {
-	return &Follower{opt: o, vouched: time.Now(), asked: map[string]bool{}, failed: map[string]time.Time{}}
+	return &Follower{opt: o, sources: NewSources(time.Now())}
 }
 
 // Run asks until ctx ends.
@@ -89,7 +76,7 @@
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.vouched)
+	return f.sources.Age(time.Now())
 }
 
 // ForgetLists has the lists of all services told anew: what the process goes by has come
@@ -111,39 +98,20 @@
 	for ctx.Err() == nil {
 		address, patient := f.choose()
 		if address == "" {
-			sleep(ctx, retryPause)
+			sleep(ctx, RetryPause)
 			continue
 		}
 		if !f.question(ctx, address, patient) {
-			sleep(ctx, retryPause)
+			sleep(ctx, RetryPause)
 		}
 	}
 }
 
-// choose books the node to be asked next: the first in this process's order that no other
-// slot asks and that has answered lately. Where none has, the one that failed longest ago is
-// asked to be patient: all are in the same plight, and questions must not become a storm.
+// choose books the node to be asked next.
 func (f *Follower) choose() (address string, patient bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	best, bestAt := "", time.Time{}
-	for _, address := range f.candidates() {
-		if f.asked[address] {
-			continue
-		}
-		at := f.failed[address]
-		if now.Sub(at) >= avoidFor {
-			at = time.Time{}
-		}
-		if best == "" || at.Before(bestAt) {
-			best, bestAt = address, at
-		}
-	}
-	if best != "" {
-		f.asked[best] = true
-	}
-	return best, !bestAt.IsZero()
+	return f.sources.Choose(time.Now(), f.candidates())
 }
 
 // candidates are the addresses of all core nodes, or of the seeds while none is known.
@@ -154,7 +122,7 @@
 			addresses = append(addresses, n.Address)
 		}
 	}
-	if len(addresses) == 0 || time.Since(f.vouched) > avoidFor {
+	if len(addresses) == 0 || f.sources.Lost(time.Now()) {
 		for _, s := range f.opt.Seeds {
 			if !slices.Contains(addresses, s) {
 				addresses = append(addresses, s)
@@ -168,7 +136,7 @@
 func (f *Follower) question(ctx context.Context, address string, patient bool) bool {
 	defer f.free(address)
 	args := f.args(patient)
-	ctx, cancel := context.WithTimeout(ctx, wait+answerWithin)
+	ctx, cancel := context.WithTimeout(ctx, Wait+AnswerWithin)
 	defer cancel()
 	var reply protocol.WatchReply
 	sent := time.Now()
@@ -183,7 +151,7 @@
 	defer f.mu.Unlock()
 	args := protocol.WatchArgs{
 		Node: f.opt.Name, Revision: f.revision, Directory: f.directory.Version, Services: f.services,
-		Confirmed: !f.confirmed, DirectoryOnly: f.opt.DirectoryOnly, Patient: patient, Wait: wait,
+		Confirmed: !f.confirmed, DirectoryOnly: f.opt.DirectoryOnly, Patient: patient, Wait: Wait,
 	}
 	if f.whole {
 		args.Revision = 0
@@ -197,20 +165,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil || !reply.Vouched {
-		f.failed[address] = time.Now()
+		f.sources.Failed(time.Now(), address)
 		return
 	}
-	delete(f.failed, address)
-	// The question came after it was sent, whatever its way back took.
-	if recent := sent.Add(reply.Held - reply.Age); recent.After(f.vouched) {
-		f.vouched = recent
-	}
+	f.sources.Vouched(address, sent, reply.Held, reply.Age)
 }
 
 func (f *Follower) free(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.asked, address)
+	f.sources.Free(address)
 }
 
 // take tells what is news and returns whether the answer was of use.
