--- a/internal/barograph/simulation/configuration_test.go
+++ b/internal/barograph/simulation/configuration_test.go
@@ -9,6 +9,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/fxamacker/cbor/v2"
 
+	"pipitmux/internal/barograph/coordinator"
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/barograph/revisions"
 	"pipitmux/internal/station/patch"
@@ -36,6 +37,21 @@
 	ticks   int64
 	seen    uint64 // the newest revision that an operator saw
 	lastOK  time.Duration
+
+	followers []*follower
+	forces    []inForce // in their order
+	orderMost int       // in one history
+	twins     bool      // each number is given to two changes
+	mayWait   bool      // processes that start may have to wait for a majority
+	inTurn    bool      // the history is judged as it comes: it is too long to be judged whole
+}
+
+func newConfigurationSubject(w *world) *configurationSubject {
+	s := &configurationSubject{
+		world: w, bases: map[uint64]*order{}, bodies: map[uint64]string{}, results: map[uint64]string{}, orderMost: mostOrders,
+	}
+	w.subject = s
+	return s
 }
 
 // order is an operator's change, or what an operator was shown.
@@ -50,6 +66,7 @@
 	open     bool
 	call     int64 // of the first sending, or of the sending that was refused
 	taken    int64 // when it was first acknowledged
+	takenAt  time.Duration
 	refused  int64
 	inForce  int64 // when a node first applied it with success
 	shown    bool  // it is a read
@@ -64,8 +81,7 @@
 
 func playConfiguration(seed uint64, defects flaws) *world {
 	w := newWorld(seed, protocol.Core, defects)
-	s := &configurationSubject{world: w, bases: map[uint64]*order{}, bodies: map[uint64]string{}, results: map[uint64]string{}}
-	w.subject = s
+	s := newConfigurationSubject(w)
 	var members replica.Members
 	for range 3 + w.random.IntN(3) {
 		members.Voters = append(members.Voters, w.addNode().id)
@@ -166,6 +182,10 @@
 	}
 	s.bases[o.base] = o
 	s.bodies[o.rises] = o.body
+	if s.inTurn && len(s.forces) > 0 && s.forces[len(s.forces)-1].revision != o.base {
+		s.world.fail("order %d on %d came into force after %d", o.number, o.base, s.forces[len(s.forces)-1].revision)
+	}
+	s.forces = append(s.forces, inForce{s.world.now, o.rises})
 	if o.refused != 0 {
 		s.world.fail("order %d of revision %d on %d was refused, and came into force", o.number, o.rises, o.base)
 	}
@@ -179,6 +199,7 @@
 		m = at.machine.(*revisions.Machine)
 	}
 	c, err := m.Change(o.base, o.rises, []byte(o.body))
+	c.Digest = s.digestOf(o)
 	if newest, _ := m.Configuration(); err == nil && newest < o.base {
 		c.Patch, err = patch.Make([]byte(o.before), []byte(o.body))
 	}
@@ -203,7 +224,7 @@
 		s.show(at, n)
 	case len(unclear) > 0 && w.chance(0.4):
 		s.send(at, n, unclear[w.random.IntN(len(unclear))])
-	case len(s.orders) < mostOrders || !w.faulty:
+	case len(s.orders) < s.orderMost || !w.faulty:
 		s.orders = append(s.orders, s.newOrder())
 		s.send(at, n, s.orders[len(s.orders)-1])
 	}
@@ -228,6 +249,10 @@
 	if w.chance(0.1) {
 		o.rises = w.random.Uint64N(o.base + 1)
 	}
+	if s.twins && len(s.orders) > 0 && w.chance(0.5) {
+		last := s.orders[len(s.orders)-1]
+		o.base, o.before, o.rises = last.base, last.before, last.rises
+	}
 	o.body = fmt.Sprintf(`{"configRevision":%d,"order":%d}`, o.rises, number)
 	o.digest = revisions.DigestOf(o.base, []byte(o.body))
 	return o
@@ -299,6 +324,9 @@
 		if err != nil {
 			s.world.fail("result: %v", err)
 		}
+		if s.world.flaws.forgetTaken && result == revisions.Taken && o.inForce != 0 && s.forcedBy(s.world.now) != o.rises {
+			result = revisions.Conflict
+		}
 		answer(orderReply{result, true})
 	})
 }
@@ -316,7 +344,7 @@
 			w.fail("order %d is acknowledged, and was refused before", o.number)
 		}
 		if o.taken == 0 {
-			o.taken = s.tick()
+			o.taken, o.takenAt = s.tick(), w.now
 		}
 		s.seen = max(s.seen, o.rises)
 		s.lastOK = w.now
@@ -334,6 +362,7 @@
 // show has a node show the newest configuration.
 func (s *configurationSubject) show(at *operator, n *machineNode) {
 	o := &order{shown: true, call: s.tick()}
+	asked := s.world.now
 	type shown struct {
 		revision uint64
 		body     string
@@ -358,13 +387,16 @@
 		s.world.tally.reads++
 		o.revision, o.taken = r.revision, s.tick()
 		s.seen = max(s.seen, r.revision)
+		if newest := s.forcedBy(asked); s.inTurn && r.revision < newest {
+			s.world.fail("revision %d is shown, and %d was in force when it was asked for", r.revision, newest)
+		}
 		s.reads = append(s.reads, o)
 	})
 }
 
 // recovered tells whether the group is kept well and an order was acknowledged.
 func (s *configurationSubject) recovered() bool {
-	voters := min(3, len(s.world.nodes))
+	voters := min(coordinator.VotersWanted(s.world.losses), len(s.world.nodes))
 	for _, n := range s.world.nodes {
 		if !slices.Contains(s.directory(n).Nodes, n.self()) {
 			return false
@@ -394,6 +426,9 @@
 // check judges the history. A change whose outcome no operator knows was carried out before
 // any node had it in force, or not at all.
 func (s *configurationSubject) check() {
+	if s.inTurn {
+		return
+	}
 	var history []porcupine.Operation
 	for _, o := range slices.Concat(s.orders, s.reads) {
 		end := max(o.taken, o.refused)
--- a/internal/barograph/simulation/faults_test.go
+++ b/internal/barograph/simulation/faults_test.go
@@ -1,11 +1,14 @@
 package simulation
 
 import (
+	"slices"
 	"time"
+
+	"pipitmux/internal/barograph/replica"
 )
 
-// wipeRest is the least time between two losses of a disk: the first is known by then.
-const wipeRest = time.Second
+// wipeRest is the least time between two losses of a disk.
+const wipeRest = 300 * time.Millisecond
 
 // fault makes something go wrong, or all go well again for a while.
 func (w *world) fault() {
@@ -134,7 +137,8 @@
 	}
 }
 
-// faultWipe takes a machine's disk, unless another loss isn't made up for yet.
+// faultWipe takes a machine's disk, unless another loss isn't made up for yet. Others may be dark
+// or frozen then, and all may lose power at the same moment.
 func (w *world) faultWipe() {
 	n := w.anyone()
 	if n == nil || !w.whole() || w.now-w.wiped < wipeRest {
@@ -143,25 +147,43 @@
 	w.wiped = w.now
 	n.wipe()
 	w.startSoon(n)
+	if w.chance(0.7) {
+		return
+	}
+	for _, other := range w.running() {
+		other.crash()
+		w.startSoon(other)
+	}
 }
 
-// whole tells whether every node that any member counts as a member is there with its disk,
-// and each group has as many voters as it should.
+// whole tells whether each group has a settled owner, no change of members under way, and as
+// many voters as it should, all of them with the disks that they had when they became voters.
 func (w *world) whole() bool {
-	for _, n := range w.running() {
-		for _, m := range n.members {
-			members := m.replica.Status(n.clock()).Members
-			for _, id := range members.All() {
-				if w.withID(id) == nil {
-					return false
-				}
-			}
-			if len(members.Voters) > 0 && len(members.Voters) < 2*w.losses+1 {
-				return false
-			}
+	groups := map[replica.GroupID]bool{}
+	for _, n := range w.nodes {
+		for group := range n.disk {
+			groups[group] = groups[group] || w.wholeAt(n, group)
+		}
+	}
+	for _, whole := range groups {
+		if !whole {
+			return false
 		}
 	}
-	return len(w.running()) == len(w.nodes)
+	return len(groups) > 0
+}
+
+// wholeAt tells whether a node owns a group that is whole.
+func (w *world) wholeAt(n *machineNode, group replica.GroupID) bool {
+	m := n.member(group)
+	if !n.up || m == nil || !m.replica.Leased(n.clock()) {
+		return false
+	}
+	status := m.replica.Status(n.clock())
+	if status.Pending || len(status.Members.Voters) < 2*w.losses+1 {
+		return false
+	}
+	return !slices.ContainsFunc(status.Members.Voters, func(id replica.NodeID) bool { return w.withID(id) == nil })
 }
 
 func (w *world) faultHandover() {
--- a/internal/barograph/simulation/network_test.go
+++ b/internal/barograph/simulation/network_test.go
@@ -18,6 +18,7 @@
 type network struct {
 	world  *world
 	cuts   map[direction]bool
+	lossy  map[direction]float64 // share that is lost on one way
 	loss   float64
 	double float64
 	slow   float64 // share of messages held up for long, so that others overtake them
@@ -26,11 +27,12 @@
 func (n *network) clear() {
 	n.loss, n.double, n.slow = 0, 0, 0
 	clear(n.cuts)
+	clear(n.lossy)
 }
 
 // post takes something on its way: it runs on arrival.
 func (n *network) post(from, to endpoint, arrive func()) {
-	if n.cuts[direction{from, to}] || n.world.chance(n.loss) {
+	if n.cuts[direction{from, to}] || n.world.chance(n.loss) || len(n.lossy) > 0 && n.world.chance(n.lossy[direction{from, to}]) {
 		return
 	}
 	delay := n.world.between(200*time.Microsecond, n.world.delay)
--- a/internal/barograph/simulation/world_test.go
+++ b/internal/barograph/simulation/world_test.go
@@ -36,6 +36,10 @@
 	firstHeir        bool // a duty is handed to the first of the other voters
 	unannounced      bool // a node becomes a voter before the directory knows
 	noEpoch          bool // publications take the epoch that their partition is in
+	vouchAlways      bool // a core node says that there is nothing new without contact to an owner
+	believeOne       bool // a process believes a single core node a while after its start
+	numberOnly       bool // changes are told apart by their numbers alone
+	forgetTaken      bool // an order that was taken, and followed by another, is refused when it comes again
 }
 
 // unsafe tells whether a flaw is to show in what happens, not in what never does.
@@ -123,7 +127,7 @@
 
 func newWorld(seed uint64, class protocol.Class, defects flaws) *world {
 	w := &world{seed: seed, class: class, flaws: defects, random: rand.New(rand.NewPCG(seed, 0xba20)), faulty: true, losses: 1}
-	w.network = network{world: w, cuts: map[direction]bool{}}
+	w.network = network{world: w, cuts: map[direction]bool{}, lossy: map[direction]float64{}}
 	w.compactAfter = 3 + w.random.IntN(60)
 	w.delay = shortDelay
 	return w
