--- a/internal/barograph/replica/ballot.go
+++ b/internal/barograph/replica/ballot.go
@@ -28,7 +28,7 @@
 			free++
 		}
 	}
-	r.unanimous = granted == len(members.Voters)
+	r.unanimous = granted == len(members.Voters) || r.flaws.returnByMost && granted >= members.Quorum()
 	return free >= members.Quorum() || r.unanimous
 }
 
