--- a/internal/anemometer/turnclient/turnclient.go
+++ b/internal/anemometer/turnclient/turnclient.go
@@ -15,6 +15,7 @@
 	"pipitmux/internal/station/follow"
 	"pipitmux/internal/station/link"
 	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/wait"
 )
 
 const (
@@ -103,7 +104,7 @@
 	for turn := 0; ; turn++ {
 		partition, at, address, ok := c.target(program, turn)
 		if !ok {
-			if !pause(ctx, tryPause) {
+			if !wait.For(ctx, tryPause) {
 				return ErrUnavailable
 			}
 			continue
@@ -123,7 +124,7 @@
 		if owner != 0 && owner != at && ctx.Err() == nil && !c.avoided(owner) {
 			continue
 		}
-		if !pause(ctx, tryPause) {
+		if !wait.For(ctx, tryPause) {
 			return ErrUnavailable
 		}
 	}
@@ -201,7 +202,7 @@
 			}
 		}
 		cancel()
-		if !pause(ctx, tryPause) {
+		if !wait.For(ctx, tryPause) {
 			return nil, false, ErrUnsure
 		}
 	}
@@ -234,14 +235,3 @@
 	defer c.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(c.directory.Nodes), func(n protocol.Node) bool { return n.Class != protocol.Storage })
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/barograph/host/host.go
+++ b/internal/barograph/host/host.go
@@ -14,6 +14,7 @@
 
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/barograph/store"
+	"pipitmux/internal/wait"
 )
 
 const (
@@ -112,7 +113,7 @@
 	h := &Host{
 		options: options,
 		wake:    make(chan struct{}, 1),
-		pause:   pause,
+		pause:   wait.For,
 		groups:  map[replica.GroupID]*group{},
 		loaded:  loaded,
 		held:    map[replica.GroupID]bool{},
--- a/internal/barograph/host/round.go
+++ b/internal/barograph/host/round.go
@@ -176,18 +176,6 @@
 	}
 }
 
-// pause waits and is false when ctx ends first.
-func pause(ctx context.Context, span time.Duration) bool {
-	t := time.NewTimer(span)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (h *Host) write(jobs []*job) error {
 	var batch []store.Write
 	for _, j := range jobs {
--- a/internal/barograph/node/calls.go
+++ b/internal/barograph/node/calls.go
@@ -10,6 +10,7 @@
 	"pipitmux/internal/barograph/replica"
 	"pipitmux/internal/station/link"
 	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/wait"
 )
 
 const (
@@ -184,7 +185,7 @@
 			if local := n.ownerOf(group); local != at.ID {
 				hint = local
 			}
-			if !pause(ctx, tryPause) {
+			if !wait.For(ctx, tryPause) {
 				return ErrNobody
 			}
 		}
@@ -225,14 +226,3 @@
 	}
 	return nodes[turn%len(nodes)]
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/barograph/node/introduce.go
+++ b/internal/barograph/node/introduce.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/wait"
 )
 
 const (
@@ -41,7 +42,7 @@
 				rest = helloRest
 			}
 		}
-		if !pause(ctx, rest) {
+		if !wait.For(ctx, rest) {
 			return
 		}
 	}
--- a/internal/barograph/replica/owner_test.go
+++ b/internal/barograph/replica/owner_test.go
@@ -209,18 +209,9 @@
 }
 
 func TestCompactedMemberGetsOneSnapshotAtATime(t *testing.T) {
-	g := newGroup(t, 3)
+	g := behind(t, []byte("state"), partBytes)
 	r := g.replicas[1]
-	r.SetBounds(0, maxBatchEntries, partBytes)
-	g.isolate(3)
-	g.pass(testTiming.Election)
-	for range 10 {
-		g.propose(r, "a")
-	}
-	g.settle()
-	snapshot := Snapshot{Index: r.Commit(), Term: r.Term(), Members: r.MembersAt(r.Commit()), State: []byte("state")}
-	r.SetSnapshotSource(func() Snapshot { return snapshot })
-	r.Compact(snapshot)
+	snapshot := r.source()
 	installs := 0
 	g.lost = func(m Message) bool {
 		if m.Kind == Install {
--- a/internal/barograph/replica/transfer_test.go
+++ b/internal/barograph/replica/transfer_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -165,3 +166,76 @@
 	ready := r.Ready()
 	assert.Assert(t, ready.Snapshot != nil && slices.Equal(ready.Snapshot.State, state))
 }
+
+// narrow is a link that carries so many bytes in a second, after a delay, parts of snapshots one
+// after another and all else beside them.
+type narrow struct {
+	g        *group
+	perS     int
+	delay    time.Duration
+	bulkFree time.Duration // when the newest part will have been carried
+	under    []carried
+}
+
+type carried struct {
+	at      time.Duration
+	message Message
+}
+
+func (n *narrow) send(m Message) {
+	at := n.g.now
+	if m.Kind == Install {
+		n.bulkFree = max(n.bulkFree, at) + time.Duration(m.Bytes())*time.Second/time.Duration(n.perS)
+		at = n.bulkFree
+	}
+	n.under = append(n.under, carried{at + n.delay, m})
+}
+
+// step lets a millisecond go by: what has arrived is taken in.
+func (n *narrow) step() {
+	n.g.now += time.Millisecond
+	for _, id := range n.g.order {
+		n.g.replicas[id].Tick(n.g.now)
+	}
+	n.g.collect()
+	arrived := n.under
+	n.under = nil
+	for _, c := range arrived {
+		if c.at > n.g.now {
+			n.under = append(n.under, c)
+			continue
+		}
+		n.g.replicas[c.message.To].Step(n.g.now, c.message)
+	}
+	n.g.collect()
+	for _, m := range n.g.mail {
+		n.send(m)
+	}
+	n.g.mail = nil
+}
+
+// A state of 50 MB comes over 86 Mbit/s at the link's speed, and the member hears its owner's
+// heartbeats in time all along.
+func TestSnapshotTakesNoLongerThanTheLinkNeeds(t *testing.T) {
+	const perS = 86_000_000 / 8
+	state := pattern(50 << 20)
+	g := behind(t, state, partBytes)
+	g.pass(0)
+	link := &narrow{g: g, perS: perS, delay: 2 * time.Millisecond}
+	term, began, silence := g.replicas[1].Term(), g.now, time.Duration(0)
+	for g.replicas[3].Commit() < g.replicas[1].Commit() {
+		link.step()
+		if g.now-began > time.Minute {
+			t.Fatal("the member doesn't catch up")
+		}
+		if r := g.replicas[3]; g.now-began > testTiming.Election {
+			silence = max(silence, g.now-r.heard)
+		}
+	}
+	took, needed := g.now-began, time.Duration(len(state))*time.Second/perS
+	t.Logf("%v for what the link carries in %v, longest silence %v", took, needed, silence)
+	assert.Assert(t, took < needed*11/10, "%v, needed are %v", took, needed)
+	assert.Assert(t, silence < testTiming.Election/2, "no heartbeat for %v", silence)
+	assert.Equal(t, g.replicas[1].Term(), term, "no election")
+	assert.Assert(t, bytes.Equal(g.restored[3].State, state))
+}
--- a/internal/barograph/simulation/scenarios_test.go
+++ b/internal/barograph/simulation/scenarios_test.go
@@ -212,6 +212,9 @@
 	if w.chance(0.5) {
 		slices.SortStableFunc(nodes, func(a, b *machineNode) int { return b.owns() - a.owns() })
 	}
+	if copies := s.copies(); copies <= losses {
+		w.fail("what is in force stands on %d disks, and %d may be lost", copies, losses)
+	}
 	for _, n := range nodes[:losses] {
 		n.wipe()
 		w.startSoon(n)
@@ -224,6 +227,22 @@
 	}
 }
 
+// copies counts the disks that hold all that any node has applied.
+func (s *configurationSubject) copies() int {
+	newest := uint64(0)
+	for index := range s.results {
+		newest = max(newest, index)
+	}
+	count := 0
+	for _, n := range s.world.nodes {
+		stored := n.disk[protocol.ConfigurationGroup]
+		if stored != nil && stored.Snapshot.Index+uint64(len(stored.Entries)) >= newest {
+			count++
+		}
+	}
+	return count
+}
+
 // playLongHistory makes hundreds of changes with snapshots and a short log, while members are
 // away for 20 s each and come back with their disk, or without: the fourth point.
 func playLongHistory(seed uint64, defects flaws) *world {
--- a/internal/ingress/lifecycle.go
+++ b/internal/ingress/lifecycle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pipitmux/internal/lifecycle"
+	"pipitmux/internal/wait"
 )
 
 // leaveStep is how often the life cycle is asked which sessions end while the server leaves.
@@ -121,7 +122,7 @@
 	if s.heir.Load() {
 		s.listener.Close() // the successor takes them from the same queue
 	} else {
-		stay(ctx, s.opt.Lifecycle.StayOpen)
+		wait.For(ctx, s.opt.Lifecycle.StayOpen)
 		s.listener.close()
 	}
 	tick := time.NewTicker(leaveStep)
@@ -141,11 +142,3 @@
 }
 
 // stay waits so long, unless the context ends before.
-func stay(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/tier/agent.go
+++ b/internal/standin/tier/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	audit "pipitmux/internal/audit/tier"
+	"pipitmux/internal/wait"
 )
 
 // The paths of the services, by which routes are found.
@@ -123,7 +124,7 @@
 		for range l.rng.IntN(3) {
 			l.tool(ctx)
 		}
-		if !rest(ctx, time.Duration(l.rng.Int64N(int64(pauseMost)))) || !l.turn(ctx) {
+		if !wait.For(ctx, time.Duration(l.rng.Int64N(int64(pauseMost)))) || !l.turn(ctx) {
 			return
 		}
 	}
@@ -171,14 +172,14 @@
 	for range triesMost {
 		call.Attempt = l.agent.id.next()
 		call.Finish = max(finishWithin-time.Since(l.began), 0)
-		q, wait := l.agent.clients.Send(call)
+		q, pause := l.agent.clients.Send(call)
 		switch {
 		case q.Served():
 			return q
 		case q.Answer.Status == http.StatusPaymentRequired, q.Answer.Status == http.StatusNotFound:
 			return nil
 		}
-		if !rest(ctx, max(wait, leastPause)) {
+		if !wait.For(ctx, max(pause, leastPause)) {
 			return nil
 		}
 	}
--- a/internal/standin/tier/client.go
+++ b/internal/standin/tier/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	audit "pipitmux/internal/audit/tier"
+	"pipitmux/internal/wait"
 )
 
 // Headers of clients' requests.
@@ -56,7 +57,7 @@
 	client := &http.Client{Timeout: lookWithin, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		e.look(ctx, client)
-		if !rest(ctx, lookEvery) {
+		if !wait.For(ctx, lookEvery) {
 			return
 		}
 	}
--- a/internal/standin/tier/operator.go
+++ b/internal/standin/tier/operator.go
@@ -13,6 +13,7 @@
 
 	audit "pipitmux/internal/audit/tier"
 	"pipitmux/internal/barograph/operators"
+	"pipitmux/internal/wait"
 )
 
 const (
@@ -67,7 +68,7 @@
 			o.record.Decided(no, 0, tries == 1, tries)
 			return &RefusedError{What: fmt.Sprintf("the order of revision %d", c.Revision), Status: status, Tries: tries}
 		}
-		if !rest(ctx, againAfter) {
+		if !wait.For(ctx, againAfter) {
 			o.record.Decided(no, 0, false, tries)
 			return ErrUndecided
 		}
@@ -114,7 +115,7 @@
 			return nil
 		}
 		o.next++
-		if !rest(ctx, againAfter) {
+		if !wait.For(ctx, againAfter) {
 			return ErrUndecided
 		}
 	}
@@ -151,7 +152,7 @@
 		case status != http.StatusOK:
 			return &RefusedError{What: path, Status: status, Tries: tries}
 		}
-		if !rest(ctx, againAfter) {
+		if !wait.For(ctx, againAfter) {
 			return errors.Wrap(ErrUndecided, path)
 		}
 	}
--- a/internal/standin/tier/server.go
+++ b/internal/standin/tier/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	audit "pipitmux/internal/audit/tier"
+	"pipitmux/internal/wait"
 )
 
 // Headers of servers.
@@ -155,7 +156,7 @@
 		s.stream(ctx, w, no, tokens(r))
 		return
 	}
-	if !rest(ctx, s.opt.Work) || s.breaks() {
+	if !wait.For(ctx, s.opt.Work) || s.breaks() {
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(arrival.Body)))
@@ -198,7 +199,7 @@
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, no, events int) {
 	control := http.NewResponseController(w)
 	for id := 1; id <= events; id++ {
-		if !rest(ctx, s.opt.Between) || id == breakAt && s.breaks() {
+		if !wait.For(ctx, s.opt.Between) || id == breakAt && s.breaks() {
 			panic(http.ErrAbortHandler)
 		}
 		e := audit.Event{ID: strconv.Itoa(id), Data: fmt.Sprintf("word %d of %d, %x", id, events, rand.Uint32())}
@@ -212,15 +213,3 @@
 		}
 	}
 }
-
-// rest waits, and tells whether the time was not over before.
-func rest(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -18,6 +18,7 @@
 	"pipitmux/internal/station/link"
 	"pipitmux/internal/station/patch"
 	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/wait"
 )
 
 // News is what has changed. Nil fields have not.
@@ -98,11 +99,11 @@
 	for ctx.Err() == nil {
 		address, patient := f.choose()
 		if address == "" {
-			sleep(ctx, RetryPause)
+			wait.For(ctx, RetryPause)
 			continue
 		}
 		if !f.question(ctx, address, patient) {
-			sleep(ctx, RetryPause)
+			wait.For(ctx, RetryPause)
 		}
 	}
 }
@@ -261,12 +262,3 @@
 	}
 	return d.Nodes[at], true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
