Let lists from behind a cut never take the place of the platform's own

Cause: found on reading. An edge that nobody vouches to asks the platform for the servers itself and had its lists told anew; with core nodes that answer without vouching, the next answer would have brought the old lists back. Change: lists that came from elsewhere give way to those of a node that vouches, and to no others; patient questions keep the versions, so that they are not answered at once. Measured: go test ./internal/station/follow: passes.

--- a/internal/station/follow/follow.go
+++ b/internal/station/follow/follow.go
@@ -55,6 +55,7 @@
 	whole     bool   // the steps from it couldn't be followed
 	directory protocol.Directory
 	services  [protocol.ServicePartitions]uint64
+	replaced  bool // the lists that the process goes by are not those
 	sources   *Sources
 }
 
@@ -80,12 +81,12 @@
 	return f.sources.Age(time.Now())
 }
 
-// ForgetLists has the lists of all services told anew: what the process goes by has come
-// from elsewhere meanwhile.
+// ForgetLists has the lists of all services told anew once a node vouches for them: what the
+// process goes by has come from elsewhere meanwhile, and is newer than what others may tell.
 func (f *Follower) ForgetLists() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.services = [protocol.ServicePartitions]uint64{}
+	f.replaced = true
 }
 
 // Directory returns the directory as last told.
@@ -157,6 +158,10 @@
 	if f.whole {
 		args.Revision = 0
 	}
+	if f.replaced && !patient {
+		// A patient question goes to a node that has nothing better: it is to wait for a proof.
+		args.Services = [protocol.ServicePartitions]uint64{}
+	}
 	return args
 }
 
@@ -209,6 +214,17 @@
 		f.directory = *reply.Directory
 		news = append(news, News{Directory: reply.Directory})
 	}
+	return append(news, f.mergeLists(reply)...)
+}
+
+// mergeLists takes the lists of servers on that are newer.
+func (f *Follower) mergeLists(reply *protocol.WatchReply) (news []News) {
+	if f.replaced && !reply.Vouched {
+		return nil
+	}
+	if f.replaced && reply.Services != ([protocol.ServicePartitions]uint64{}) {
+		f.replaced, f.services = false, [protocol.ServicePartitions]uint64{}
+	}
 	for partition, version := range reply.Services {
 		if version <= f.services[partition] {
 			continue
--- a/internal/station/follow/follow_test.go
+++ b/internal/station/follow/follow_test.go
@@ -207,6 +207,24 @@
 	assert.Equal(t, next(t, told).Partition, 2)
 }
 
+// Lists that came from elsewhere give way to those of a node that vouches, whatever their versions,
+// and to no others. A patient question doesn't ask for them: it would be answered at once.
+func TestForgottenListsGiveWayToVouchedOnesOnly(t *testing.T) {
+	f := New(Options{Name: "edge", Pool: link.NewPool(link.Options{})})
+	reply := &protocol.WatchReply{Vouched: true}
+	reply.Services[1], reply.Services[2] = 7, 5
+	assert.Equal(t, len(f.merge(reply)), 2)
+	assert.Equal(t, len(f.merge(reply)), 0)
+	f.ForgetLists()
+	assert.Equal(t, f.args(false).Services, [protocol.ServicePartitions]uint64{})
+	assert.Equal(t, f.args(true).Services, reply.Services)
+	assert.Equal(t, len(f.merge(&protocol.WatchReply{Services: reply.Services})), 0, "from behind a cut")
+	assert.Equal(t, len(f.merge(&protocol.WatchReply{Vouched: true})), 0, "vouched for, but without lists")
+	assert.Equal(t, f.args(false).Services, [protocol.ServicePartitions]uint64{}, "they are still asked for")
+	assert.Equal(t, len(f.merge(reply)), 2)
+	assert.Equal(t, f.args(false).Services, reply.Services)
+}
+
 // Each slot asks another node, so that one that froze holds nothing up.
 func TestFrozenNodeHoldsNothingUp(t *testing.T) {
 	frozen := make(chan struct{})
