Keep in touch with a group's members while a disk write is under way

Change: Replica.Beats hands out heartbeats, and answers that promise nothing which isn't durable, while a Ready is being written; the host sends them from 50 ms of a write on, every 25 ms, until 1.5 s, so that a disk that is stuck still loses its ownerships. The simulations send them during every write. Clocks of the replica simulation start near zero half of the time, so that a proof of another life shows.

--- a/internal/barograph/host/harness_test.go
+++ b/internal/barograph/host/harness_test.go
@@ -74,6 +74,7 @@
 	disk     *store.Memory
 	machines map[replica.GroupID]*list
 	inbox    []replica.Message
+	heard    func([]replica.Message) // is told of what comes in; may be nil
 }
 
 // Send implements Transport for the node that sends.
@@ -82,6 +83,9 @@
 	c.sends++
 	if receiver := c.nodes[to]; receiver != nil && !c.cut[n.id] && !c.cut[to] {
 		receiver.inbox = append(receiver.inbox, messages...)
+		if receiver.heard != nil {
+			receiver.heard(messages)
+		}
 	}
 }
 
--- a/internal/barograph/host/round.go
+++ b/internal/barograph/host/round.go
@@ -162,7 +162,7 @@
 func (h *Host) persist(ctx context.Context, jobs []*job) error {
 	pause := fullPauseFirst
 	for {
-		err := h.write(jobs)
+		err := h.writeBeating(jobs)
 		if !errors.Is(err, store.ErrFull) {
 			return err
 		}
@@ -176,6 +176,53 @@
 	}
 }
 
+// While a write lasts longer than beatAfter, heartbeats go out and are answered every beatEvery, so
+// that a slow disk isn't taken for a lost node. After yieldAfter they stop: others are to own
+// what this node can't carry on.
+const (
+	beatAfter  = 50 * time.Millisecond
+	beatEvery  = 25 * time.Millisecond
+	yieldAfter = 1500 * time.Millisecond
+)
+
+// writeBeating writes what the jobs want, and keeps in touch with the other members meanwhile.
+func (h *Host) writeBeating(jobs []*job) error {
+	done := make(chan error, 1)
+	go func() { done <- h.write(jobs) }()
+	timer := time.NewTimer(beatAfter)
+	defer timer.Stop()
+	began := h.options.Now()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-timer.C:
+			timer.Reset(beatEvery)
+		}
+		if h.options.Now()-began < yieldAfter {
+			h.beat()
+		}
+	}
+}
+
+// beat sends what may be sent while a write is under way. What else there is to do waits for the
+// next round.
+func (h *Host) beat() {
+	byNode := newBatches()
+	h.mu.Lock()
+	now := h.options.Now()
+	for _, g := range h.groups {
+		if g.next <= now {
+			g.replica.Tick(now)
+			g.next = max(g.replica.Next(), now+shortestWait)
+			h.touch(g)
+		}
+		byNode.add(g.replica.Beats())
+	}
+	h.mu.Unlock()
+	byNode.send(h.options.Transport)
+}
+
 func (h *Host) write(jobs []*job) error {
 	var batch []store.Write
 	for _, j := range jobs {
@@ -325,18 +372,33 @@
 
 // send sends messages of all groups, in one Send for each node.
 func (h *Host) send(jobs []*job, which func(*job) []replica.Message) {
-	var order []replica.NodeID
-	byNode := map[replica.NodeID][]replica.Message{}
+	byNode := newBatches()
 	for _, j := range jobs {
-		for _, m := range which(j) {
-			if byNode[m.To] == nil {
-				order = append(order, m.To)
-			}
-			byNode[m.To] = append(byNode[m.To], m)
+		byNode.add(which(j))
+	}
+	byNode.send(h.options.Transport)
+}
+
+// batches are messages by their receivers, who stand in the order of their first ones.
+type batches struct {
+	order  []replica.NodeID
+	byNode map[replica.NodeID][]replica.Message
+}
+
+func newBatches() *batches { return &batches{byNode: map[replica.NodeID][]replica.Message{}} }
+
+func (b *batches) add(messages []replica.Message) {
+	for _, m := range messages {
+		if b.byNode[m.To] == nil {
+			b.order = append(b.order, m.To)
 		}
+		b.byNode[m.To] = append(b.byNode[m.To], m)
 	}
-	for _, to := range order {
-		h.options.Transport.Send(to, byNode[to])
+}
+
+func (b *batches) send(to Transport) {
+	for _, node := range b.order {
+		to.Send(node, b.byNode[node])
 	}
 }
 
--- a/internal/barograph/replica/follow.go
+++ b/internal/barograph/replica/follow.go
@@ -63,7 +63,12 @@
 	if !r.timing.Lazy {
 		m.Asked, m.Life = r.now, r.life
 	}
-	r.reply(to, m)
+	if !r.durable(m) {
+		r.reply(to, m)
+		return
+	}
+	m.Group, m.From, m.To, m.Term, m.Sent = r.group, r.self, to.From, r.hard.Term, to.Sent
+	r.early = append(r.early, m)
 }
 
 // take puts the entries of m in the log, in place of what differs, and returns the last one's
--- a/internal/barograph/replica/ready.go
+++ b/internal/barograph/replica/ready.go
@@ -19,15 +19,33 @@
 		hard := r.hard
 		ready.Hard = &hard
 	}
+	r.hardOut, r.snapshotOut = ready.Hard != nil, ready.Snapshot != nil
 	r.handed = r.log.last()
 	r.applied += uint64(len(ready.Committed))
 	r.incoming, r.early, r.messages, r.hardChanged = nil, nil, nil, false
 	return ready
 }
 
+// Beats hands out what may be sent while a Ready is still being written: heartbeats, and answers
+// that promise nothing which isn't durable. A slow disk is thus not taken for a lost node.
+func (r *Replica) Beats() []Message {
+	early := r.early
+	r.early = nil
+	return early
+}
+
+// durable tells whether an answer to an owner promises only what this node has on its disk.
+func (r *Replica) durable(m Message) bool {
+	if r.hardChanged || r.hardOut || r.snapshotOut || r.incoming != nil {
+		return false
+	}
+	return m.Kind == InstallReply || m.Reject || m.Index <= r.stable
+}
+
 // Persisted tells that the writes of ready are durable. Calls come in the order of the Readys.
 func (r *Replica) Persisted(now time.Duration, ready Ready) {
 	r.advance(now)
+	r.hardOut, r.snapshotOut = false, false
 	if ready.Hard != nil {
 		r.voted(*ready.Hard)
 	}
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -58,6 +58,8 @@
 	stable      uint64 // entries up to here are durable
 	applied     uint64 // committed entries up to here were handed out
 	hardChanged bool
+	hardOut     bool      // a hard state was handed out and isn't durable yet
+	snapshotOut bool      // so was a snapshot
 	incoming    *Snapshot // a snapshot to be handed out
 	assembly    *assembly // a snapshot that is on its way in; nil: none
 	early       []Message
--- a/internal/barograph/replica/simulation_node_test.go
+++ b/internal/barograph/replica/simulation_node_test.go
@@ -27,7 +27,7 @@
 	held    []func()
 }
 
-// clock is the node's own: it starts at zero or anywhere, and drifts by a percent at most.
+// clock is the node's own: it starts near zero or anywhere, and drifts by a percent at most.
 func (n *node) clock() time.Duration {
 	return n.offset + time.Duration(float64(n.world.now)*n.rate)
 }
@@ -44,7 +44,8 @@
 	n.rate = 0.99 + 0.02*w.random.Float64()
 	n.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
 	if w.chance(0.5) {
-		n.offset = -time.Duration(float64(w.now) * n.rate) // counts from the start of the process
+		// It counts from about the start of the process, as real ones do.
+		n.offset = w.between(0, 3*simulatedTiming.Election) - time.Duration(float64(w.now)*n.rate)
 	}
 	n.writing, n.tickAt, n.frozen, n.held = nil, 0, false, nil
 	n.waiting = map[uint64]*operation{}
@@ -133,6 +134,11 @@
 		}
 		n.carryOut(ready)
 	}
+	if n.writing != nil {
+		for _, m := range n.replica.Beats() {
+			n.world.net.send(m)
+		}
+	}
 	n.planTick()
 }
 
--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -98,7 +98,7 @@
 
 // TestSimulationFindsFlaws tests the tests: each defect must show.
 func TestSimulationFindsFlaws(t *testing.T) {
-	const seeds = 3000
+	const seeds = 10_000
 	for _, flawed := range []struct {
 		name    string
 		options options
--- a/internal/barograph/simulation/member_test.go
+++ b/internal/barograph/simulation/member_test.go
@@ -74,6 +74,11 @@
 		}
 		m.carryOut(ready)
 	}
+	if m.writing != nil {
+		for _, message := range m.replica.Beats() {
+			m.node.world.network.deliver(m.node.place, message)
+		}
+	}
 	m.answerReadings()
 	m.planTick()
 }
