--- a/internal/barograph/replica/simulation_book_test.go
+++ b/internal/barograph/replica/simulation_book_test.go
@@ -48,7 +48,7 @@
 		n.world.beset(n)
 	}
 	if b.owners[term] != n.id {
-		n.world.fail("nodes %d and %d own term %d", b.owners[term], n.id, term)
+		n.world.Fail("nodes %d and %d own term %d", b.owners[term], n.id, term)
 	}
 	b.checkLease(n)
 }
@@ -66,9 +66,9 @@
 	proven := n.fromClock(at) - rounding
 	there := sort.Search(len(b.since), func(i int) bool { return b.since[i] > proven })
 	if uint64(there) > n.machine.index {
-		n.world.fail("node %d is said to be as recent as %v, holds %d, and %d was applied then", n.id, proven, n.machine.index, there)
+		n.world.Fail("node %d is said to be as recent as %v, holds %d, and %d was applied then", n.id, proven, n.machine.index, there)
 	}
-	if n.world.now-proven < 4*simulatedTiming.Heartbeat && !n.replica.Owns() {
+	if n.world.Now-proven < 4*simulatedTiming.Heartbeat && !n.replica.Owns() {
 		n.world.counts.recent++
 	}
 }
@@ -83,7 +83,7 @@
 
 func (b *book) checkLease(n *node) {
 	if n.replica.Term() < b.newest && n.replica.Leased(n.clock()) {
-		n.world.fail("node %d holds a lease in term %d, while term %d has an owner", n.id, n.replica.Term(), b.newest)
+		n.world.Fail("node %d holds a lease in term %d, while term %d has an owner", n.id, n.replica.Term(), b.newest)
 	}
 }
 
@@ -99,7 +99,7 @@
 		if !ok {
 			b.places[at] = placed{entry, before}
 		} else if known.before != before || !sameEntry(known.entry, entry) {
-			n.world.fail("node %d has another entry %d of term %d than others", n.id, entry.Index, entry.Term)
+			n.world.Fail("node %d has another entry %d of term %d than others", n.id, entry.Index, entry.Term)
 		}
 		before = entry.Term
 	}
@@ -125,20 +125,20 @@
 func (b *book) applied(n *node, entry replica.Entry) {
 	if entry.Index <= uint64(len(b.committed)) {
 		if !sameEntry(b.committed[entry.Index-1], entry) {
-			n.world.fail("node %d applies another entry %d than was committed", n.id, entry.Index)
+			n.world.Fail("node %d applies another entry %d than was committed", n.id, entry.Index)
 		}
 		return
 	}
 	b.committed = append(b.committed, entry)
 	b.states = append(b.states, n.machine)
-	b.since = append(b.since, n.world.now)
+	b.since = append(b.since, n.world.Now)
 	if entry.Kind == replica.Command {
 		n.world.client.effect[decodeOperation(entry.Data).number] = n.world.client.tick()
 	}
 	if entry.Kind == replica.Change {
 		members, err := replica.DecodeMembers(entry.Data)
 		if err != nil {
-			n.world.fail("entry %d: %v", entry.Index, err)
+			n.world.Fail("entry %d: %v", entry.Index, err)
 		}
 		b.members = members
 		n.world.counts.changes++
@@ -150,6 +150,6 @@
 	index := n.machine.index
 	n.world.counts.restored++
 	if index > uint64(len(b.states)) || b.states[index-1] != n.machine {
-		n.world.fail("node %d takes a snapshot at %d that is not the group's state", n.id, index)
+		n.world.Fail("node %d takes a snapshot at %d that is not the group's state", n.id, index)
 	}
 }
--- a/internal/barograph/replica/simulation_client_test.go
+++ b/internal/barograph/replica/simulation_client_test.go
@@ -99,18 +99,18 @@
 
 // next starts an operation, at a node that takes itself for the owner most of the time.
 func (c *client) next() {
-	if !c.world.faulty && c.world.chance(0.9) {
+	if !c.world.faulty && c.world.Chance(0.9) {
 		return
 	}
 	nodes := c.world.owners()
-	if len(nodes) == 0 || c.world.chance(0.05) {
+	if len(nodes) == 0 || c.world.Chance(0.05) {
 		nodes = c.world.running()
 	}
 	if len(nodes) == 0 {
 		return
 	}
-	n := nodes[c.world.random.IntN(len(nodes))]
-	if c.quiet() || c.world.chance(0.5) {
+	n := nodes[c.world.Random.IntN(len(nodes))]
+	if c.quiet() || c.world.Chance(0.5) {
 		n.act(func() { c.readAt(n) })
 		return
 	}
@@ -118,7 +118,7 @@
 		return
 	}
 	number := uint64(len(c.history) + 1)
-	o := &operation{number: number, kind: write, value: number, call: c.tick(), began: c.world.now}
+	o := &operation{number: number, kind: write, value: number, call: c.tick(), began: c.world.Now}
 	c.history = append(c.history, o)
 	n.act(func() { c.propose(n, o) })
 }
@@ -126,9 +126,9 @@
 // quiet tells whether the client only reads for now: logs stay alike then, so that a node that
 // was cut off can win ballots.
 func (c *client) quiet() bool {
-	if c.world.now >= c.turnsAt {
+	if c.world.Now >= c.turnsAt {
 		c.silent = c.world.faulty && !c.silent
-		c.turnsAt = c.world.now + c.world.between(0, 5*simulatedTiming.Election)
+		c.turnsAt = c.world.Now + c.world.Between(0, 5*simulatedTiming.Election)
 	}
 	return c.silent
 }
@@ -137,7 +137,7 @@
 func (c *client) unfinished() int {
 	count := 0
 	for _, o := range c.history {
-		if o.done == 0 && c.effect[o.number] == 0 && c.world.now-o.began < patience {
+		if o.done == 0 && c.effect[o.number] == 0 && c.world.Now-o.began < patience {
 			count++
 		}
 	}
@@ -156,7 +156,7 @@
 }
 
 func (c *client) propose(n *node, o *operation) {
-	if c.world.chance(0.6) {
+	if c.world.Chance(0.6) {
 		o.kind, o.expected = compareAndSet, c.seen
 	}
 	index, term, err := n.replica.Propose(n.clock(), o.encode())
@@ -177,7 +177,7 @@
 	}
 	o.succeeded = succeeded
 	c.world.counts.writes++
-	c.doneAt = c.world.now
+	c.doneAt = c.world.Now
 	if succeeded {
 		c.seen = o.value
 	}
@@ -226,9 +226,9 @@
 	}
 	switch porcupine.CheckOperationsTimeout(registerModel, history, 20*time.Second) {
 	case porcupine.Illegal:
-		return errors.Wrapf(errNotLinearizable, "seed %d", c.world.seed)
+		return errors.Wrapf(errNotLinearizable, "seed %d", c.world.Seed)
 	case porcupine.Unknown:
-		return errors.Wrapf(errNotJudged, "seed %d", c.world.seed)
+		return errors.Wrapf(errNotJudged, "seed %d", c.world.Seed)
 	}
 	return nil
 }
--- a/internal/barograph/replica/simulation_faults_test.go
+++ b/internal/barograph/replica/simulation_faults_test.go
@@ -20,24 +20,24 @@
 	if w.frequent {
 		faults = []func(){w.faultHeal, w.faultHeal, w.faultCutOne, w.faultIsolate, w.faultCrash, w.faultSplit, w.faultWeather}
 	}
-	faults[w.random.IntN(len(faults))]()
+	faults[w.Random.IntN(len(faults))]()
 }
 
 // anyone draws a running node, an owner often.
 func (w *world) anyone() *node {
 	nodes := w.owners()
-	if len(nodes) == 0 || w.chance(0.6) {
+	if len(nodes) == 0 || w.Chance(0.6) {
 		nodes = w.running()
 	}
 	if len(nodes) == 0 {
 		return nil
 	}
-	return nodes[w.random.IntN(len(nodes))]
+	return nodes[w.Random.IntN(len(nodes))]
 }
 
 // pair draws two nodes.
 func (w *world) pair() (a, b replica.NodeID) {
-	drawn := w.random.Perm(len(w.nodes))
+	drawn := w.Random.Perm(len(w.nodes))
 	return replica.NodeID(drawn[0] + 1), replica.NodeID(drawn[len(drawn)-1] + 1)
 }
 
@@ -56,7 +56,7 @@
 	if lone == nil {
 		return
 	}
-	ways := w.random.IntN(3)
+	ways := w.Random.IntN(3)
 	for _, other := range w.nodes {
 		if ways != 0 {
 			w.net.cuts[link{lone.id, other.id}] = true
@@ -70,10 +70,10 @@
 // beset cuts a new owner off before it has told all others about its term, and lets the ones
 // that were cut off before come back: logs part as much as they can.
 func (w *world) beset(lone *node) {
-	if !w.frequent || !w.faulty || w.chance(0.5) {
+	if !w.frequent || !w.faulty || w.Chance(0.5) {
 		return
 	}
-	w.after(w.between(0, 2*w.delay), func() {
+	w.After(w.Between(0, 2*w.delay), func() {
 		if !w.faulty {
 			return
 		}
@@ -87,7 +87,7 @@
 func (w *world) faultSplit() {
 	left := make([]bool, len(w.nodes))
 	for i := range left {
-		left[i] = w.chance(0.5)
+		left[i] = w.Chance(0.5)
 	}
 	for i, a := range w.nodes {
 		for j, b := range w.nodes {
@@ -99,14 +99,14 @@
 }
 
 func (w *world) faultWeather() {
-	w.net.loss = []float64{0, 0.02, 0.1, 0.3}[w.random.IntN(4)]
-	w.net.double = []float64{0, 0.1, 0.5}[w.random.IntN(3)]
-	w.net.slow = []float64{0, 0.05, 0.3}[w.random.IntN(3)]
+	w.net.loss = []float64{0, 0.02, 0.1, 0.3}[w.Random.IntN(4)]
+	w.net.double = []float64{0, 0.1, 0.5}[w.Random.IntN(3)]
+	w.net.slow = []float64{0, 0.05, 0.3}[w.Random.IntN(3)]
 }
 
 func (w *world) faultFreeze() {
 	if n := w.anyone(); n != nil {
-		n.freeze(w.between(10*time.Millisecond, 3*simulatedTiming.Election))
+		n.freeze(w.Between(10*time.Millisecond, 3*simulatedTiming.Election))
 	}
 }
 
@@ -120,7 +120,7 @@
 func (w *world) restart(n *node) {
 	n.crash()
 	life := n.life
-	w.after(w.between(time.Millisecond, 2*simulatedTiming.Election), func() {
+	w.After(w.Between(time.Millisecond, 2*simulatedTiming.Election), func() {
 		if n.life == life && !n.gone {
 			n.start()
 		}
@@ -128,7 +128,7 @@
 }
 
 func (w *world) faultPower() {
-	if w.chance(0.7) {
+	if w.Chance(0.7) {
 		return
 	}
 	for _, n := range w.running() {
@@ -147,7 +147,7 @@
 	if len(voters) < 3 {
 		return
 	}
-	lost := w.node(voters[w.random.IntN(len(voters))])
+	lost := w.node(voters[w.Random.IntN(len(voters))])
 	lost.crash()
 	if w.forgetful {
 		lost.disk = lost.first
@@ -173,7 +173,7 @@
 	for _, n := range w.owners() {
 		n.act(func() {
 			voters := n.replica.Status(n.clock()).Members.Voters
-			if n.replica.Handover(n.clock(), voters[w.random.IntN(len(voters))]) == nil {
+			if n.replica.Handover(n.clock(), voters[w.Random.IntN(len(voters))]) == nil {
 				w.counts.handovers++
 			}
 		})
@@ -209,8 +209,8 @@
 			return now, true
 		}
 	}
-	if len(now.Learners) > 0 && len(now.Voters) < 5 && (len(now.Voters) < 3 || w.chance(0.2)) {
-		raised := now.Learners[w.random.IntN(len(now.Learners))]
+	if len(now.Learners) > 0 && len(now.Voters) < 5 && (len(now.Voters) < 3 || w.Chance(0.2)) {
+		raised := now.Learners[w.Random.IntN(len(now.Learners))]
 		now = drop(now, raised)
 		now.Voters = append(now.Voters, raised)
 		return now, true
@@ -220,18 +220,18 @@
 
 // whim changes members for no reason, while the faults last.
 func (w *world) whim(now replica.Members) (replica.Members, bool) {
-	if !w.faulty || !w.chance(0.1) {
+	if !w.faulty || !w.Chance(0.1) {
 		return now, false
 	}
 	if len(now.Voters) < 4 {
-		if len(w.nodes) < 6 && w.chance(0.3) {
+		if len(w.nodes) < 6 && w.Chance(0.3) {
 			w.addNode(replica.Stored{})
 		}
 		return now, false
 	}
-	lowered := now.Voters[w.random.IntN(len(now.Voters))]
+	lowered := now.Voters[w.Random.IntN(len(now.Voters))]
 	now = drop(now, lowered)
-	if w.chance(0.7) {
+	if w.Chance(0.7) {
 		now.Learners = append(now.Learners, lowered)
 	}
 	return now, true
--- a/internal/barograph/replica/simulation_network_test.go
+++ b/internal/barograph/replica/simulation_network_test.go
@@ -25,21 +25,21 @@
 
 // send takes a message on its way.
 func (n *network) send(m replica.Message) {
-	if n.cuts[link{m.From, m.To}] || n.world.chance(n.loss) {
+	if n.cuts[link{m.From, m.To}] || n.world.Chance(n.loss) {
 		return
 	}
 	n.carry(m)
-	if n.world.chance(n.double) {
+	if n.world.Chance(n.double) {
 		n.carry(m)
 	}
 }
 
 func (n *network) carry(m replica.Message) {
-	delay := n.world.between(200*time.Microsecond, n.world.delay)
-	if n.world.chance(n.slow) {
-		delay += n.world.between(0, 3*simulatedTiming.Election)
+	delay := n.world.Between(200*time.Microsecond, n.world.delay)
+	if n.world.Chance(n.slow) {
+		delay += n.world.Between(0, 3*simulatedTiming.Election)
 	}
-	n.world.after(delay, func() {
+	n.world.After(delay, func() {
 		if n.cuts[link{m.From, m.To}] || int(m.To) > len(n.world.nodes) {
 			return
 		}
--- a/internal/barograph/replica/simulation_node_test.go
+++ b/internal/barograph/replica/simulation_node_test.go
@@ -29,7 +29,7 @@
 
 // clock is the node's own: it starts near zero or anywhere, and drifts by a percent at most.
 func (n *node) clock() time.Duration {
-	return n.offset + time.Duration(float64(n.world.now)*n.rate)
+	return n.offset + time.Duration(float64(n.world.Now)*n.rate)
 }
 
 // fromClock is the simulation's time when the node's clock shows at.
@@ -41,16 +41,16 @@
 func (n *node) start() {
 	w := n.world
 	n.life++
-	n.rate = 0.99 + 0.02*w.random.Float64()
-	n.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
-	if w.chance(0.5) {
+	n.rate = 0.99 + 0.02*w.Random.Float64()
+	n.offset = time.Duration(w.Random.Int64N(int64(time.Hour)))
+	if w.Chance(0.5) {
 		// It counts from about the start of the process, as real ones do.
-		n.offset = w.between(0, 3*simulatedTiming.Election) - time.Duration(float64(w.now)*n.rate)
+		n.offset = w.Between(0, 3*simulatedTiming.Election) - time.Duration(float64(w.Now)*n.rate)
 	}
 	n.writing, n.tickAt, n.frozen, n.held = nil, 0, false, nil
 	n.waiting = map[uint64]*operation{}
 	n.machine = decodeMachine(n.disk.Snapshot)
-	lot := rand.New(rand.NewPCG(w.seed, w.random.Uint64()))
+	lot := rand.New(rand.NewPCG(w.Seed, w.Random.Uint64()))
 	n.replica = replica.New(simulatedGroup, n.id, simulatedTiming, n.disk, lot, n.clock())
 	n.replica.SetFlaws(w.flaws)
 	n.replica.SetBounds(w.tail, w.batch, w.part)
@@ -63,7 +63,7 @@
 	if n.replica == nil {
 		return
 	}
-	if n.writing != nil && n.world.chance(0.5) {
+	if n.writing != nil && n.world.Chance(0.5) {
 		n.store(*n.writing)
 	}
 	n.life++
@@ -86,7 +86,7 @@
 // later runs something in the process after a delay, if it is the same process then.
 func (n *node) later(delay time.Duration, run func()) {
 	life := n.life
-	n.world.after(delay, func() {
+	n.world.After(delay, func() {
 		if n.life == life {
 			n.act(run)
 		}
@@ -100,7 +100,7 @@
 	}
 	n.frozen = true
 	life := n.life
-	n.world.after(span, func() {
+	n.world.After(span, func() {
 		if n.life == life {
 			n.thaw()
 		}
@@ -127,7 +127,7 @@
 // settle checks the node, carries out what its replica wants, and plans its next Tick.
 func (n *node) settle() {
 	n.world.book.look(n)
-	for n.writing == nil && n.world.failed == nil {
+	for n.writing == nil && n.world.Failed == nil {
 		ready := n.replica.Ready()
 		if ready.Empty() {
 			break
@@ -152,8 +152,8 @@
 		return
 	}
 	n.writing = &ready
-	span := n.world.between(100*time.Microsecond, 3*time.Millisecond)
-	if n.world.faulty && n.world.chance(0.02) {
+	span := n.world.Between(100*time.Microsecond, 3*time.Millisecond)
+	if n.world.faulty && n.world.Chance(0.02) {
 		span *= 20
 	}
 	n.later(span, func() {
@@ -198,7 +198,7 @@
 
 func (n *node) apply(entry replica.Entry) {
 	if entry.Index != n.machine.index+1 {
-		n.world.fail("node %d applies entry %d after %d", n.id, entry.Index, n.machine.index)
+		n.world.Fail("node %d applies entry %d after %d", n.id, entry.Index, n.machine.index)
 		return
 	}
 	succeeded := n.machine.apply(entry)
@@ -227,12 +227,12 @@
 
 // planTick sees to a Tick when the replica wants one.
 func (n *node) planTick() {
-	due := max(n.fromClock(n.replica.Next()), n.world.now)
+	due := max(n.fromClock(n.replica.Next()), n.world.Now)
 	if n.tickAt != 0 && n.tickAt <= due {
 		return
 	}
 	n.tickAt = due
-	n.later(due-n.world.now, func() {
+	n.later(due-n.world.Now, func() {
 		if n.tickAt == due {
 			n.tickAt = 0
 			n.replica.Tick(n.clock())
--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -1,7 +1,9 @@
 package replica_test
 
 import (
+	"os"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -75,11 +77,19 @@
 	assert.Assert(test, c.reads > 10*seeds && c.writes > 10*seeds, "operations: %+v", c)
 }
 
-func TestSimulation(t *testing.T) {
-	seeds := uint64(2000)
+// seedsFor is how many seeds a test plays: SIMULATION_SEEDS says so for a long search.
+func seedsFor(usual uint64) uint64 {
+	if many, err := strconv.ParseUint(os.Getenv("SIMULATION_SEEDS"), 10, 64); err == nil {
+		return many
+	}
 	if testing.Short() {
-		seeds = 200
+		return usual / 10
 	}
+	return usual
+}
+
+func TestSimulation(t *testing.T) {
+	seeds := seedsFor(2000)
 	tally := &tally{}
 	runs, failure := simulateSeeds(seeds, options{tally: tally})
 	assert.NilError(t, failure)
@@ -88,10 +98,7 @@
 }
 
 func TestSimulationOfFrequentFaults(t *testing.T) {
-	seeds := uint64(500)
-	if testing.Short() {
-		seeds = 50
-	}
+	seeds := seedsFor(500)
 	_, failure := simulateSeeds(seeds, options{frequent: true, startNodes: 5})
 	assert.NilError(t, failure)
 }
--- a/internal/barograph/replica/simulation_world_test.go
+++ b/internal/barograph/replica/simulation_world_test.go
@@ -1,13 +1,12 @@
 package replica_test
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/barograph/simulated"
 )
 
 // The simulation runs a group on a clock of its own: nodes with disks and drifting clocks, a
@@ -42,39 +41,10 @@
 	faults     int // how many times faultyFor the faults last; 0: once
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	popped := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return popped
-}
-
 // world is one simulation.
 type world struct {
 	options
-	random *rand.Rand
-	now    time.Duration
-	events int
-	order  uint64
-	queue  eventQueue
+	*simulated.Clock
 	nodes  []*node // in the order of their ids
 	net    network
 	book   *book
@@ -82,7 +52,6 @@
 	counts counts
 	faulty bool
 	healAt time.Duration // when the faults end
-	failed error
 	// drawn once:
 	snapshotEvery uint64
 	tail          uint64
@@ -94,17 +63,18 @@
 func newWorld(o options) *world {
 	w := &world{
 		options: o,
-		random:  rand.New(rand.NewPCG(o.seed, 0x7eed)),
+		Clock:   simulated.NewClock(o.seed, 0x7eed, mostEvents),
 		book:    newBook(),
 		faulty:  true,
 	}
+	w.Describe = w.describe
 	w.net = network{world: w, cuts: map[link]bool{}}
 	w.client = &client{world: w, effect: map[uint64]int64{}}
-	w.snapshotEvery = 3 + w.random.Uint64N(40)
-	w.tail = w.random.Uint64N(10)
-	w.batch = 1 + w.random.IntN(8)
+	w.snapshotEvery = 3 + w.Random.Uint64N(40)
+	w.tail = w.Random.Uint64N(10)
+	w.batch = 1 + w.Random.IntN(8)
 	w.delay = shortDelay
-	w.part = 1 + w.random.Uint64N(9)
+	w.part = 1 + w.Random.Uint64N(9)
 	return w
 }
 
@@ -112,34 +82,34 @@
 func simulate(o options) error {
 	w := newWorld(o)
 	w.found()
-	w.every(5*time.Millisecond, 15*time.Millisecond, w.client.next)
-	w.every(15*time.Millisecond, 40*time.Millisecond, w.administer)
+	w.Every(5*time.Millisecond, 15*time.Millisecond, w.client.next)
+	w.Every(15*time.Millisecond, 40*time.Millisecond, w.administer)
 	longest := 100 * time.Millisecond
 	if w.frequent {
 		longest = 30 * time.Millisecond
 		w.batch = 1
 		w.delay = longDelay
 	}
-	w.every(5*time.Millisecond, longest, w.fault)
+	w.Every(5*time.Millisecond, longest, w.fault)
 	w.healAt = time.Duration(max(1, w.faults)) * faultyFor
-	w.run(w.healAt, func() bool { return false })
+	w.Run(w.healAt, func() bool { return false })
 	w.heal()
-	if !w.run(w.healAt+healedFor, w.recovered) && w.failed == nil && !w.safetyOnly {
-		w.fail("the group did not recover: %s", w.describe())
+	if !w.Run(w.healAt+healedFor, w.recovered) && w.Failed == nil && !w.safetyOnly {
+		w.Fail("the group did not recover: %s", w.describe())
 	}
 	w.checkContradictions()
-	if w.failed == nil {
-		w.failed = w.client.check()
+	if w.Failed == nil {
+		w.Failed = w.client.check()
 	}
 	o.tally.add(w.counts)
-	return w.failed
+	return w.Failed
 }
 
 // checkContradictions holds that no node was sent what differs from its committed entries.
 func (w *world) checkContradictions() {
 	for _, n := range w.running() {
 		if n.replica.Status(n.clock()).Contradicted {
-			w.fail("node %d was contradicted", n.id)
+			w.Fail("node %d was contradicted", n.id)
 		}
 	}
 }
@@ -148,7 +118,7 @@
 func (w *world) found() {
 	count := w.startNodes
 	if count == 0 {
-		count = []int{1, 2, 3, 3, 3, 3, 4, 5}[w.random.IntN(8)]
+		count = []int{1, 2, 3, 3, 3, 3, 4, 5}[w.Random.IntN(8)]
 	}
 	var members replica.Members
 	for id := range count {
@@ -173,50 +143,6 @@
 
 func (w *world) node(id replica.NodeID) *node { return w.nodes[id-1] }
 
-// fail notes the first thing that went wrong.
-func (w *world) fail(format string, arguments ...any) {
-	if w.failed == nil {
-		w.failed = fmt.Errorf("seed %d at %v: %s", w.seed, w.now, fmt.Sprintf(format, arguments...))
-	}
-}
-
-// after runs something later.
-func (w *world) after(delay time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.queue, event{w.now + delay, w.order, run})
-}
-
-// every runs something again and again, at intervals by lot.
-func (w *world) every(shortest, longest time.Duration, run func()) {
-	w.after(w.between(shortest, longest), func() {
-		run()
-		w.every(shortest, longest, run)
-	})
-}
-
-func (w *world) between(shortest, longest time.Duration) time.Duration {
-	return shortest + time.Duration(w.random.Int64N(int64(longest-shortest)+1))
-}
-
-func (w *world) chance(probability float64) bool { return w.random.Float64() < probability }
-
-// run handles events until a time, a failure, or until done says so: it returns what done said.
-func (w *world) run(until time.Duration, done func() bool) bool {
-	for len(w.queue) > 0 && w.queue[0].at <= until && w.failed == nil {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.run()
-		if w.events++; w.events > mostEvents {
-			w.fail("does not come to rest: %s", w.describe())
-		}
-		if done() {
-			return w.failed == nil
-		}
-	}
-	w.now = until
-	return false
-}
-
 // heal ends all faults.
 func (w *world) heal() {
 	w.faulty = false
--- a/internal/barograph/simulation/configuration_test.go
+++ b/internal/barograph/simulation/configuration_test.go
@@ -83,7 +83,7 @@
 	w := newWorld(seed, protocol.Core, defects)
 	s := newConfigurationSubject(w)
 	var members replica.Members
-	for range 3 + w.random.IntN(3) {
+	for range 3 + w.Random.IntN(3) {
 		members.Voters = append(members.Voters, w.addNode().id)
 	}
 	for _, n := range w.nodes {
@@ -92,7 +92,7 @@
 	}
 	for i := range operatorsCount {
 		o := &operator{place: firstClient + endpoint(i)}
-		w.every(20*time.Millisecond, 400*time.Millisecond, func() { s.operate(o) })
+		w.Every(20*time.Millisecond, 400*time.Millisecond, func() { s.operate(o) })
 	}
 	w.play()
 	return w
@@ -149,7 +149,7 @@
 func (s *configurationSubject) encode(c *revisions.Command) []byte {
 	text, err := c.Encode()
 	if err != nil {
-		s.world.fail("encode: %v", err)
+		s.world.Fail("encode: %v", err)
 	}
 	return text
 }
@@ -159,14 +159,14 @@
 	key := string(result)
 	if known, ok := s.results[index]; ok {
 		if known != key {
-			s.world.fail("node %d gets another result of entry %d than others", m.node.id, index)
+			s.world.Fail("node %d gets another result of entry %d than others", m.node.id, index)
 		}
 		return
 	}
 	s.results[index] = key
 	var applied revisions.Command
 	if err := cbor.Unmarshal(command, &applied); err != nil {
-		s.world.fail("entry %d: %v", index, err)
+		s.world.Fail("entry %d: %v", index, err)
 	}
 	for _, o := range s.orders {
 		if o.inForce == 0 && applied.Change != nil && applied.Change.Digest == o.digest && string(result) == string(revisions.Taken.Bytes()) {
@@ -178,16 +178,16 @@
 func (s *configurationSubject) force(o *order) {
 	o.inForce = s.tick()
 	if other := s.bases[o.base]; other != nil {
-		s.world.fail("orders %d and %d both took the place of revision %d", other.number, o.number, o.base)
+		s.world.Fail("orders %d and %d both took the place of revision %d", other.number, o.number, o.base)
 	}
 	s.bases[o.base] = o
 	s.bodies[o.rises] = o.body
 	if s.inTurn && len(s.forces) > 0 && s.forces[len(s.forces)-1].revision != o.base {
-		s.world.fail("order %d on %d came into force after %d", o.number, o.base, s.forces[len(s.forces)-1].revision)
+		s.world.Fail("order %d on %d came into force after %d", o.number, o.base, s.forces[len(s.forces)-1].revision)
 	}
-	s.forces = append(s.forces, inForce{s.world.now, o.rises})
+	s.forces = append(s.forces, inForce{s.world.Now, o.rises})
 	if o.refused != 0 {
-		s.world.fail("order %d of revision %d on %d was refused, and came into force", o.number, o.rises, o.base)
+		s.world.Fail("order %d of revision %d on %d was refused, and came into force", o.number, o.rises, o.base)
 	}
 }
 
@@ -204,7 +204,7 @@
 		c.Patch, err = patch.Make([]byte(o.before), []byte(o.body))
 	}
 	if err != nil {
-		s.world.fail("order %d: %v", o.number, err)
+		s.world.Fail("order %d: %v", o.number, err)
 	}
 	return s.encode(&revisions.Command{Change: c})
 }
@@ -215,15 +215,15 @@
 	if at.waits {
 		return
 	}
-	n := w.nodes[w.random.IntN(len(w.nodes))]
+	n := w.nodes[w.Random.IntN(len(w.nodes))]
 	unclear := slices.DeleteFunc(slices.Clone(s.orders), func(o *order) bool {
 		return o.open || o.refused != 0 || o.sent >= mostSendings
 	})
 	switch {
-	case w.chance(0.35):
+	case w.Chance(0.35):
 		s.show(at, n)
-	case len(unclear) > 0 && w.chance(0.4):
-		s.send(at, n, unclear[w.random.IntN(len(unclear))])
+	case len(unclear) > 0 && w.Chance(0.4):
+		s.send(at, n, unclear[w.Random.IntN(len(unclear))])
 	case len(s.orders) < s.orderMost || !w.faulty:
 		s.orders = append(s.orders, s.newOrder())
 		s.send(at, n, s.orders[len(s.orders)-1])
@@ -237,19 +237,19 @@
 	number := len(s.orders) + 1
 	o := &order{number: number}
 	o.base = s.seen
-	if w.chance(0.1) && s.seen > 0 {
-		o.base = w.random.Uint64N(s.seen + 1)
+	if w.Chance(0.1) && s.seen > 0 {
+		o.base = w.Random.Uint64N(s.seen + 1)
 	}
 	o.before = s.bodies[o.base]
-	if len(s.orders) > 0 && (w.chance(0.25) || w.flaws.futureBase && w.chance(0.6)) {
+	if len(s.orders) > 0 && (w.Chance(0.25) || w.flaws.futureBase && w.Chance(0.6)) {
 		last := s.orders[len(s.orders)-1]
 		o.base, o.before = last.rises, last.body
 	}
-	o.rises = o.base + 1 + w.random.Uint64N(3)
-	if w.chance(0.1) {
-		o.rises = w.random.Uint64N(o.base + 1)
+	o.rises = o.base + 1 + w.Random.Uint64N(3)
+	if w.Chance(0.1) {
+		o.rises = w.Random.Uint64N(o.base + 1)
 	}
-	if s.twins && len(s.orders) > 0 && w.chance(0.5) {
+	if s.twins && len(s.orders) > 0 && w.Chance(0.5) {
 		last := s.orders[len(s.orders)-1]
 		o.base, o.before, o.rises = last.base, last.before, last.rises
 	}
@@ -322,9 +322,9 @@
 		}
 		result, err := revisions.ReadResult(got.result)
 		if err != nil {
-			s.world.fail("result: %v", err)
+			s.world.Fail("result: %v", err)
 		}
-		if s.world.flaws.forgetTaken && result == revisions.Taken && o.inForce != 0 && s.forcedBy(s.world.now) != o.rises {
+		if s.world.flaws.forgetTaken && result == revisions.Taken && o.inForce != 0 && s.forcedBy(s.world.Now) != o.rises {
 			result = revisions.Conflict
 		}
 		answer(orderReply{result, true})
@@ -338,31 +338,31 @@
 	case revisions.Taken:
 		w.tally.taken++
 		if o.inForce == 0 {
-			w.fail("order %d is acknowledged, and no node has it in force", o.number)
+			w.Fail("order %d is acknowledged, and no node has it in force", o.number)
 		}
 		if o.refused != 0 {
-			w.fail("order %d is acknowledged, and was refused before", o.number)
+			w.Fail("order %d is acknowledged, and was refused before", o.number)
 		}
 		if o.taken == 0 {
-			o.taken, o.takenAt = s.tick(), w.now
+			o.taken, o.takenAt = s.tick(), w.Now
 		}
 		s.seen = max(s.seen, o.rises)
-		s.lastOK = w.now
+		s.lastOK = w.Now
 	case revisions.Conflict, revisions.Stale:
 		w.tally.refused++
 		if o.inForce != 0 {
-			w.fail("order %d of revision %d on %d is in force, and was refused", o.number, o.rises, o.base)
+			w.Fail("order %d of revision %d on %d is in force, and was refused", o.number, o.rises, o.base)
 		}
 		o.refused, o.call = s.tick(), began
 	default:
-		w.fail("order %d has the result %d", o.number, result)
+		w.Fail("order %d has the result %d", o.number, result)
 	}
 }
 
 // show has a node show the newest configuration.
 func (s *configurationSubject) show(at *operator, n *machineNode) {
 	o := &order{shown: true, call: s.tick()}
-	asked := s.world.now
+	asked := s.world.Now
 	type shown struct {
 		revision uint64
 		body     string
@@ -382,13 +382,13 @@
 			return
 		}
 		if r.revision != 0 && !strings.HasPrefix(r.body, fmt.Sprintf(`{"configRevision":%d,`, r.revision)) {
-			s.world.fail("revision %d is shown as %s", r.revision, r.body)
+			s.world.Fail("revision %d is shown as %s", r.revision, r.body)
 		}
 		s.world.tally.reads++
 		o.revision, o.taken = r.revision, s.tick()
 		s.seen = max(s.seen, r.revision)
 		if newest := s.forcedBy(asked); s.inTurn && r.revision < newest {
-			s.world.fail("revision %d is shown, and %d was in force when it was asked for", r.revision, newest)
+			s.world.Fail("revision %d is shown, and %d was in force when it was asked for", r.revision, newest)
 		}
 		s.reads = append(s.reads, o)
 	})
@@ -441,8 +441,8 @@
 	}
 	switch porcupine.CheckOperationsTimeout(configurationModel, history, judgeWithin) {
 	case porcupine.Illegal:
-		s.world.fail("the history of the configuration is not linearizable")
+		s.world.Fail("the history of the configuration is not linearizable")
 	case porcupine.Unknown:
-		s.world.fail("the history of %d orders could not be judged in time", len(history))
+		s.world.Fail("the history of %d orders could not be judged in time", len(history))
 	}
 }
--- a/internal/barograph/simulation/duties_test.go
+++ b/internal/barograph/simulation/duties_test.go
@@ -61,9 +61,9 @@
 			s.truth[name] = 1
 		}
 	}
-	s.found(3 + w.random.IntN(3))
-	w.every(100*time.Millisecond, 900*time.Millisecond, s.change)
-	w.every(200*time.Millisecond, 4*time.Second, s.severPlatform)
+	s.found(3 + w.Random.IntN(3))
+	w.Every(100*time.Millisecond, 900*time.Millisecond, s.change)
+	w.Every(200*time.Millisecond, 4*time.Second, s.severPlatform)
 	w.play()
 	return w
 }
@@ -81,7 +81,7 @@
 		n.begin(protocol.ServiceGroup(playedPartition), members.Clone())
 		s.registry.follow(n.place)
 		n.start()
-		w.every(listEvery, listEvery+50*time.Millisecond, func() { n.act(func() { s.list(n) }) })
+		w.Every(listEvery, listEvery+50*time.Millisecond, func() { n.act(func() { s.list(n) }) })
 	}
 }
 
@@ -89,7 +89,7 @@
 func (s *dutiesSubject) change() {
 	if s.world.faulty || s.severed && !s.settledTruth {
 		s.settledTruth = s.severed
-		s.truth[s.services[s.world.random.IntN(len(s.services))]] = 1 + s.world.random.IntN(9)
+		s.truth[s.services[s.world.Random.IntN(len(s.services))]] = 1 + s.world.Random.IntN(9)
 	}
 }
 
@@ -101,15 +101,15 @@
 		if !s.severed {
 			s.severed = true
 			clear(s.unreached)
-			for _, place := range w.random.Perm(3)[:2] {
+			for _, place := range w.Random.Perm(3)[:2] {
 				s.unreached[endpoint(place)] = true
 			}
 		}
 		return
 	}
 	clear(s.unreached)
-	if w.faulty && w.chance(0.5) {
-		s.unreached[w.nodes[w.random.IntN(len(w.nodes))].place] = true
+	if w.faulty && w.Chance(0.5) {
+		s.unreached[w.nodes[w.Random.IntN(len(w.nodes))].place] = true
 	}
 }
 
@@ -156,10 +156,10 @@
 	s, w := d.subject, d.subject.world
 	w.tally.acts++
 	if d.epoch < s.epoch {
-		w.fail("node %d acts in epoch %d after another did in %d", d.node.id, d.epoch, s.epoch)
+		w.Fail("node %d acts in epoch %d after another did in %d", d.node.id, d.epoch, s.epoch)
 	}
 	if d.epoch == s.epoch && d.node.place != s.actor {
-		w.fail("nodes at %d and %d both act in epoch %d", s.actor, d.node.place, d.epoch)
+		w.Fail("nodes at %d and %d both act in epoch %d", s.actor, d.node.place, d.epoch)
 	}
 	s.epoch, s.actor = d.epoch, d.node.place
 	if s.unreached[d.node.place] {
@@ -230,7 +230,7 @@
 	}
 	text, err := p.Encode()
 	if err != nil {
-		s.world.fail("encode: %v", err)
+		s.world.Fail("encode: %v", err)
 	}
 	return text
 }
@@ -265,7 +265,7 @@
 	}
 	if known, ok := s.applieds[index]; ok {
 		if known != string(result) {
-			s.world.fail("node %d gets another result of entry %d than others", m.node.id, index)
+			s.world.Fail("node %d gets another result of entry %d than others", m.node.id, index)
 		}
 		return
 	}
@@ -276,7 +276,7 @@
 	}
 	epoch := s.senderOf(m, command)
 	if epoch < s.newest {
-		s.world.fail("a publication of epoch %d takes effect after one of %d", epoch, s.newest)
+		s.world.Fail("a publication of epoch %d takes effect after one of %d", epoch, s.newest)
 	}
 	s.newest = max(s.newest, epoch)
 }
@@ -293,7 +293,7 @@
 		for _, server := range l.Servers {
 			epoch, err := strconv.ParseUint(server.Zone, 10, 64)
 			if err != nil {
-				s.world.fail("zone %q", server.Zone)
+				s.world.Fail("zone %q", server.Zone)
 			}
 			newest = max(newest, epoch)
 		}
--- a/internal/barograph/simulation/edge_test.go
+++ b/internal/barograph/simulation/edge_test.go
@@ -55,7 +55,7 @@
 // trouble kills the edge's process now and then.
 func (e *edge) trouble() {
 	w := e.subject.world
-	if !w.faulty || w.chance(0.5) {
+	if !w.faulty || w.Chance(0.5) {
 		return
 	}
 	w.tally.deaths++
@@ -82,15 +82,15 @@
 // next begins a turn of some program.
 func (e *edge) next() {
 	s, w := e.subject, e.subject.world
-	if s.probing != nil || e.open >= 3 || !w.faulty && w.chance(0.8) {
+	if s.probing != nil || e.open >= 3 || !w.faulty && w.Chance(0.8) {
 		return
 	}
-	p := s.programs[w.random.IntN(len(s.programs))]
+	p := s.programs[w.Random.IntN(len(s.programs))]
 	s.attempts++
-	t := &try{edge: e, life: e.life, id: fmt.Sprintf("try-%d", s.attempts), program: p, began: w.now, token: w.random.Uint64()}
+	t := &try{edge: e, life: e.life, id: fmt.Sprintf("try-%d", s.attempts), program: p, began: w.Now, token: w.Random.Uint64()}
 	t.previous = s.drawPrevious(p)
-	if len(s.tried) > 0 && w.chance(0.1) {
-		t.repeat(s.tried[max(0, len(s.tried)-1-w.random.IntN(4))])
+	if len(s.tried) > 0 && w.Chance(0.1) {
+		t.repeat(s.tried[max(0, len(s.tried)-1-w.Random.IntN(4))])
 	}
 	s.tried = append(s.tried, t)
 	e.open++
@@ -107,19 +107,19 @@
 
 // drawPrevious draws a turn to go on from, of the program itself most of the time.
 func (s *turnsSubject) drawPrevious(p *program) string {
-	if len(s.kept) == 0 || s.world.chance(0.2) {
+	if len(s.kept) == 0 || s.world.Chance(0.2) {
 		return ""
 	}
 	newest := s.kept[max(0, len(s.kept)-12):]
-	if s.world.chance(0.1) {
+	if s.world.Chance(0.1) {
 		newest = s.kept
 	}
-	drawn := newest[s.world.random.IntN(len(newest))]
+	drawn := newest[s.world.Random.IntN(len(newest))]
 	for range 3 {
 		if drawn.program == p {
 			break
 		}
-		drawn = newest[s.world.random.IntN(len(newest))]
+		drawn = newest[s.world.Random.IntN(len(newest))]
 	}
 	return drawn.id
 }
@@ -215,17 +215,17 @@
 		if !alive() {
 			return
 		}
-		if w.now >= deadline {
+		if w.Now >= deadline {
 			done(none, false)
 			return
 		}
 		partition, at := e.target(p, turn)
 		if at == nil {
-			w.after(tryPause, func() { again(turn + 1) })
+			w.After(tryPause, func() { again(turn + 1) })
 			return
 		}
 		id := at.id
-		call(w, e.place, at, min(tryWithin, deadline-w.now), func(answer func(Reply)) { handle(at, partition, answer) }, func(r Reply, ok bool) {
+		call(w, e.place, at, min(tryWithin, deadline-w.Now), func(answer func(Reply)) { handle(at, partition, answer) }, func(r Reply, ok bool) {
 			if !alive() {
 				return
 			}
@@ -244,7 +244,7 @@
 				again(turn + 1)
 				return
 			}
-			w.after(tryPause, func() { again(turn + 1) })
+			w.After(tryPause, func() { again(turn + 1) })
 		})
 	}
 	again(0)
@@ -289,13 +289,13 @@
 	if !t.alive() {
 		return
 	}
-	if w.now >= deadline {
+	if w.Now >= deadline {
 		t.settle()
 		return
 	}
 	replies, waiting := []findReply{}, len(w.nodes)
 	for _, n := range w.nodes {
-		call(w, t.edge.place, n, min(tryWithin, deadline-w.now), func(answer func(findReply)) {
+		call(w, t.edge.place, n, min(tryWithin, deadline-w.Now), func(answer func(findReply)) {
 			s.find(n, t.previous, answer)
 		}, func(r findReply, _ bool) {
 			replies = append(replies, r)
@@ -333,7 +333,7 @@
 		t.missing()
 		return
 	}
-	t.edge.subject.world.after(tryPause, func() { t.find(deadline, without) })
+	t.edge.subject.world.After(tryPause, func() { t.find(deadline, without) })
 }
 
 // find is what a storage node does when it is asked for a turn: it looks in the partitions
--- a/internal/barograph/simulation/faults_test.go
+++ b/internal/barograph/simulation/faults_test.go
@@ -19,7 +19,7 @@
 		w.faultHeal, w.faultHeal, w.faultHeal, w.faultCut, w.faultCutClient, w.faultIsolate, w.faultSplit, w.faultWeather,
 		w.faultFreeze, w.faultFreeze, w.faultFreeze, w.faultCrash, w.faultCrash, w.faultPower, w.faultWipe, w.faultWipe, w.faultHandover,
 	}
-	faults[w.random.IntN(len(faults))]()
+	faults[w.Random.IntN(len(faults))]()
 }
 
 // anyone draws a running node, an owner of some group often.
@@ -32,21 +32,21 @@
 			}
 		}
 	}
-	if len(owners) == 0 || w.chance(0.5) {
+	if len(owners) == 0 || w.Chance(0.5) {
 		owners = w.running()
 	}
 	if len(owners) == 0 {
 		return nil
 	}
-	return owners[w.random.IntN(len(owners))]
+	return owners[w.Random.IntN(len(owners))]
 }
 
 func (w *world) faultHeal() { w.network.clear() }
 
 func (w *world) faultCut() {
-	drawn := w.random.Perm(len(w.nodes))
+	drawn := w.Random.Perm(len(w.nodes))
 	a, b := endpoint(drawn[0]), endpoint(drawn[1])
-	if w.chance(0.5) {
+	if w.Chance(0.5) {
 		w.network.cuts[direction{a, b}] = true
 		return
 	}
@@ -55,9 +55,9 @@
 
 // faultCutClient cuts a client off from some nodes.
 func (w *world) faultCutClient() {
-	client := firstClient + endpoint(w.random.IntN(4))
+	client := firstClient + endpoint(w.Random.IntN(4))
 	for _, n := range w.nodes {
-		if w.chance(0.4) {
+		if w.Chance(0.4) {
 			w.network.cutBoth(client, n.place)
 		}
 	}
@@ -70,7 +70,7 @@
 	if lone == nil {
 		return
 	}
-	ways := w.random.IntN(3)
+	ways := w.Random.IntN(3)
 	for _, other := range w.nodes {
 		if ways != 0 {
 			w.network.cuts[direction{lone.place, other.place}] = true
@@ -84,7 +84,7 @@
 func (w *world) faultSplit() {
 	left := make([]bool, len(w.nodes))
 	for i := range left {
-		left[i] = w.chance(0.5)
+		left[i] = w.Chance(0.5)
 	}
 	for i, a := range w.nodes {
 		for j, b := range w.nodes {
@@ -96,16 +96,16 @@
 }
 
 func (w *world) faultWeather() {
-	w.network.loss = []float64{0, 0.02, 0.1, 0.3}[w.random.IntN(4)]
-	w.network.double = []float64{0, 0.1, 0.5}[w.random.IntN(3)]
-	w.network.slow = []float64{0, 0.05, 0.3}[w.random.IntN(3)]
-	w.delay = []time.Duration{shortDelay, longDelay}[w.random.IntN(2)]
+	w.network.loss = []float64{0, 0.02, 0.1, 0.3}[w.Random.IntN(4)]
+	w.network.double = []float64{0, 0.1, 0.5}[w.Random.IntN(3)]
+	w.network.slow = []float64{0, 0.05, 0.3}[w.Random.IntN(3)]
+	w.delay = []time.Duration{shortDelay, longDelay}[w.Random.IntN(2)]
 }
 
 // faultFreeze stops a process, past its lease most of the time.
 func (w *world) faultFreeze() {
 	if n := w.anyone(); n != nil {
-		n.freeze(w.between(50*time.Millisecond, 4*w.timing().Election))
+		n.freeze(w.Between(50*time.Millisecond, 4*w.timing().Election))
 	}
 }
 
@@ -119,7 +119,7 @@
 // startSoon starts a machine's process again.
 func (w *world) startSoon(n *machineNode) {
 	life := n.life
-	w.after(w.between(10*time.Millisecond, 2*time.Second), func() {
+	w.After(w.Between(10*time.Millisecond, 2*time.Second), func() {
 		if n.life == life && !n.up {
 			n.start()
 		}
@@ -128,7 +128,7 @@
 
 // faultPower takes the power of all machines.
 func (w *world) faultPower() {
-	if w.chance(0.7) {
+	if w.Chance(0.7) {
 		return
 	}
 	for _, n := range w.running() {
@@ -141,13 +141,13 @@
 // or frozen then, and all may lose power at the same moment.
 func (w *world) faultWipe() {
 	n := w.anyone()
-	if n == nil || !w.whole() || w.now-w.wiped < wipeRest {
+	if n == nil || !w.whole() || w.Now-w.wiped < wipeRest {
 		return
 	}
-	w.wiped = w.now
+	w.wiped = w.Now
 	n.wipe()
 	w.startSoon(n)
-	if w.chance(0.7) {
+	if w.Chance(0.7) {
 		return
 	}
 	for _, other := range w.running() {
@@ -191,7 +191,7 @@
 		n.act(func() {
 			for _, m := range n.members {
 				voters := m.replica.Status(n.clock()).Members.Voters
-				if m.replica.Owns() && len(voters) > 0 && m.replica.Handover(n.clock(), voters[w.random.IntN(len(voters))]) == nil {
+				if m.replica.Owns() && len(voters) > 0 && m.replica.Handover(n.clock(), voters[w.Random.IntN(len(voters))]) == nil {
 					w.tally.handovers++
 				}
 			}
--- a/internal/barograph/simulation/follower_test.go
+++ b/internal/barograph/simulation/follower_test.go
@@ -101,11 +101,11 @@
 	return f
 }
 
-func (f *follower) now() time.Time { return epoch.Add(f.subject.world.now) }
+func (f *follower) now() time.Time { return epoch.Add(f.subject.world.Now) }
 
 func (f *follower) start() {
 	f.life++
-	f.started = f.subject.world.now
+	f.started = f.subject.world.Now
 	f.sources = follow.NewSources(f.now())
 	f.confirmed, f.revision = false, 0
 	for range f.subject.world.losses + 1 {
@@ -126,7 +126,7 @@
 func (f *follower) ask(life int) {
 	w := f.subject.world
 	again := func(pause time.Duration) {
-		w.after(pause, func() {
+		w.After(pause, func() {
 			if f.life == life {
 				f.ask(life)
 			}
@@ -162,11 +162,11 @@
 		f.sources.Failed(f.now(), name)
 		return false
 	}
-	believes := r.confirmed || s.world.flaws.believeOne && s.world.now-f.started > believeAfter
+	believes := r.confirmed || s.world.flaws.believeOne && s.world.Now-f.started > believeAfter
 	if !f.confirmed && believes {
 		f.confirmed = true
 		if newest := s.forcedBy(f.started); r.revision < newest {
-			s.world.fail("process %d begins with revision %d, and %d was in force when it started", f.place, r.revision, newest)
+			s.world.Fail("process %d begins with revision %d, and %d was in force when it started", f.place, r.revision, newest)
 		}
 	}
 	if f.confirmed {
@@ -185,9 +185,9 @@
 // knowledge to be old.
 func (f *follower) checkAge() {
 	w := f.subject.world
-	at := w.now - f.sources.Age(f.now()) - drift
+	at := w.Now - f.sources.Age(f.now()) - drift
 	if newest := f.subject.forcedBy(at); f.confirmed && f.revision < newest {
-		w.fail("process %d has revision %d and takes it for as recent as %v, when %d was in force", f.place, f.revision, at, newest)
+		w.Fail("process %d has revision %d and takes it for as recent as %v, when %d was in force", f.place, f.revision, at, newest)
 	}
 }
 
@@ -212,11 +212,11 @@
 func (s *configurationSubject) checkApplied() {
 	w := s.world
 	for _, f := range s.followers {
-		if w.now-f.started < 2*configApply || s.mayWait && !f.confirmed {
+		if w.Now-f.started < 2*configApply || s.mayWait && !f.confirmed {
 			continue
 		}
-		if due := s.acknowledgedBy(w.now - configApply); f.revision < due {
-			w.fail("process %d goes by revision %d, and %d was acknowledged %v ago", f.place, f.revision, due, configApply)
+		if due := s.acknowledgedBy(w.Now - configApply); f.revision < due {
+			w.Fail("process %d goes by revision %d, and %d was acknowledged %v ago", f.place, f.revision, due, configApply)
 		}
 	}
 }
--- a/internal/barograph/simulation/member_test.go
+++ b/internal/barograph/simulation/member_test.go
@@ -67,7 +67,7 @@
 func (m *member) settle() {
 	m.failDeposed()
 	m.notice()
-	for m.writing == nil && m.node.world.failed == nil {
+	for m.writing == nil && m.node.world.Failed == nil {
 		ready := m.replica.Ready()
 		if ready.Empty() {
 			break
@@ -101,8 +101,8 @@
 	}
 	m.writing = &ready
 	w := m.node.world
-	span := w.between(200*time.Microsecond, 5*time.Millisecond)
-	if w.faulty && w.chance(0.02) {
+	span := w.Between(200*time.Microsecond, 5*time.Millisecond)
+	if w.faulty && w.Chance(0.02) {
 		span *= 40
 	}
 	m.node.later(span, func() {
@@ -146,7 +146,7 @@
 func (m *member) restore(snapshot replica.Snapshot) {
 	m.node.world.tally.restored++
 	if err := m.machine.Restore(snapshot.State); err != nil {
-		m.node.world.fail("restore %s: %v", m.group, err)
+		m.node.world.Fail("restore %s: %v", m.group, err)
 	}
 	m.applied, m.appliedTerm, m.since = snapshot.Index, snapshot.Term, 0
 	for _, index := range sortedKeys(m.waiting) {
@@ -199,12 +199,12 @@
 // planTick sees to a Tick when the replica wants one.
 func (m *member) planTick() {
 	w := m.node.world
-	due := max(m.node.fromClock(m.replica.Next()), w.now)
+	due := max(m.node.fromClock(m.replica.Next()), w.Now)
 	if m.tickAt != 0 && m.tickAt <= due {
 		return
 	}
 	m.tickAt = due
-	m.node.later(due-w.now, func() {
+	m.node.later(due-w.Now, func() {
 		if m.tickAt == due {
 			m.tickAt = 0
 			m.replica.Tick(m.node.clock())
--- a/internal/barograph/simulation/network_test.go
+++ b/internal/barograph/simulation/network_test.go
@@ -32,14 +32,14 @@
 
 // post takes something on its way: it runs on arrival.
 func (n *network) post(from, to endpoint, arrive func()) {
-	if n.cuts[direction{from, to}] || n.world.chance(n.loss) || len(n.lossy) > 0 && n.world.chance(n.lossy[direction{from, to}]) {
+	if n.cuts[direction{from, to}] || n.world.Chance(n.loss) || len(n.lossy) > 0 && n.world.Chance(n.lossy[direction{from, to}]) {
 		return
 	}
-	delay := n.world.between(200*time.Microsecond, n.world.delay)
-	if n.slow > 0 && n.world.chance(n.slow) {
-		delay += n.world.between(0, 3*n.world.timing().Election)
+	delay := n.world.Between(200*time.Microsecond, n.world.delay)
+	if n.slow > 0 && n.world.Chance(n.slow) {
+		delay += n.world.Between(0, 3*n.world.timing().Election)
 	}
-	n.world.after(delay, func() {
+	n.world.After(delay, func() {
 		if !n.cuts[direction{from, to}] {
 			arrive()
 		}
@@ -54,7 +54,7 @@
 	}
 	arrive := func() { to.act(func() { to.take(m) }) }
 	n.post(from, to.place, arrive)
-	if n.double > 0 && n.world.chance(n.double) {
+	if n.double > 0 && n.world.Chance(n.double) {
 		n.post(from, to.place, arrive)
 	}
 }
@@ -78,7 +78,7 @@
 	answer := func(reply Reply) {
 		finish := func() { end(reply, true) }
 		if from == to.place {
-			w.after(0, finish)
+			w.After(0, finish)
 			return
 		}
 		w.network.post(to.place, from, finish)
@@ -89,7 +89,7 @@
 	} else {
 		w.network.post(from, to.place, arrive)
 	}
-	w.after(within, func() {
+	w.After(within, func() {
 		var none Reply
 		end(none, false)
 	})
--- a/internal/barograph/simulation/node_test.go
+++ b/internal/barograph/simulation/node_test.go
@@ -34,7 +34,7 @@
 
 // clock is the node's own: it starts anywhere and drifts by a percent at most.
 func (n *machineNode) clock() time.Duration {
-	return n.offset + time.Duration(float64(n.world.now)*n.rate)
+	return n.offset + time.Duration(float64(n.world.Now)*n.rate)
 }
 
 // fromClock is the simulation's time when the node's clock shows at.
@@ -47,8 +47,8 @@
 	w := n.world
 	n.life++
 	n.up = true
-	n.rate = 0.99 + 0.02*w.random.Float64()
-	n.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
+	n.rate = 0.99 + 0.02*w.Random.Float64()
+	n.offset = time.Duration(w.Random.Int64N(int64(time.Hour)))
 	n.frozen, n.held, n.members = false, nil, nil
 	for _, group := range w.groupsOn(n) {
 		n.open(group, n.disk[group])
@@ -61,10 +61,10 @@
 	m := &member{node: n, group: group, stored: stored, waiting: map[uint64]*waiter{}}
 	m.machine = w.subject.machine(n, group)
 	if err := m.machine.Restore(stored.Snapshot.State); err != nil {
-		w.fail("restore %s: %v", group, err)
+		w.Fail("restore %s: %v", group, err)
 	}
 	m.applied, m.appliedTerm = stored.Snapshot.Index, stored.Snapshot.Term
-	lot := rand.New(rand.NewPCG(w.seed, w.random.Uint64()))
+	lot := rand.New(rand.NewPCG(w.Seed, w.Random.Uint64()))
 	m.replica = replica.New(group, n.id, w.timing(), *stored, lot, m.startOf())
 	m.replica.SetSnapshotSource(func() replica.Snapshot { return m.stored.Snapshot })
 	n.members = append(n.members, m)
@@ -122,7 +122,7 @@
 		return
 	}
 	for _, m := range n.members {
-		if m.writing != nil && n.world.chance(0.5) {
+		if m.writing != nil && n.world.Chance(0.5) {
 			m.store(*m.writing)
 		}
 	}
@@ -161,7 +161,7 @@
 // later runs something in the process after a delay, if it is the same process then.
 func (n *machineNode) later(delay time.Duration, run func()) {
 	life := n.life
-	n.world.after(delay, func() {
+	n.world.After(delay, func() {
 		if n.life == life {
 			n.act(run)
 		}
@@ -176,7 +176,7 @@
 	n.world.tally.freezes++
 	n.frozen = true
 	life := n.life
-	n.world.after(span, func() {
+	n.world.After(span, func() {
 		if n.life == life {
 			n.thaw()
 		}
@@ -191,8 +191,8 @@
 	n.frozen = false
 	held := n.held
 	n.held = nil
-	if n.world.chance(0.5) {
-		n.world.random.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
+	if n.world.Chance(0.5) {
+		n.world.Random.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
 	}
 	for _, run := range held {
 		n.act(run)
--- a/internal/barograph/simulation/registry_test.go
+++ b/internal/barograph/simulation/registry_test.go
@@ -36,11 +36,11 @@
 func (r *registry) apply(c *revisions.Command) revisions.Result {
 	text, err := c.Encode()
 	if err != nil {
-		r.world.fail("encode: %v", err)
+		r.world.Fail("encode: %v", err)
 	}
 	result, err := revisions.ReadResult(r.machine.Apply(text))
 	if err != nil {
-		r.world.fail("result: %v", err)
+		r.world.Fail("result: %v", err)
 	}
 	return result
 }
@@ -48,13 +48,13 @@
 // submit brings a command to the registry, unless it gets lost. The answer may get lost too.
 func (r *registry) submit(c *revisions.Command, answer func(revisions.Result)) {
 	w := r.world
-	if w.chance(0.2) {
+	if w.Chance(0.2) {
 		return
 	}
-	w.after(w.between(time.Millisecond, 200*time.Millisecond), func() {
+	w.After(w.Between(time.Millisecond, 200*time.Millisecond), func() {
 		result := r.apply(c)
-		if !w.chance(0.2) {
-			w.after(w.between(time.Millisecond, 50*time.Millisecond), func() { answer(result) })
+		if !w.Chance(0.2) {
+			w.After(w.Between(time.Millisecond, 50*time.Millisecond), func() { answer(result) })
 		}
 	})
 }
@@ -64,7 +64,7 @@
 // follow lets an endpoint learn of news again and again.
 func (r *registry) follow(at endpoint) {
 	r.views[at] = r.machine.Directory()
-	r.world.every(20*time.Millisecond, 300*time.Millisecond, func() { r.views[at] = r.machine.Directory() })
+	r.world.Every(20*time.Millisecond, 300*time.Millisecond, func() { r.views[at] = r.machine.Directory() })
 }
 
 // stand has a node stand in the directory.
@@ -104,7 +104,7 @@
 			return false
 		}
 		return other == nil || !other.up || other.frozen || w.network.cuts[direction{n.place, other.place}] ||
-			w.network.cuts[direction{other.place, n.place}] || w.chance(w.network.loss)
+			w.network.cuts[direction{other.place, n.place}] || w.Chance(w.network.loss)
 	})
 }
 
--- a/internal/barograph/simulation/scenarios_test.go
+++ b/internal/barograph/simulation/scenarios_test.go
@@ -44,10 +44,10 @@
 	}
 	for i := range operatorsCount {
 		o := &operator{place: firstClient + endpoint(i)}
-		w.every(pause/4, 2*pause, func() { s.operate(o) })
+		w.Every(pause/4, 2*pause, func() { s.operate(o) })
 	}
 	for _, n := range w.nodes {
-		w.every(100*time.Millisecond, 200*time.Millisecond, func() { n.act(func() { s.tend(n) }) })
+		w.Every(100*time.Millisecond, 200*time.Millisecond, func() { n.act(func() { s.tend(n) }) })
 	}
 	return w, s
 }
@@ -55,13 +55,13 @@
 // finish runs a scenario to its end, and judges it.
 func (s *configurationSubject) finish(end time.Duration) *world {
 	w := s.world
-	w.run(end, func() bool { return false })
+	w.Run(end, func() bool { return false })
 	w.heal()
-	w.healAt = w.now
-	if !w.run(w.now+healedFor, s.recovered) && w.failed == nil && !w.flaws.unsafe() {
-		w.fail("all is not well again %v after the troubles: %s", healedFor, w.describe())
+	w.healAt = w.Now
+	if !w.Run(w.Now+healedFor, s.recovered) && w.Failed == nil && !w.flaws.unsafe() {
+		w.Fail("all is not well again %v after the troubles: %s", healedFor, w.describe())
 	}
-	if w.failed == nil {
+	if w.Failed == nil {
 		s.check()
 	}
 	return w
@@ -75,11 +75,11 @@
 	for i := range followerCount {
 		s.follow(firstFollower + endpoint(i))
 	}
-	w.after(cutFrom, func() { _ = s.cutOff(losses) })
-	w.after(cutFrom+cutFor, w.network.clear)
-	w.after(3*time.Second, func() { w.every(50*time.Millisecond, 50*time.Millisecond, s.checkApplied) })
-	w.after(cutFrom+3*time.Second, func() {
-		w.every(time.Second, 4*time.Second, func() { s.followers[w.random.IntN(followerCount)].start() })
+	w.After(cutFrom, func() { _ = s.cutOff(losses) })
+	w.After(cutFrom+cutFor, w.network.clear)
+	w.After(3*time.Second, func() { w.Every(50*time.Millisecond, 50*time.Millisecond, s.checkApplied) })
+	w.After(cutFrom+3*time.Second, func() {
+		w.Every(time.Second, 4*time.Second, func() { s.followers[w.Random.IntN(followerCount)].start() })
 	})
 	return s.finish(cutFrom + cutFor + scenarioRest)
 }
@@ -94,8 +94,8 @@
 		s.follow(firstFollower + endpoint(i))
 	}
 	var behind []*machineNode
-	w.after(cutFrom, func() { behind = s.cutOff(losses) })
-	w.after(cutFrom+4*time.Second, func() {
+	w.After(cutFrom, func() { behind = s.cutOff(losses) })
+	w.After(cutFrom+4*time.Second, func() {
 		w.network.clear()
 		for i, n := range w.nodes {
 			if slices.Contains(behind, n) {
@@ -104,13 +104,13 @@
 			if n.crash(); i == len(w.nodes)-1 {
 				n.wipe()
 			}
-			w.after(10*time.Second, n.start)
+			w.After(10*time.Second, n.start)
 		}
 		for _, f := range s.followers[:followerCount/2] {
 			f.start()
 		}
 	})
-	w.after(3*time.Second, func() { w.every(50*time.Millisecond, 50*time.Millisecond, s.checkApplied) })
+	w.After(3*time.Second, func() { w.Every(50*time.Millisecond, 50*time.Millisecond, s.checkApplied) })
 	return s.finish(cutFrom + 20*time.Second)
 }
 
@@ -119,12 +119,12 @@
 func (s *configurationSubject) cutOff(losses int) (cut []*machineNode) {
 	w := s.world
 	lone := slices.Clone(w.nodes)
-	w.random.Shuffle(len(lone), func(i, j int) { lone[i], lone[j] = lone[j], lone[i] })
-	if w.chance(0.7) {
+	w.Random.Shuffle(len(lone), func(i, j int) { lone[i], lone[j] = lone[j], lone[i] })
+	if w.Chance(0.7) {
 		slices.SortStableFunc(lone, func(a, b *machineNode) int { return b.owns() - a.owns() })
 	}
-	cut = lone[:1+w.random.IntN(losses)]
-	ways := w.random.IntN(4)
+	cut = lone[:1+w.Random.IntN(losses)]
+	ways := w.Random.IntN(4)
 	for _, a := range cut {
 		for _, b := range w.nodes {
 			if slices.Contains(cut, b) {
@@ -154,17 +154,17 @@
 func playLostAcks(seed uint64, defects flaws) *world {
 	w, s := scenario(seed, 3+int(seed%2), 1, 200*time.Millisecond, defects)
 	s.twins, s.orderMost = true, 60
-	w.after(time.Second, func() {
+	w.After(time.Second, func() {
 		for i := range operatorsCount {
 			for _, n := range w.nodes {
 				w.network.lossy[direction{n.place, firstClient + endpoint(i)}] = 0.9
 			}
 		}
 	})
-	w.after(6*time.Second, func() { clear(w.network.lossy) })
-	w.after(2*time.Second, func() { w.faultFreeze() })
-	w.after(3*time.Second, func() { _ = s.cutOff(1) })
-	w.after(5*time.Second, w.network.clear)
+	w.After(6*time.Second, func() { clear(w.network.lossy) })
+	w.After(2*time.Second, func() { w.faultFreeze() })
+	w.After(3*time.Second, func() { _ = s.cutOff(1) })
+	w.After(5*time.Second, w.network.clear)
 	return s.finish(8 * time.Second)
 }
 
@@ -175,10 +175,10 @@
 	w, s := scenario(seed, 2*losses+1+int(seed/2%2), losses, 300*time.Millisecond, defects)
 	s.orderMost = 60
 	last := time.Duration(0)
-	w.after(3*time.Second, func() {
-		w.every(5*time.Millisecond, 20*time.Millisecond, func() {
-			if w.now < 12*time.Second && w.now-last > 200*time.Millisecond && s.madeWhole() {
-				last = w.now
+	w.After(3*time.Second, func() {
+		w.Every(5*time.Millisecond, 20*time.Millisecond, func() {
+			if w.Now < 12*time.Second && w.Now-last > 200*time.Millisecond && s.madeWhole() {
+				last = w.Now
 				s.lose(losses)
 			}
 		})
@@ -208,18 +208,18 @@
 func (s *configurationSubject) lose(losses int) {
 	w := s.world
 	nodes := slices.Clone(w.nodes)
-	w.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	if w.chance(0.5) {
+	w.Random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	if w.Chance(0.5) {
 		slices.SortStableFunc(nodes, func(a, b *machineNode) int { return b.owns() - a.owns() })
 	}
 	if copies := s.copies(); copies <= losses {
-		w.fail("what is in force stands on %d disks, and %d may be lost", copies, losses)
+		w.Fail("what is in force stands on %d disks, and %d may be lost", copies, losses)
 	}
 	for _, n := range nodes[:losses] {
 		n.wipe()
 		w.startSoon(n)
 	}
-	if w.chance(0.6) {
+	if w.Chance(0.6) {
 		for _, n := range nodes[losses:] {
 			n.crash()
 			w.startSoon(n)
@@ -248,13 +248,13 @@
 func playLongHistory(seed uint64, defects flaws) *world {
 	w, s := scenario(seed, 3+int(seed%3), 1, 40*time.Millisecond, defects)
 	s.orderMost, s.inTurn = 1500, true
-	w.compactAfter = 5 + w.random.IntN(40)
+	w.compactAfter = 5 + w.Random.IntN(40)
 	away := func(at time.Duration, leave func(*machineNode)) {
-		w.after(at, func() { leave(w.nodes[w.random.IntN(len(w.nodes))]) })
+		w.After(at, func() { leave(w.nodes[w.Random.IntN(len(w.nodes))]) })
 	}
 	away(3*time.Second, func(n *machineNode) {
 		n.crash()
-		w.after(cutFor, n.start)
+		w.After(cutFor, n.start)
 	})
 	away(27*time.Second, func(n *machineNode) {
 		for _, o := range w.nodes {
@@ -262,15 +262,15 @@
 				w.network.cutBoth(n.place, o.place)
 			}
 		}
-		w.after(cutFor, w.network.clear)
+		w.After(cutFor, w.network.clear)
 	})
 	away(50*time.Second, func(n *machineNode) {
 		n.wipe()
-		w.after(5*time.Second, n.start)
+		w.After(5*time.Second, n.start)
 	})
 	s.finish(60 * time.Second)
-	if w.failed == nil && !w.flaws.unsafe() && s.acknowledged() < 150 {
-		w.fail("only %d changes were taken", s.acknowledged())
+	if w.Failed == nil && !w.flaws.unsafe() && s.acknowledged() < 150 {
+		w.Fail("only %d changes were taken", s.acknowledged())
 	}
 	return w
 }
--- a/internal/barograph/simulation/simulation_test.go
+++ b/internal/barograph/simulation/simulation_test.go
@@ -33,8 +33,8 @@
 				lock.Lock()
 				tally.add(w.tally)
 				lock.Unlock()
-				if w.failed != nil {
-					failed.CompareAndSwap(nil, &w.failed)
+				if w.Failed != nil {
+					failed.CompareAndSwap(nil, &w.Failed)
 				}
 			}
 		})
--- a/internal/barograph/simulation/submit_test.go
+++ b/internal/barograph/simulation/submit_test.go
@@ -42,14 +42,14 @@
 // confirm waits until this node has applied all that the group had committed when it was called.
 func (n *machineNode) confirm(group replica.GroupID, within time.Duration, end func(bool)) {
 	var index uint64
-	deadline := n.world.now + within
+	deadline := n.world.Now + within
 	var await func()
 	await = func() {
 		m := n.member(group)
 		switch {
 		case m != nil && m.applied >= index:
 			end(true)
-		case n.world.now >= deadline:
+		case n.world.Now >= deadline:
 			end(false)
 		default:
 			n.later(5*time.Millisecond, await)
@@ -81,7 +81,7 @@
 // seek tries the owner of a group, as far as it is known, then the other nodes that may know
 // it, until the call is carried out or time is up.
 func (n *machineNode) seek(group replica.GroupID, within time.Duration, try func(*machineNode, func(outcome)), end func(outcome, verdict)) {
-	s := &submission{node: n, life: n.life, group: group, deadline: n.world.now + within, try: try, end: end}
+	s := &submission{node: n, life: n.life, group: group, deadline: n.world.Now + within, try: try, end: end}
 	s.next(s.owner())
 }
 
@@ -117,9 +117,9 @@
 	switch {
 	case o.kind == carriedOut:
 		s.end(o, done)
-	case w.now >= s.deadline && s.uncertain:
+	case w.Now >= s.deadline && s.uncertain:
 		s.end(o, uncertain)
-	case w.now >= s.deadline:
+	case w.Now >= s.deadline:
 		s.end(o, nobody)
 	case o.kind == notOwner && o.owner != 0 && o.owner != by:
 		s.next(o.owner)
--- a/internal/barograph/simulation/try_test.go
+++ b/internal/barograph/simulation/try_test.go
@@ -14,8 +14,8 @@
 func (t *try) missing() {
 	s := t.edge.subject
 	s.world.tally.missing++
-	if before := s.byID[t.previous]; before != nil && !s.mayBeForgotten(before, s.world.now) {
-		s.world.fail("%s: turn %s of %s, answered whole at %v, is reported missing", t.id, before.id, before.program.name, before.at)
+	if before := s.byID[t.previous]; before != nil && !s.mayBeForgotten(before, s.world.Now) {
+		s.world.Fail("%s: turn %s of %s, answered whole at %v, is reported missing", t.id, before.id, before.program.name, before.at)
 	}
 	t.close()
 }
@@ -38,20 +38,20 @@
 	s, w := t.edge.subject, t.edge.subject.world
 	t.granted, t.before = true, history
 	if before := s.byID[t.previous]; t.previous != "" && history != before.text {
-		w.fail("%s: turn %s comes back as %q and was %q", t.id, t.previous, history, before.text)
+		w.Fail("%s: turn %s comes back as %q and was %q", t.id, t.previous, history, before.text)
 	}
-	tokens := w.random.Uint64N(t.program.most + 1)
-	if w.chance(0.4) {
+	tokens := w.Random.Uint64N(t.program.most + 1)
+	if w.Chance(0.4) {
 		tokens = t.program.most
 	}
-	broken := w.chance(0.2)
+	broken := w.Chance(0.2)
 	t.stream(tokens, broken)
 }
 
 // stream hands out tokens one by one.
 func (t *try) stream(left uint64, broken bool) {
 	w := t.edge.subject.world
-	w.after(w.between(time.Millisecond, 25*time.Millisecond), func() {
+	w.After(w.Between(time.Millisecond, 25*time.Millisecond), func() {
 		if !t.alive() {
 			return
 		}
@@ -63,9 +63,9 @@
 		t.program.handed++
 		t.output += fmt.Sprintf("%s/%d\n", t.id, t.handed)
 		if t.program.keep == longKeep && t.program.handed > t.program.budget {
-			w.fail("%s: %d tokens of %s are handed out, its budget is %d", t.id, t.program.handed, t.program.name, t.program.budget)
+			w.Fail("%s: %d tokens of %s are handed out, its budget is %d", t.id, t.program.handed, t.program.name, t.program.budget)
 		}
-		if broken && w.chance(0.2) {
+		if broken && w.Chance(0.2) {
 			left = 1
 		}
 		t.stream(left-1, broken)
@@ -78,7 +78,7 @@
 		return
 	}
 	w := t.edge.subject.world
-	t.ended = w.now
+	t.ended = w.Now
 	input := "<" + t.id + ">"
 	ending := &turns.Ending{
 		Program: t.program.name, Attempt: t.id, Whole: true, Tokens: t.handed, Previous: t.previous,
@@ -99,11 +99,11 @@
 // whole notes that the client was told that the turn is whole.
 func (t *try) whole(text string) {
 	s := t.edge.subject
-	t.program.touch(t.ended, s.world.now)
-	kept := &keptTurn{id: t.id, program: t.program, text: text, at: s.world.now, rests: t.program.rests}
+	t.program.touch(t.ended, s.world.Now)
+	kept := &keptTurn{id: t.id, program: t.program, text: text, at: s.world.Now, rests: t.program.rests}
 	s.kept = append(s.kept, kept)
 	s.byID[t.id] = kept
-	if s.world.chance(0.5) {
+	if s.world.Chance(0.5) {
 		t.edge.cache[t.id] = text
 	}
 }
@@ -138,7 +138,7 @@
 		outcome protocol.TurnOutcome
 		owner   replica.NodeID
 	}
-	attempt(e, alive, t.program, s.world.now+within, func(n *machineNode, partition int, answer func(reply)) {
+	attempt(e, alive, t.program, s.world.Now+within, func(n *machineNode, partition int, answer func(reply)) {
 		m := n.member(protocol.TurnGroup(partition))
 		if s.world.flaws.finishEarly && m != nil && m.replica.Owns() {
 			answer(reply{outcome: protocol.TurnGranted})
@@ -165,7 +165,7 @@
 		}
 	}
 	for i, kept := range s.kept {
-		if i >= len(s.kept)-20 || s.world.chance(0.1) {
+		if i >= len(s.kept)-20 || s.world.Chance(0.1) {
 			p.probeTurn(kept)
 		}
 	}
@@ -208,10 +208,10 @@
 	probe.most = most
 	t := &try{edge: s.edges[0], life: s.edges[0].life, id: fmt.Sprintf("probe-%d-%d", s.attempts, most), program: &probe}
 	p.left++
-	t.ask(s.world.now+admitWithin*4, func(r admitReply, ok bool) {
+	t.ask(s.world.Now+admitWithin*4, func(r admitReply, ok bool) {
 		p.left--
 		if !ok || r.outcome != want {
-			s.world.fail("%s of %s: outcome %d (%v), not %d", t.id, program.name, r.outcome, ok, want)
+			s.world.Fail("%s of %s: outcome %d (%v), not %d", t.id, program.name, r.outcome, ok, want)
 		}
 	})
 }
@@ -219,7 +219,7 @@
 // probeTurn asks to go on from a turn that was answered whole.
 func (p *probes) probeTurn(kept *keptTurn) {
 	s := p.subject
-	if s.mayBeForgotten(kept, s.world.now+time.Second) {
+	if s.mayBeForgotten(kept, s.world.Now+time.Second) {
 		return
 	}
 	for _, n := range s.world.running() {
@@ -229,7 +229,7 @@
 			}
 			history, found := m.machine.(*turns.Machine).History(kept.id)
 			if m.applied == m.replica.Commit() && (!found || string(history) != kept.text) {
-				s.world.fail("turn %s of %s is kept as %q (%v) and was %q", kept.id, kept.program.name, history, found, kept.text)
+				s.world.Fail("turn %s of %s is kept as %q (%v) and was %q", kept.id, kept.program.name, history, found, kept.text)
 			}
 		}
 	}
--- a/internal/barograph/simulation/turns_test.go
+++ b/internal/barograph/simulation/turns_test.go
@@ -59,7 +59,7 @@
 	w := newWorld(seed, protocol.Storage, defects)
 	s := &turnsSubject{world: w, byID: map[string]*keptTurn{}}
 	w.subject = s
-	for range 4 + w.random.IntN(2) {
+	for range 4 + w.Random.IntN(2) {
 		w.addNode()
 	}
 	s.registry = newRegistry(w)
@@ -75,21 +75,21 @@
 		e := newEdge(s, firstClient+endpoint(i))
 		s.edges = append(s.edges, e)
 		s.registry.follow(e.place)
-		w.every(10*time.Millisecond, 250*time.Millisecond, e.next)
-		w.every(300*time.Millisecond, 3*time.Second, e.trouble)
+		w.Every(10*time.Millisecond, 250*time.Millisecond, e.next)
+		w.Every(300*time.Millisecond, 3*time.Second, e.trouble)
 	}
-	w.after(w.between(0, faultyFor), s.retire)
+	w.After(w.Between(0, faultyFor), s.retire)
 	w.play()
 	return w
 }
 
 func (s *turnsSubject) newProgram(i int) *program {
 	w := s.world
-	p := &program{name: fmt.Sprintf("program-%d", i), budget: 1 << 40, most: 5 + w.random.Uint64N(15), keep: longKeep}
-	if w.chance(0.6) {
-		p.budget = p.most * (2 + w.random.Uint64N(12))
+	p := &program{name: fmt.Sprintf("program-%d", i), budget: 1 << 40, most: 5 + w.Random.Uint64N(15), keep: longKeep}
+	if w.Chance(0.6) {
+		p.budget = p.most * (2 + w.Random.Uint64N(12))
 	}
-	if w.chance(0.3) {
+	if w.Chance(0.3) {
 		p.keep, p.budget = shortKeep, 1<<40
 	}
 	return p
@@ -116,10 +116,10 @@
 // retire has a storage node emptied, where enough others are there.
 func (s *turnsSubject) retire() {
 	w := s.world
-	if len(w.nodes) < 5 || w.chance(0.4) {
+	if len(w.nodes) < 5 || w.Chance(0.4) {
 		return
 	}
-	name := w.nodes[w.random.IntN(len(w.nodes))].name()
+	name := w.nodes[w.Random.IntN(len(w.nodes))].name()
 	if s.registry.apply(&revisions.Command{Retire: &revisions.Retirement{Node: name, Least: 3}}) == revisions.Taken {
 		s.retired = name
 		w.tally.retired++
@@ -142,7 +142,7 @@
 			continue
 		}
 		s.forget(m)
-		if s.world.now < m.busyUntil || s.handOver(m, status, d) {
+		if s.world.Now < m.busyUntil || s.handOver(m, status, d) {
 			continue
 		}
 		s.report(m, status, d)
@@ -164,7 +164,7 @@
 	if told := d.Partitions[partition]; told.Change == status.Commit {
 		moved.Step = told.Step + 1
 	}
-	m.busyUntil = s.world.now + submitWithin
+	m.busyUntil = s.world.Now + submitWithin
 	life := m.node.life
 	s.registry.submit(&revisions.Command{Moved: moved}, func(result revisions.Result) {
 		if m.node.life != life {
@@ -220,7 +220,7 @@
 			}
 			for _, id := range status.Members.Voters {
 				if o := s.world.withID(id); o != nil && o.name() == s.retired {
-					s.world.fail("%s is told to be empty, and is a voter of %s: %+v", s.retired, m.group, status)
+					s.world.Fail("%s is told to be empty, and is a voter of %s: %+v", s.retired, m.group, status)
 				}
 			}
 		}
@@ -237,10 +237,10 @@
 	command := turns.Command{Forget: resting}
 	text, err := command.Encode()
 	if err != nil {
-		s.world.fail("encode: %v", err)
+		s.world.Fail("encode: %v", err)
 	}
 	s.world.tally.forgotten++
-	m.node.later(s.world.between(0, 5*time.Millisecond), func() {
+	m.node.later(s.world.Between(0, 5*time.Millisecond), func() {
 		m.propose(text, time.Second, func(outcome) {})
 	})
 }
@@ -254,7 +254,7 @@
 	}
 	text, err := c.Encode()
 	if err != nil {
-		s.world.fail("encode: %v", err)
+		s.world.Fail("encode: %v", err)
 	}
 	m.propose(text, tryWithin, func(o outcome) {
 		switch o.kind {
@@ -273,7 +273,7 @@
 func (s *turnsSubject) outcomeOf(text []byte) protocol.TurnOutcome {
 	result, err := turns.ReadResult(text)
 	if err != nil {
-		s.world.fail("result: %v", err)
+		s.world.Fail("result: %v", err)
 	}
 	return map[turns.Result]protocol.TurnOutcome{
 		turns.Granted: protocol.TurnGranted, turns.Spent: protocol.TurnSpent,
--- a/internal/barograph/simulation/world_test.go
+++ b/internal/barograph/simulation/world_test.go
@@ -4,13 +4,12 @@
 package simulation
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"pipitmux/internal/barograph/node"
 	"pipitmux/internal/barograph/replica"
+	"pipitmux/internal/barograph/simulated"
 	"pipitmux/internal/station/protocol"
 )
 
@@ -45,31 +44,6 @@
 // unsafe tells whether a flaw is to show in what happens, not in what never does.
 func (f flaws) unsafe() bool { return f != flaws{} && !f.firstHeir }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	popped := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return popped
-}
-
 // machine is a state machine as the host runs it.
 type machine interface {
 	Apply(command []byte) []byte
@@ -95,15 +69,10 @@
 
 // world is one simulation.
 type world struct {
-	seed    uint64
+	*simulated.Clock
 	flaws   flaws
 	subject subject
 	class   protocol.Class
-	random  *rand.Rand
-	now     time.Duration
-	events  int
-	order   uint64
-	queue   eventQueue
 	network network
 	nodes   []*machineNode // by place
 	ids     replica.NodeID // the newest that was given
@@ -111,7 +80,6 @@
 	faulty  bool
 	healAt  time.Duration
 	wiped   time.Duration // when a disk was lost last
-	failed  error
 	tally   counts
 	// drawn once:
 	compactAfter int
@@ -126,82 +94,39 @@
 }
 
 func newWorld(seed uint64, class protocol.Class, defects flaws) *world {
-	w := &world{seed: seed, class: class, flaws: defects, random: rand.New(rand.NewPCG(seed, 0xba20)), faulty: true, losses: 1}
+	w := &world{Clock: simulated.NewClock(seed, 0xba20, mostEvents), class: class, flaws: defects, faulty: true, losses: 1}
+	w.Describe = w.describe
 	w.network = network{world: w, cuts: map[direction]bool{}, lossy: map[direction]float64{}}
-	w.compactAfter = 3 + w.random.IntN(60)
+	w.compactAfter = 3 + w.Random.IntN(60)
 	w.delay = shortDelay
 	return w
 }
 
 // play runs the world: faults for a while, then until all is well again.
 func (w *world) play() {
-	w.every(50*time.Millisecond, 700*time.Millisecond, w.fault)
+	w.Every(50*time.Millisecond, 700*time.Millisecond, w.fault)
 	for _, n := range w.nodes {
-		w.every(100*time.Millisecond, 200*time.Millisecond, func() { n.act(func() { w.subject.tend(n) }) })
+		w.Every(100*time.Millisecond, 200*time.Millisecond, func() { n.act(func() { w.subject.tend(n) }) })
 	}
 	w.healAt = faultyFor
-	w.run(w.healAt, func() bool { return false })
+	w.Run(w.healAt, func() bool { return false })
 	w.heal()
-	checkAt := w.now
+	checkAt := w.Now
 	recovered := func() bool {
-		if w.now < checkAt {
+		if w.Now < checkAt {
 			return false
 		}
-		checkAt = w.now + 50*time.Millisecond
+		checkAt = w.Now + 50*time.Millisecond
 		return w.subject.recovered()
 	}
-	if !w.run(w.healAt+healedFor, recovered) && w.failed == nil && !w.flaws.unsafe() {
-		w.fail("all is not well again %v after the faults: %s", healedFor, w.describe())
+	if !w.Run(w.healAt+healedFor, recovered) && w.Failed == nil && !w.flaws.unsafe() {
+		w.Fail("all is not well again %v after the faults: %s", healedFor, w.describe())
 	}
-	if w.failed == nil {
+	if w.Failed == nil {
 		w.subject.check()
 	}
 }
 
-// fail notes the first thing that went wrong.
-func (w *world) fail(format string, arguments ...any) {
-	if w.failed == nil {
-		w.failed = fmt.Errorf("seed %d at %v: %s", w.seed, w.now, fmt.Sprintf(format, arguments...))
-	}
-}
-
-// after runs something later.
-func (w *world) after(delay time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.queue, event{w.now + delay, w.order, run})
-}
-
-// every runs something again and again, at intervals by lot.
-func (w *world) every(shortest, longest time.Duration, run func()) {
-	w.after(w.between(shortest, longest), func() {
-		run()
-		w.every(shortest, longest, run)
-	})
-}
-
-func (w *world) between(shortest, longest time.Duration) time.Duration {
-	return shortest + time.Duration(w.random.Int64N(int64(longest-shortest)+1))
-}
-
-func (w *world) chance(probability float64) bool { return w.random.Float64() < probability }
-
-// run handles events until a time, a failure, or until done says so: it returns what done said.
-func (w *world) run(until time.Duration, done func() bool) bool {
-	for len(w.queue) > 0 && w.queue[0].at <= until && w.failed == nil {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.run()
-		if w.events++; w.events > mostEvents {
-			w.fail("does not come to rest: %s", w.describe())
-		}
-		if done() {
-			return w.failed == nil
-		}
-	}
-	w.now = until
-	return false
-}
-
 // heal ends all faults.
 func (w *world) heal() {
 	w.faulty = false
