Keep a node announced that is still to become a voter

An announcement that was taken but whose answer was lost was taken back by the next report and asked for anew, both at the same step, so that one of them conflicted again and again; a retirement stood for 24 s. Change: the report leaves out what is still wanted, in keeper and simulation; the announcement is then repeated at the next step, so the directory still decides.

--- a/internal/barograph/keeper/keeper.go
+++ b/internal/barograph/keeper/keeper.go
@@ -178,7 +178,6 @@
 	if partition >= len(d.Partitions) {
 		return
 	}
-	k.report(ctx, partition, status, d)
 	nodes := coordinator.OfClass(d, protocol.Storage)
 	staying := 0
 	for _, n := range nodes {
@@ -192,6 +191,9 @@
 		view.Alive = k.node.Alive(ctx, nodes)
 	}
 	next, due := planner.Plan(view)
+	if !slices.Equal(d.Partitions[partition].Voters, next.Voters) {
+		k.report(ctx, partition, status, d)
+	}
 	if !due || !k.announce(ctx, partition, status, d, next) {
 		return
 	}
@@ -222,7 +224,8 @@
 }
 
 // report has the directory tell who keeps a partition now, also where somebody who was
-// announced didn't become a voter.
+// announced didn't become a voter. Who still is to become one stays announced: if it were taken
+// back first, an announcement whose answer is lost could undo itself again and again.
 func (k *Keeper) report(ctx context.Context, partition int, status replica.Status, d protocol.Directory) {
 	told := d.Partitions[partition]
 	if status.Pending || slices.Equal(told.Voters, status.Members.Voters) {
--- a/internal/barograph/simulation/configuration_test.go
+++ b/internal/barograph/simulation/configuration_test.go
@@ -39,16 +39,18 @@
 	lastOK  time.Duration
 
 	followers []*follower
-	forces    []inForce // in their order
-	orderMost int       // in one history
-	twins     bool      // each number is given to two changes
-	mayWait   bool      // processes that start may have to wait for a majority
-	inTurn    bool      // the history is judged as it comes: it is too long to be judged whole
+	forces    []inForce     // in their order
+	orderMost int           // in one history
+	twins     bool          // each number is given to two changes
+	darkFrom  time.Duration // from then on nobody who knows of changes is there
+	mayWait   bool          // processes that start may have to wait for a majority
+	inTurn    bool          // the history is judged as it comes: it is too long to be judged whole
 }
 
 func newConfigurationSubject(w *world) *configurationSubject {
 	s := &configurationSubject{
 		world: w, bases: map[uint64]*order{}, bodies: map[uint64]string{}, results: map[uint64]string{}, orderMost: mostOrders,
+		darkFrom: time.Hour,
 	}
 	w.subject = s
 	return s
--- a/internal/barograph/simulation/scenarios_test.go
+++ b/internal/barograph/simulation/scenarios_test.go
@@ -97,6 +97,7 @@
 	w.After(cutFrom, func() { behind = s.cutOff(losses) })
 	w.After(cutFrom+4*time.Second, func() {
 		w.network.clear()
+		s.darkFrom = w.Now
 		for i, n := range w.nodes {
 			if slices.Contains(behind, n) {
 				continue
@@ -106,6 +107,7 @@
 			}
 			w.After(10*time.Second, n.start)
 		}
+		w.After(10*time.Second+2*configApply, func() { s.darkFrom = time.Hour })
 		for _, f := range s.followers[:followerCount/2] {
 			f.start()
 		}
