Measure how long a question was held before looking at what is known

Cause: found on reading. Held was taken after the age: a core node that stood still in between made its state look younger by that time at the asker. Change: Held goes first, in Watch and in the simulation. Measured: go test ./internal/barograph/coordinator passes.

--- a/internal/barograph/coordinator/calls.go
+++ b/internal/barograph/coordinator/calls.go
@@ -27,8 +27,9 @@
 	}
 	for {
 		changed := s.c.news.changed()
-		answer := s.c.look(args, reply) || args.Confirmed
+		// Held goes first: a process that stands still amid this looks older, not younger.
 		reply.Held = time.Since(came)
+		answer := s.c.look(args, reply) || args.Confirmed
 		if answer || ctx.Err() != nil {
 			return nil
 		}
--- a/internal/barograph/simulation/follower_test.go
+++ b/internal/barograph/simulation/follower_test.go
@@ -55,8 +55,9 @@
 	came := n.clock()
 	var look func()
 	look = func() {
+		held := n.clock() - came
 		r := s.look(n)
-		r.held = n.clock() - came
+		r.held = held
 		if r.revision > q.revision || r.vouched == q.patient || r.held >= follow.Wait {
 			answer(r)
 			return
