Address answers in one place, and drop a case that can't come

Found on reading the change again: an answer to an owner that goes out early wrote reply's addressing once more, and sendInstall looked for a transfer that match has always taken away by then. Change: addressed serves both ways; the condition is gone. Behaviour stays.

--- a/internal/barograph/replica/follow.go
+++ b/internal/barograph/replica/follow.go
@@ -67,7 +67,8 @@
 		r.reply(to, m)
 		return
 	}
-	m.Group, m.From, m.To, m.Term, m.Sent = r.group, r.self, to.From, r.hard.Term, to.Sent
+	m = r.addressed(to, m)
+	m.Group, m.From = r.group, r.self
 	r.early = append(r.early, m)
 }
 
--- a/internal/barograph/replica/replica.go
+++ b/internal/barograph/replica/replica.go
@@ -287,10 +287,13 @@
 }
 
 // reply queues the answer to a message, in the term of this node.
-func (r *Replica) reply(to, m Message) {
+func (r *Replica) reply(to, m Message) { r.send(r.addressed(to, m)) }
+
+// addressed makes m the answer to a message, in the term of this node where it names none.
+func (r *Replica) addressed(to, m Message) Message {
 	m.To, m.Sent = to.From, to.Sent
 	if m.Term == 0 {
 		m.Term = r.hard.Term
 	}
-	r.send(m)
+	return m
 }
--- a/internal/barograph/replica/transfer.go
+++ b/internal/barograph/replica/transfer.go
@@ -52,7 +52,7 @@
 
 // sendInstall sends the newest snapshot, or what is due of the one that is on the way.
 func (r *Replica) sendInstall(to NodeID, p *progress) {
-	if p.transfer == nil || p.transfer.snapshot.Index < p.matched {
+	if p.transfer == nil {
 		snapshot := r.source()
 		if snapshot.Index < p.next {
 			return // the source must be as new as what was compacted
