Learn how long connections to servers may rest

A server may also forget one sooner, without a word; what is sent on it is then reset. Change: a connection rests no longer than its server's Keep-Alive says.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -95,9 +95,11 @@
 			p.give(c, unhook() && reusable)
 		}
 	}()
+	written := time.Now()
 	up := &upload{pool: p, c: c, call: call}
 	if call.Rest == nil {
 		if broken := up.plain(time.Until(a.Until)); broken != nil {
+			p.broke(c, broken.Err, time.Since(written))
 			return end, nil, &Error{broken.Stage, because(ctx, broken.Err)}
 		}
 	} else {
@@ -105,8 +107,10 @@
 	}
 	res, verdict, err := p.judged(c, call)
 	if err != nil {
+		p.broke(c, err, time.Since(written))
 		return end, nil, &Error{up.stage(), because(ctx, up.cause(err))}
 	}
+	c.keep = stated(res.Header)
 	early := up.stage() != WrittenWhole // the server did not wait for the whole request
 	c.left = maxHead + message.Held
 	// The body is not closed: that would first read an answer without end to its end. Its
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,7 @@
 	mu   sync.Mutex
 	open int                    // connections open or opening
 	idle map[core.Place][]*conn // the latest used last
+	rest *restLimits            // nil: nothing is learned of it
 	at   map[core.Place]int     // connections open or opening, by place
 
 	gatesMu sync.Mutex
@@ -46,7 +47,11 @@
 	left  int // bytes that may still be read of the present answer
 	place core.Place
 	since time.Time // idle since
-	stray bool      // an answer to another request came on it
+
+	dialed time.Duration // how long it took to come up
+	rested time.Duration // before its present request, 0: it is new
+	keep   time.Duration // how long its server keeps it idle, 0: it doesn't say
+	stray  bool          // an answer to another request came on it
 }
 
 // Read reads what the present answer may still bring.
@@ -64,13 +69,13 @@
 // take returns an idle connection to the place, or a new one.
 func (p *Pool) take(ctx context.Context, at core.Place) (*conn, error) {
 	for {
-		c := p.pop(at)
+		c, fresh := p.pop(at)
 		if c == nil {
 			break
 		}
 		// A connection that the server has closed would take the request and lose it: a
 		// harmless failure would turn into a Reset, which an unsafe class can't repeat.
-		if time.Since(c.since) < p.opt.IdleFor && c.quiet() {
+		if fresh && c.quiet() {
 			p.count.Add("conn.reused")
 			return c, nil
 		}
@@ -79,29 +84,54 @@
 	if !p.reserve(at) {
 		return nil, errNoSockets
 	}
+	begun := time.Now()
 	nc, err := p.dial(ctx, "tcp", at.Endpoint)
 	if err != nil {
 		p.release(at)
 		return nil, err
 	}
 	p.count.Add("conn.opened")
-	c := &conn{Conn: nc, place: at}
+	c := &conn{Conn: nc, place: at, dialed: time.Since(begun)}
 	c.in = bufio.NewReaderSize(c, 4096)
 	return c, nil
 }
 
-func (p *Pool) pop(at core.Place) *conn {
+// mayRest is how long an idle connection may have rested and be used by now; p.mu is held.
+func (p *Pool) mayRest(c *conn, now time.Time) time.Duration {
+	most := p.opt.IdleFor
+	if c.keep > 0 {
+		most = min(most, max(c.keep-statedSlack, c.keep/2))
+	}
+	if p.rest == nil {
+		return most
+	}
+	return min(most, p.rest.allowed(c.place, now))
+}
+
+// broke learns from an attempt that broke on a connection after being out for so long.
+func (p *Pool) broke(c *conn, err error, out time.Duration) {
+	if p.rest == nil || !wasForgotten(c, err, out) {
+		return
+	}
+	p.count.Add("conn.forgotten")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rest.forgotten(c.place, c.rested, time.Now())
+}
+
+// pop takes the idle connection to a place that was used last, and tells whether it may still be used.
+func (p *Pool) pop(at core.Place) (c *conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[at]
-	rested := time.Now().Add(-p.restFor)
+	list, now := p.idle[at], time.Now()
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !c.since.After(rested) {
+		if c := list[i]; now.Sub(c.since) >= p.restFor {
 			p.idle[at] = slices.Delete(list, i, i+1)
-			return c
+			c.rested = now.Sub(c.since)
+			return c, c.rested < p.mayRest(c, now)
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // reserve books a socket; where none is left, the longest idle connection goes, to the same
@@ -248,7 +278,7 @@
 	for at, list := range p.idle {
 		keep := list[:0:0]
 		for _, c := range list {
-			if now.Sub(c.since) >= p.opt.IdleFor {
+			if now.Sub(c.since) >= p.mayRest(c, now) {
 				old = append(old, c)
 			} else {
 				keep = append(keep, c)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,7 @@
 	ConnectTimeout time.Duration
 	UserTimeout    time.Duration        // what is sent has to be acknowledged within it (TCP_USER_TIMEOUT), 0: not set
 	IdleFor        time.Duration        // a connection is not kept idle for longer
+	LearnRest      bool                 // connections rest shorter where servers forget them sooner
 	MaxConns       int                  // open or opening, over all servers
 	MaxPerPlace    func(core.Place) int // open or opening to one place, 0: no limit; nil: none has one. It must not block
 	Bare           bool                 // replies carry neither Status nor Header
@@ -66,8 +67,12 @@
 		opt.Relayed = func() {}
 	}
 	d := opt.dialer()
-	return &Pool{codec: codec, opt: opt, count: count, log: log, dial: d.DialContext, restFor: restFor,
+	p := &Pool{codec: codec, opt: opt, count: count, log: log, dial: d.DialContext, restFor: restFor,
 		idle: map[core.Place][]*conn{}, at: map[core.Place]int{}, gates: map[core.Place]map[*gate]struct{}{}}
+	if opt.LearnRest {
+		p.rest = newRestLimits(opt.IdleFor)
+	}
+	return p
 }
 
 // Frame writes the line of a head that tells how the request's body is framed, where there is one.
