Let requests with two attempts be sent again, promptly, streams that resume too

And where answers after the target still counted whole, the best time-out lay near the end. Change: the bound is looked at where the alternative is chosen, and by the limits on every send. A class may want its answer promptly: θ is then chosen as if what comes later than that were missed. Streams that may be resumed count as repeatable before their first event; the copy that doesn't begin is called off. A request may state fewer attempts than its class. gather hands out a slice of its own: choose went on with one that the search for an alternative had overwritten.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,11 +26,13 @@
 	Hint      time.Duration    // a guess at its work; 0: not told
 	Prefer    []logic.ServerID // that hold part of its prompt, best first
 	Worth     float64          // 0: its class's
-	Arrived   time.Time
-	Wait      time.Duration // how long the client waits, from Arrived; 0: as long as its class lets it
-	Call      any           // handed to the backends unread
-	Open      bool          // its last byte has not come: Whole tells of that. One attempt can be made.
-	Session   Session
+	// MaxAttempts is how many attempts the request may have, 0: as many as its class.
+	MaxAttempts int
+	Arrived     time.Time
+	Wait        time.Duration // how long the client waits, from Arrived; 0: as long as its class lets it
+	Call        any           // handed to the backends unread
+	Open        bool          // its last byte has not come: Whole tells of that. One attempt can be made.
+	Session     Session
 }
 
 // Session is the side of a front that waits for an answer.
@@ -55,6 +57,7 @@
 	Kind       Kind
 	RetryAfter time.Duration
 	Ran        bool // of a refusal: an attempt may have run, it is harmless only since the request may be repeated
+	Attempts   int  // that were sent
 	// Reply is set where Kind is Served. Where Kind is Failed it may be: it then is the newest
 	// failure that a backend answered with and that goes to the client unchanged, in the place
 	// of a refusal too. Only a carrier that ends attempts with Pass brings such ones. Who gets
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -239,7 +239,7 @@
 		h.until = h.Arrived.Add(openMost)
 	}
 	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open,
-		Prefer: r.Prefer, Worth: r.Worth}
+		Prefer: r.Prefer, Worth: r.Worth, MaxAttempts: r.MaxAttempts}
 	if !r.Open {
 		// What the request waited for its turn is gone from the client's patience.
 		q.Expires = h.until.Sub(o.world.Now())
@@ -295,9 +295,9 @@
 		return
 	}
 	r.over = true
-	a.Ran = a.Kind == Refused && r.mayHaveRun()
+	a.Ran, a.Attempts = a.Kind == Refused && r.mayHaveRun(), len(r.attempts)
 	if f := r.failure; f != nil && a.Kind != Served {
-		a, r.failure = Answer{Kind: Failed, Reply: f}, nil
+		a, r.failure = Answer{Kind: Failed, Reply: f, Attempts: a.Attempts}, nil
 		o.world.Count.Add("answer.passed")
 	}
 	r.dropFailure()
@@ -354,6 +354,9 @@
 
 // most is how many attempts a request may have, 0: any number.
 func (o *Owner) most(r *held) int {
+	if r.MaxAttempts > 0 {
+		return r.MaxAttempts
+	}
 	if r.class != nil && r.class.MaxAttempts > 0 {
 		return r.class.MaxAttempts
 	}
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -60,7 +60,7 @@
 	for name, result := range map[string]logic.Result{"whole": logic.OK, "broken": logic.Reset, "left": logic.Canceled, "out of time": logic.TimedOut} {
 		s, reply, copied := newStreamed(nil), &closing{}, &closing{}
 		s.ends[0](Ended{Result: logic.OK, Begun: true, Reply: reply, Report: []float64{2}, At: s.later(time.Second)})
-		require.Equal(t, []Answer{{Kind: Served, Reply: reply}}, s.answers, name)
+		require.Equal(t, []Answer{{Kind: Served, Reply: reply, Attempts: 2}}, s.answers, name)
 		assert.Equal(t, []logic.Event{
 			logic.Started{ID: "r", Server: "a", Latency: time.Second},
 			logic.Probed{Server: "a", Latency: time.Second, Report: []float64{2}},
@@ -122,10 +122,10 @@
 		second Ended
 		want   Answer // whose Reply is filled in: the second failure, where it is passed on
 	}{
-		"fails":            {logic.Fail{ID: "r"}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
-		"refuses":          {logic.Refuse{ID: "r", RetryAfter: time.Second}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed}},
-		"the other served": {logic.Fail{ID: "r"}, true, Ended{Result: logic.OK}, Answer{Kind: Served}},
-		"nothing to pass":  {logic.Refuse{ID: "r", RetryAfter: time.Second}, false, Ended{Result: logic.Failed}, Answer{Kind: Refused, RetryAfter: time.Second, Ran: true}},
+		"fails":            {logic.Fail{ID: "r"}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed, Attempts: 2}},
+		"refuses":          {logic.Refuse{ID: "r", RetryAfter: time.Second}, true, Ended{Result: logic.Failed, Pass: true}, Answer{Kind: Failed, Attempts: 2}},
+		"the other served": {logic.Fail{ID: "r"}, true, Ended{Result: logic.OK}, Answer{Kind: Served, Attempts: 2}},
+		"nothing to pass":  {logic.Refuse{ID: "r", RetryAfter: time.Second}, false, Ended{Result: logic.Failed}, Answer{Kind: Refused, RetryAfter: time.Second, Ran: true, Attempts: 2}},
 	} {
 		s := newStreamed(giveUp(tt.action))
 		first, second := &closing{}, &closing{}
@@ -158,7 +158,7 @@
 	}), &closing{}
 	s.ends[0](Ended{Result: logic.Failed, Pass: true, Reply: first, At: s.at})
 	s.ends[1](Ended{Result: logic.TimedOut, At: s.at})
-	assert.Equal(t, []Answer{{Kind: Failed, Reply: first}}, s.answers)
+	assert.Equal(t, []Answer{{Kind: Failed, Reply: first, Attempts: 2}}, s.answers)
 	assert.Zero(t, first.closed)
 
 	s, first = newStreamed(nil), &closing{}
--- a/logic/api.go
+++ b/logic/api.go
@@ -58,12 +58,14 @@
 	AimStretch  float64       // the aim grows by this multiple of the work hint
 	Usual       time.Duration // the latency to assume until answers tell, 0: a third of the aim
 	Deadline    time.Duration // what a client waits in all, over its own retries
+	Prompt      time.Duration // a time-out is chosen so that the alternative answers within it, 0: by the deadline
 	Worth       float64       // 0: unknown, the paper's example figures serve
 	LateWorth   float64       // part of the worth kept after the aim, 0 to 1
 	Effect      Effect
 	Group       Group         // for Keyed
 	Window      time.Duration // for Keyed: how long repeats are dropped
 	Stream      bool          // answers are streamed: Started events come
+	Resumable   bool          // for Stream: a further attempt may take the answer up, also from its middle
 	MaxAttempts int           // attempts allowed for one request, 0: Settings.MaxAttempts counts
 }
 
@@ -196,6 +198,8 @@
 	Coming  bool          // its last byte has not come: one attempt can be made, which is no load yet
 	Worth   float64       // of this request, above 0 and finite; 0: its class's
 	Prefer  []ServerID    // servers known to hold part of its prompt, best first
+
+	MaxAttempts int // attempts allowed for this request, 0: its class's
 }
 
 // Whole tells that the last byte has come of a request that was told as Coming: its time
--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -70,7 +70,6 @@
 	if s := b.preferred(r, max(b.gain(r, alt, 0)-clearBeat, realChance)); s != nil && !last.mayRun {
 		alt = s
 	}
-	r.alt = nil
 	if last.mayRun {
 		r.retried = true
 		b.budget--
@@ -89,6 +88,7 @@
 	t := &r.tries[e.Attempt]
 	r.streaming, r.began, r.idle, t.begun = true, b.now, true, true
 	b.learn(r, t, Outcome{Result: OK, Latency: e.Latency})
+	b.callOff(r, e.Attempt)
 }
 
 // finish gives the final answer of a request that was not served.
@@ -129,10 +129,8 @@
 		b.usual += (1 - miss - b.usual) * usualStep
 		b.missed += (miss - b.missed) * missStep * min(r.worth/b.worth, 1/missStep)
 	}
-	for i, t := range r.tries {
-		if t.open && b.cfg.CanCancel && !r.streaming {
-			b.do(Cancel{ID: r.id, Attempt: i})
-		}
+	if !r.streaming {
+		b.callOff(r, -1)
 	}
 	if r.open > 0 {
 		b.linger = append(b.linger, r)
@@ -140,6 +138,15 @@
 	b.forget(r)
 }
 
+// callOff ends the attempts that are out, but for one.
+func (b *Balancer) callOff(r *request, but int) {
+	for i, t := range r.tries {
+		if t.open && i != but && b.cfg.CanCancel {
+			b.do(Cancel{ID: r.id, Attempt: i})
+		}
+	}
+}
+
 // forget drops an ended request whose outcomes are all in.
 func (b *Balancer) forget(r *request) {
 	delete(b.bySeq, r.seq)
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -239,7 +239,7 @@
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
 	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true, prefer: q.Prefer}
-	if r.most, r.work = cmp.Or(c.MaxAttempts, b.cfg.MaxAttempts), 1; q.Coming {
+	if r.most, r.work = cmp.Or(q.MaxAttempts, c.MaxAttempts, b.cfg.MaxAttempts), 1; q.Coming {
 		r.most, r.work = 1, 0
 	}
 	// An answer still has to travel to the client and is seen a tick late.
--- a/logic/choose.go
+++ b/logic/choose.go
@@ -86,8 +86,7 @@
 	return pick, theta, alt
 }
 
-// preferred returns the first server known to hold part of the prompt that may be sent to, promises at least
-// such a gain and is neither set aside nor crowded.
+// preferred returns the first server that holds part of the prompt, promises such a gain and isn't crowded.
 func (b *Balancer) preferred(r *request, least float64) *server {
 	for _, id := range r.prefer {
 		s := b.servers[id]
@@ -159,17 +158,11 @@
 			b.consider(pool[(from+i)%n], first, r)
 		}
 	}
-	fit := 0
-	for _, s := range b.cand {
-		if !s.aside(b.now) {
-			b.cand[fit] = s
-			fit++
-		}
-	}
-	if fit == 0 && b.rng.Float64() < trialShare {
-		fit = len(b.cand)
+	fit := slices.DeleteFunc(slices.Clone(b.cand), func(s *server) bool { return s.aside(b.now) })
+	if len(fit) == 0 && b.rng.Float64() < trialShare {
+		return slices.Clone(b.cand)
 	}
-	return b.cand[:fit]
+	return fit
 }
 
 func (b *Balancer) consider(s, first *server, r *request) {
@@ -215,21 +208,26 @@
 // theta returns the time-out that maximises the paper's payoff for a first send to s, and the alternative;
 // the time left and none where plain waiting pays at least as much. It also returns the payoff.
 func (b *Balancer) theta(r *request, s *server, left time.Duration) (time.Duration, *server, float64) {
-	best, alt, pay := left, (*server)(nil), b.plain(r, s, 0)
-	if b.budget >= 1 && b.mayRetry(r) {
-		alt = b.alternative(r, s)
+	soon := *r // as if what comes later than promptly were missed
+	if p := r.class.Prompt; p > 0 {
+		soon.end, soon.aim = min(r.end, b.now+p), min(r.aim, b.now+p)
+	}
+	span := soon.end - b.now
+	best, alt, pay := span, (*server)(nil), b.plain(&soon, s, 0)
+	if b.budget >= 1 && b.mayRetry(r) && (r.most == 0 || len(r.tries)+1 < r.most) {
+		alt = b.alternative(&soon, s)
 	}
 	for i := 1; i < thetaSteps && alt != nil; i++ {
-		t := left * time.Duration(i) / thetaSteps
-		if p := b.retryPay(r, s, alt, t); p > pay {
+		t := span * time.Duration(i) / thetaSteps
+		if p := b.retryPay(&soon, s, alt, t); p > pay {
 			best, pay = t, p
 		}
 	}
-	if best == left {
-		return left, nil, pay
+	if best == span {
+		return left, nil, b.plain(r, s, 0)
 	}
-	best += time.Duration(float64(best) * thetaSpread * (2*b.rng.Float64() - 1))
-	return best, alt, pay
+	spread := 1 + thetaSpread*(2*b.rng.Float64()-1)
+	return time.Duration(float64(best) * spread), alt, max(b.plain(r, s, 0), b.retryPay(r, s, alt, best))
 }
 
 // retryPay is R·F1(θ) + (1−F1(θ))·{−c2 + R·F2(d−θ) − V·(1−F2(d−θ))}.
@@ -244,18 +242,13 @@
 func (b *Balancer) alternative(r *request, s *server) *server {
 	half := (r.end - b.now) / 2
 	cand := b.gather(s, r)
-	best, bestPay := (*server)(nil), math.Inf(-1)
-	for _, a := range cand {
-		if p := b.plain(r, a, half); p > bestPay {
-			best, bestPay = a, p
-		}
+	if len(cand) == 0 {
+		return nil
 	}
+	pay := func(a *server) float64 { return b.plain(r, a, half) }
+	best := slices.MaxFunc(cand, func(a, o *server) int { return cmp.Compare(pay(a), pay(o)) })
 	// Spread over the near best: equal histograms would send all nodes to one server.
-	floor := bestPay - nearBest*(r.class.r+r.class.v)
-	for _, a := range cand {
-		if b.plain(r, a, half) >= floor && a.load(b.now) <= best.load(b.now) {
-			return a
-		}
-	}
-	return best
+	floor := pay(best) - nearBest*(r.class.r+r.class.v)
+	near := func(a *server) bool { return pay(a) >= floor && a.load(b.now) <= best.load(b.now) }
+	return cand[slices.IndexFunc(cand, near)]
 }
--- a/logic/guard.go
+++ b/logic/guard.go
@@ -18,8 +18,7 @@
 
 // mayRetry tells whether the class lets a request go again that may have run.
 func (b *Balancer) mayRetry(r *request) bool {
-	return r.class.Effect != Unsafe && !r.retried && !r.class.Stream &&
-		(r.most == 0 || len(r.tries)+1 < r.most)
+	return r.class.Effect != Unsafe && !r.retried && (!r.class.Stream || r.class.Resumable)
 }
 
 // maySend tells whether no rule forbids a send to the server now. All that is out for long may be lost.
