Resume broken streams, send to fewer servers, and keep lines of turns together

Change: a resumable stream that breaks goes on at another server behind its last whole event, within one answer and the route's retry limit; its head stays. Each edge sends to a subset of a service's servers, drawn by rendezvous hashing of its name, its zone's first: at least 8, two for each request that was out at once of late, and one more for each server set aside. Turns keep to servers by their session instead of their program. A promptly wanted answer is one within twice its route's target.

--- a/internal/anemometer/dispatch/codec.go
+++ b/internal/anemometer/dispatch/codec.go
@@ -22,6 +22,7 @@
 	NotExecutedHeader = "Oakseam-Not-Executed"
 	LoadHeader        = "Oakseam-Member-Load"
 	PriorityHeader    = "Priority"
+	LastEventHeader   = "Last-Event-Id"
 )
 
 // StreamType is the media type of a stream of events.
--- a/internal/anemometer/dispatch/dispatch.go
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -34,13 +35,18 @@
 	connectCharge = 0.01
 	// usualShare is how many usual answers fit in a route's target, until answers tell.
 	usualShare = 2
+	// promptTimes is how many targets an answer that may be sent for again is given to come from
+	// either of two servers.
+	promptTimes = 2
 	// retryAfter is what refused clients are told.
 	retryAfter = 300 * time.Millisecond
 	// idleFor is how long a connection to a server rests before it is closed, connectWithin
 	// how long one may take to come up, and userTimeout how long a dark server's lasts.
-	idleFor       = 4 * time.Second
+	idleFor       = 30 * time.Second
 	connectWithin = 700 * time.Millisecond
 	userTimeout   = 3 * time.Second
+	// resizeEvery is how often it is looked whether fewer servers would do.
+	resizeEvery = time.Second
 	// preferred is how many servers a program's turns keep to, best first.
 	preferred = 3
 	// defaultClass is what a service without a route is given: the module needs a class.
@@ -50,7 +56,8 @@
 // Options are what a Dispatcher needs.
 type Options struct {
 	Zone   string
-	Conns  int // to servers, open at most
+	Name   string // this node's: it draws servers by it
+	Conns  int    // to servers, open at most
 	Budget *message.Budget
 	Count  *counters.Set
 	Log    *slog.Logger
@@ -71,9 +78,15 @@
 // service is one service's owner and servers.
 type service struct {
 	core    *core.Core
-	servers []candidate   // that take requests
+	all     []protocol.Server
+	wanted  int           // servers that this node sends to, where none is avoided
+	size    int           // and with those that are
+	servers []candidate   // of the subset, that take requests
 	listed  chan struct{} // closed once it has had one
 	known   bool          // listed is closed
+	demand  demand
+	avoided atomic.Int64 // servers of the subset that get nothing now, draining ones among them
+	drained int          // draining ones
 }
 
 // candidate is a server that a program's turns may keep to.
@@ -87,9 +100,10 @@
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{opt: o, quit: make(chan struct{}), services: map[string]*service{}, classes: map[string][]logic.Class{}, lists: map[string][]protocol.Server{}}
 	d.pool = upstream.New(codec{}, upstream.Options{
-		ConnectTimeout: connectWithin, IdleFor: idleFor, MaxConns: o.Conns, UserTimeout: userTimeout, Budget: o.Budget,
+		ConnectTimeout: connectWithin, IdleFor: idleFor, LearnRest: true, MaxConns: o.Conns, UserTimeout: userTimeout, Budget: o.Budget,
 	}, o.Count, o.Log)
 	go d.pool.Reap(d.quit)
+	go d.resize()
 	return d
 }
 
@@ -132,6 +146,7 @@
 	}
 	s := &service{core: owner, listed: make(chan struct{})}
 	d.services[name] = s
+	owner.Watch(func(_, avoided int) { s.avoided.Store(int64(avoided)) })
 	go owner.Run(d.pool, nil)
 	d.list(s, d.lists[name])
 }
@@ -163,8 +178,63 @@
 	}
 }
 
-// list hands a service's servers to its owner.
+// Begin notes that a request of a service goes out, until the returned function is called.
+func (d *Dispatcher) Begin(name string) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[name]
+	if s == nil {
+		return func() {}
+	}
+	s.demand.begin(time.Now())
+	if float64(s.wanted) < busyTimes*s.demand.most && s.size < len(s.all) {
+		d.list(s, s.all)
+	}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		s.demand.end()
+	}
+}
+
+// resize fits the subsets to what goes out and to the servers that get nothing, until Close.
+func (d *Dispatcher) resize() {
+	tick := time.NewTicker(resizeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.quit:
+			return
+		case <-tick.C:
+		}
+		d.mu.Lock()
+		for _, s := range d.services {
+			if _, size := s.sizes(); size != s.size {
+				d.list(s, s.all)
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
+// sizes is how many of the servers this node is to send to: without those that are avoided, and
+// with them.
+func (s *service) sizes() (wanted, size int) {
+	wanted = min(subsetSize(s.wanted, s.demand.now(time.Now())), len(s.all))
+	aside := max(int(s.avoided.Load())-s.drained, 0)
+	return wanted, min(wanted+aside, len(s.all))
+}
+
+// list hands a service's servers to its owner: those that this node sends to.
 func (d *Dispatcher) list(s *service, servers []protocol.Server) {
+	s.all, s.drained = servers, 0
+	for _, x := range servers {
+		if x.Draining {
+			s.drained++
+		}
+	}
+	s.wanted, s.size = s.sizes()
+	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, d.opt.Zone)
 	if len(s.servers) > 0 && !s.known {
 		s.known = true
@@ -296,10 +366,11 @@
 
 func classOf(r *routing.Route) logic.Class {
 	class := logic.Class{
-		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Usual: r.TargetLatency / usualShare, Worth: worthOf(r.Priority),
+		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Prompt: promptTimes * r.TargetLatency, Usual: r.TargetLatency / usualShare, Worth: worthOf(r.Priority),
 		Effect: logic.Unsafe, MaxAttempts: max(r.RetryLimit, 1), Stream: r.Class == routing.Streaming,
 	}
-	if r.Class == routing.Idempotent {
+	class.Resumable = class.Stream && r.SessionResume
+	if r.Class == routing.Idempotent || class.Resumable {
 		class.Effect = logic.Safe
 	}
 	return class
--- /dev/null
+++ b/internal/anemometer/dispatch/subset_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pipitmux/internal/station/protocol"
+)
+
+// fleet is so many servers in each of three zones.
+func fleet(each int) (servers []protocol.Server) {
+	for i := range 3 * each {
+		servers = append(servers, protocol.Server{ID: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%3)})
+	}
+	return servers
+}
+
+func ids(servers []protocol.Server) map[string]bool {
+	set := map[string]bool{}
+	for _, s := range servers {
+		set[s.ID] = true
+	}
+	return set
+}
+
+func TestSubsetsCoverAllServersEvenly(t *testing.T) {
+	servers, nodes, size := fleet(15), 69, 8
+	by := map[string]int{}
+	for n := range nodes {
+		chosen := subset(servers, fmt.Sprint("edge-", n), fmt.Sprint("z", n%3), size)
+		assert.Equal(t, len(chosen), size)
+		for _, s := range chosen {
+			assert.Equal(t, s.Zone, fmt.Sprint("z", n%3), "a zone with enough servers is left by nobody")
+			by[s.ID]++
+		}
+	}
+	assert.Equal(t, len(by), len(servers), "each server has nodes")
+	mean := float64(nodes*size) / float64(len(servers))
+	for id, count := range by {
+		assert.Assert(t, float64(count) < 2*mean, "%s has %d nodes, %.1f in the mean", id, count, mean)
+	}
+}
+
+func TestAServerThatGoesChangesLittle(t *testing.T) {
+	servers, size := fleet(15), 8
+	moved := 0
+	for n := range 100 {
+		node := fmt.Sprint("edge-", n)
+		before := ids(subset(servers, node, "z0", size))
+		after := ids(subset(servers[1:], node, "z0", size))
+		for id := range after {
+			if !before[id] {
+				moved++
+			}
+		}
+		if !before["i-0"] {
+			assert.DeepEqual(t, before, after)
+		}
+	}
+	assert.Assert(t, moved > 0 && moved <= 100, "one server each at most: %d", moved)
+}
+
+func TestSubsetsTakeOtherZonesInWhereTheirOwnHasTooFew(t *testing.T) {
+	servers := fleet(3)
+	chosen := subset(servers, "edge-1", "z1", 8)
+	assert.Equal(t, len(chosen), 8)
+	own := 0
+	for _, s := range chosen {
+		if s.Zone == "z1" {
+			own++
+		}
+	}
+	assert.Equal(t, own, 3)
+	assert.Equal(t, len(subset(servers, "edge-1", "z9", 8)), 8, "and where it has none")
+	assert.Equal(t, len(subset(servers, "edge-1", "z1", 9)), 9)
+	assert.Equal(t, len(subset(nil, "edge-1", "z1", 8)), 0)
+}
+
+func TestSubsetsKeepDrainingServers(t *testing.T) {
+	servers := fleet(15)
+	for i := range 30 {
+		servers[i].Draining = true
+	}
+	chosen := subset(servers, "edge-1", "z1", 8)
+	taking := 0
+	for _, s := range chosen {
+		if !s.Draining {
+			taking++
+		}
+	}
+	assert.Equal(t, len(chosen), 38)
+	assert.Equal(t, taking, 8)
+}
+
+func TestSubsetsGrowWithDemandAndShrinkLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var d demand
+	assert.Equal(t, subsetSize(0, d.now(now)), subsetLeast)
+	for range 20 {
+		d.begin(now)
+	}
+	size := subsetSize(subsetLeast, d.now(now))
+	assert.Equal(t, size, 40)
+	for range 20 {
+		d.end()
+	}
+	assert.Equal(t, subsetSize(size, d.now(now.Add(busyHalfLife/2))), size, "connections are kept for a while")
+	assert.Equal(t, subsetSize(size, d.now(now.Add(2*busyHalfLife))), 10)
+	assert.Equal(t, subsetSize(size, d.now(now.Add(10*busyHalfLife))), subsetLeast)
+	d.begin(now.Add(10 * busyHalfLife))
+	assert.Equal(t, d.most, 1.0, "what was long ago is forgotten")
+}
--- a/internal/anemometer/gateway/answer.go
+++ b/internal/anemometer/gateway/answer.go
@@ -59,9 +59,36 @@
 // the deadline itself.
 const overdue = 300 * time.Millisecond
 
-// dispatch submits the request to its service's owner and waits for the answer. A client
-// that leaves ends it: the handler does not return then.
-func (x *exchange) dispatch(body []byte, affinity string, worth float64) core.Answer {
+// submission is what an exchange hands to its service's owner.
+type submission struct {
+	body        []byte
+	affinity    string  // line of turns that keeps to the same servers, empty: to none
+	worth       float64 // 0: its class's
+	again       bool    // an earlier submission's stream broke off
+	lastEvent   string  // of that stream, empty: none has come
+	maxAttempts int     // 0: its class's
+}
+
+// resumedPrefix sets the id of a further submission apart from the first one's, which may not
+// have been forgotten yet. No client's id holds such a byte.
+const resumedPrefix = "\x00"
+
+// id names the submission to the owner; servers see the client's id.
+func (s submission) id(attempt string) string {
+	if s.again {
+		return resumedPrefix + attempt
+	}
+	return attempt
+}
+
+// dispatch has the request carried out by its service's servers.
+func (x *exchange) dispatch(s submission) core.Answer {
+	return x.resumable(x.submit(s), s)
+}
+
+// submit hands the request to its service's owner and waits for the answer. A client that
+// leaves ends it.
+func (x *exchange) submit(s submission) core.Answer {
 	starting, cancel := context.WithDeadline(x.request.Context(), x.arrived.Add(startingWait))
 	owner := x.gateway.opt.Dispatcher.Owner(starting, x.service)
 	cancel()
@@ -69,14 +96,18 @@
 	if owner == nil || left <= 0 {
 		return core.Answer{Kind: core.Refused, RetryAfter: pressedRetryAfter}
 	}
+	if x.ended == nil {
+		x.ended = x.gateway.opt.Dispatcher.Begin(x.service)
+	}
 	w := &waiter{answer: make(chan core.Answer, 1)}
 	defer w.leave()
+	id := s.id(x.attempt)
 	request := core.Request{
-		ID: x.attempt, Class: x.route.Name, Arrived: time.Now(), Wait: left, Call: x.call(body), Session: w,
-		Worth: worth,
+		ID: id, Class: x.route.Name, Arrived: time.Now(), Wait: left, Call: withLastEvent(x.call(s.body), s.lastEvent), Session: w,
+		Worth: s.worth, MaxAttempts: s.maxAttempts,
 	}
-	if x.route.Persistence || affinity != "" && x.route.Class == routing.Streaming {
-		request.Prefer = x.gateway.opt.Dispatcher.Prefer(x.service, affinity)
+	if x.route.Persistence || s.affinity != "" && x.route.Class == routing.Streaming {
+		request.Prefer = x.gateway.opt.Dispatcher.Prefer(x.service, s.affinity)
 	}
 	if err := owner.Submit(request); err != nil {
 		return core.Answer{Kind: core.Refused, RetryAfter: pressedRetryAfter}
@@ -87,10 +118,10 @@
 	case a := <-w.answer:
 		return a
 	case <-late.C:
-		owner.Gone(x.attempt, w)
+		owner.Gone(id, w)
 		return core.Answer{Kind: core.Failed}
 	case <-x.request.Context().Done():
-		owner.Gone(x.attempt, w)
+		owner.Gone(id, w)
 		return core.Answer{Kind: gone}
 	}
 }
--- a/internal/anemometer/gateway/gateway.go
+++ b/internal/anemometer/gateway/gateway.go
@@ -113,6 +113,7 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time // the final answer goes out by then
+	ended    func()    // tells the dispatcher that the request no longer goes out, nil: it didn't yet
 }
 
 // Handle answers a request. It is for ingress.Options.Handler.
@@ -195,10 +196,15 @@
 
 // serve has a request that came whole carried out and answered.
 func (x *exchange) serve() {
+	defer func() {
+		if x.ended != nil {
+			x.ended()
+		}
+	}()
 	if x.isTurn() {
 		x.serveTurn()
 		return
 	}
-	a := x.dispatch(x.body, x.request.Header.Get(sessionHeader), 0)
+	a := x.dispatch(submission{body: x.body, affinity: x.request.Header.Get(sessionHeader)})
 	x.answer(a, nil)
 }
--- a/internal/anemometer/gateway/turn.go
+++ b/internal/anemometer/gateway/turn.go
@@ -64,7 +64,7 @@
 	if len(history) > 0 {
 		body = append(history[:len(history):len(history)], x.body...)
 	}
-	a := t.dispatch(body, t.program, t.worth())
+	a := t.dispatch(submission{body: body, affinity: t.request.Header.Get(sessionHeader), worth: t.worth()})
 	t.finish(a, history)
 }
 
