Tell sick servers from forgetful ones, and use the longest rested connection first

Extra connections of a burst aged out within the 10 s that servers state, since the newest was used first. The connection that rested longest is used first, unless servers are known to forget.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -110,28 +110,41 @@
 
 // broke learns from an attempt that broke on a connection after being out for so long.
 func (p *Pool) broke(c *conn, err error, out time.Duration) {
-	if p.rest == nil || !wasForgotten(c, err, out) {
+	if p.rest == nil || !resetAtOnce(c, err, out) {
 		return
 	}
-	p.count.Add("conn.forgotten")
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.rested == 0 {
+		p.rest.reset(c.place, time.Now())
+		return
+	}
+	p.count.Add("conn.forgotten")
 	p.rest.forgotten(c.place, c.rested, time.Now())
 }
 
-// pop takes the idle connection to a place that was used last, and tells whether it may still be used.
+// pop takes an idle connection to a place, and tells whether it may still be used. Where nothing
+// says that servers forget connections, it is the one that rested longest, so that all that a
+// burst left stay in use; else the one that was used last.
 func (p *Pool) pop(at core.Place) (c *conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list, now := p.idle[at], time.Now()
-	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; now.Sub(c.since) >= p.restFor {
-			p.idle[at] = slices.Delete(list, i, i+1)
-			c.rested = now.Sub(c.since)
-			return c, c.rested < p.mayRest(c, now)
-		}
+	rested := slices.IndexFunc(list, func(c *conn) bool { return now.Sub(c.since) < p.restFor })
+	if rested < 0 {
+		rested = len(list) // none is too young
+	}
+	if rested == 0 {
+		return nil, false
+	}
+	i := rested - 1
+	if p.rest != nil && p.rest.allowed(at, now) >= p.opt.IdleFor {
+		i = 0
 	}
-	return nil, false
+	c = list[i]
+	p.idle[at] = slices.Delete(list, i, i+1)
+	c.rested = now.Sub(c.since)
+	return c, c.rested < p.mayRest(c, now)
 }
 
 // reserve books a socket; where none is left, the longest idle connection goes, to the same
