--- a/cmd/barograph/main.go
+++ b/cmd/barograph/main.go
@@ -56,7 +56,8 @@
 	}
 	defer n.Close()
 	core, err := coordinator.New(coordinator.Options{
-		Node: n, Losses: s.FaultTolerance.MachineLosses, First: options.First, Seeds: options.Seeds, ConfigApply: s.Bounds.ConfigApply,
+		Node: n, Losses: s.FaultTolerance.MachineLosses, First: options.First, Seeds: options.Seeds,
+		ConfigApply: s.Bounds.ConfigApply, Drain: s.Bounds.Drain,
 	})
 	if err != nil {
 		return err
--- a/internal/barograph/coordinator/coordinator.go
+++ b/internal/barograph/coordinator/coordinator.go
@@ -46,6 +46,7 @@
 	news   *notifier
 	// staleAfter is the age at which this node no longer vouches for what it tells.
 	staleAfter time.Duration
+	listEvery  time.Duration // how often the platform is asked, while the duty is held
 
 	mu       sync.Mutex
 	planners map[replica.GroupID]*repair.Planner
@@ -64,6 +65,9 @@
 	// ConfigApply is how soon after its acknowledgement a configuration must be in force
 	// everywhere; 0 for DefaultConfigApply.
 	ConfigApply time.Duration
+	// Drain is how soon after the platform's list shows it a draining server must get nothing
+	// new; 0 where that isn't known.
+	Drain time.Duration
 }
 
 // DefaultConfigApply is the time for which operators commonly ask.
@@ -88,7 +92,7 @@
 
 // New restores or begins the groups of a core node.
 func New(o Options) (*Coordinator, error) {
-	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now(), staleAfter: StaleAfter(o.ConfigApply)}
+	c := &Coordinator{node: o.Node, losses: o.Losses, news: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, began: time.Now(), staleAfter: StaleAfter(o.ConfigApply), listEvery: lister.Pause(o.Drain)}
 	var first replica.Members
 	if o.First {
 		for _, s := range o.Seeds {
@@ -138,7 +142,7 @@
 	go c.tend(ctx)
 	go c.learn(ctx)
 	go c.clear(ctx)
-	go lister.New(platform, &listerDuty{c}).Run(ctx)
+	go lister.New(platform, &listerDuty{c}, c.listEvery).Run(ctx)
 	return c.node.Serve(ctx, l, map[string]any{"Control": &controlCalls{c}})
 }
 
--- a/internal/barograph/lister/lister.go
+++ b/internal/barograph/lister/lister.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// every is the pause between two listings. A drain must be known everywhere within
-	// the drain bound of seconds, and each call has a price.
-	every = 500 * time.Millisecond
+	// pauseShare is the part of the drain bound that passes between two listings: a drain must
+	// be known everywhere within that bound, also where a listing fails or the duty changes
+	// hands, and each call has a price. leastPause and mostPause bound the pause.
+	pauseShare = 0.25
+	leastPause = 500 * time.Millisecond
+	mostPause  = time.Second
 	// giveUpAfter is how many listings may fail in a row before the duty is handed on.
 	giveUpAfter = 4
 )
@@ -39,20 +42,28 @@
 	GiveUp()
 }
 
+// Pause is how long to wait between two listings, so that drains are known within a bound.
+func Pause(drain time.Duration) time.Duration {
+	return min(max(time.Duration(pauseShare*float64(drain)), leastPause), mostPause)
+}
+
 // Lister carries out the duty while its node holds it.
 type Lister struct {
+	pause    time.Duration
 	platform Platform
 	duty     Duty
 	sequence uint64
 	failures int
 }
 
-// New returns a Lister.
-func New(p Platform, d Duty) *Lister { return &Lister{platform: p, duty: d} }
+// New returns a Lister that pauses for so long between two listings.
+func New(p Platform, d Duty, pause time.Duration) *Lister {
+	return &Lister{platform: p, duty: d, pause: pause}
+}
 
 // Run lists while the duty is held, until ctx ends.
 func (l *Lister) Run(ctx context.Context) {
-	tick := time.NewTicker(every)
+	tick := time.NewTicker(l.pause)
 	defer tick.Stop()
 	for {
 		l.Once(ctx)
--- a/internal/barograph/lister/lister_test.go
+++ b/internal/barograph/lister/lister_test.go
@@ -84,7 +84,7 @@
 func TestNothingIsListedWithoutTheDuty(t *testing.T) {
 	s := newStandIn(t)
 	s.epoch = 0
-	New(s, s).Once(t.Context())
+	New(s, s, leastPause).Once(t.Context())
 	assert.Equal(t, s.listings, 0)
 }
 
@@ -92,7 +92,7 @@
 	s := newStandIn(t)
 	one, other := names(0, 2), names(2, 1)
 	s.lists = map[string][]protocol.Server{one[0]: {server("a")}, one[1]: {server("b")}, other[0]: {server("c")}}
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	l.Once(t.Context())
 	assert.Equal(t, len(s.published), 2)
 	assert.Equal(t, s.published[0].partition, 0)
@@ -112,7 +112,7 @@
 	s := newStandIn(t)
 	name := names(1, 1)[0]
 	s.lists = map[string][]protocol.Server{name: {server("a")}}
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	l.Once(t.Context())
 	s.lists = map[string][]protocol.Server{}
 	l.Once(t.Context())
@@ -126,7 +126,7 @@
 	name, warming := names(1, 1)[0], server("a")
 	warming.Warmup = time.Second
 	s.lists = map[string][]protocol.Server{name: {warming}}
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	l.Once(t.Context())
 	warming.Warmup = time.Millisecond
 	s.lists = map[string][]protocol.Server{name: {warming}}
@@ -142,7 +142,7 @@
 	s := newStandIn(t)
 	s.refuses[0] = true
 	s.lists = map[string][]protocol.Server{names(0, 1)[0]: {server("a")}, names(3, 1)[0]: {server("b")}}
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	l.Once(t.Context())
 	assert.Equal(t, len(s.published), 1, "the other partition has its part")
 	s.refuses[0] = false
@@ -153,7 +153,7 @@
 
 func TestDutyIsHandedOnAfterFailuresInARow(t *testing.T) {
 	s := newStandIn(t)
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	fail := func(times int) {
 		s.listErr = errRefused
 		for range times {
@@ -181,7 +181,7 @@
 	s := newStandIn(t)
 	name := names(0, 1)[0]
 	s.lists = map[string][]protocol.Server{name: {server("a")}}
-	l := New(s, s)
+	l := New(s, s, leastPause)
 	l.Once(t.Context())
 	s.lists, s.listErr = nil, errRefused
 	l.Once(t.Context())
@@ -193,6 +193,15 @@
 	s := newStandIn(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	New(s, s).Run(ctx)
+	New(s, s, leastPause).Run(ctx)
 	assert.Equal(t, s.listings, 1)
 }
+
+func TestPauseFollowsFromTheDrainBound(t *testing.T) {
+	for drain, want := range map[time.Duration]time.Duration{
+		0: leastPause, time.Second: leastPause, 3 * time.Second: 750 * time.Millisecond,
+		4 * time.Second: mostPause, time.Hour: mostPause,
+	} {
+		assert.Equal(t, Pause(drain), want, "drain bound %s", drain)
+	}
+}
--- a/internal/barograph/simulation/duties_test.go
+++ b/internal/barograph/simulation/duties_test.go
@@ -136,7 +136,7 @@
 	d := s.listers[n.place]
 	if d == nil || d.life != n.life {
 		d = &simulatedDuty{subject: s, node: n, life: n.life}
-		d.lister = lister.New(d, d)
+		d.lister = lister.New(d, d, lister.Pause(0))
 		s.listers[n.place] = d
 	}
 	d.lister.Once(context.Background())
