--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -86,9 +86,9 @@
 		return
 	}
 	t := &r.tries[e.Attempt]
+	b.callOff(r, e.Attempt)
 	r.streaming, r.began, r.idle, t.begun = true, b.now, true, true
 	b.learn(r, t, Outcome{Result: OK, Latency: e.Latency})
-	b.callOff(r, e.Attempt)
 }
 
 // finish gives the final answer of a request that was not served.
@@ -129,19 +129,17 @@
 		b.usual += (1 - miss - b.usual) * usualStep
 		b.missed += (miss - b.missed) * missStep * min(r.worth/b.worth, 1/missStep)
 	}
-	if !r.streaming {
-		b.callOff(r, -1)
-	}
+	b.callOff(r, -1)
 	if r.open > 0 {
 		b.linger = append(b.linger, r)
 	}
 	b.forget(r)
 }
 
-// callOff ends the attempts that are out, but for one.
+// callOff ends the attempts that are out, but for one. A stream that has begun is the client's.
 func (b *Balancer) callOff(r *request, but int) {
 	for i, t := range r.tries {
-		if t.open && i != but && b.cfg.CanCancel {
+		if t.open && i != but && b.cfg.CanCancel && !r.streaming {
 			b.do(Cancel{ID: r.id, Attempt: i})
 		}
 	}
--- a/logic/choose.go
+++ b/logic/choose.go
@@ -158,11 +158,17 @@
 			b.consider(pool[(from+i)%n], first, r)
 		}
 	}
-	fit := slices.DeleteFunc(slices.Clone(b.cand), func(s *server) bool { return s.aside(b.now) })
-	if len(fit) == 0 && b.rng.Float64() < trialShare {
-		return slices.Clone(b.cand)
+	fit := 0
+	for _, s := range b.cand {
+		if !s.aside(b.now) {
+			b.cand[fit] = s
+			fit++
+		}
+	}
+	if fit == 0 && b.rng.Float64() < trialShare {
+		fit = len(b.cand)
 	}
-	return fit
+	return b.cand[:fit]
 }
 
 func (b *Balancer) consider(s, first *server, r *request) {
@@ -208,11 +214,8 @@
 // theta returns the time-out that maximises the paper's payoff for a first send to s, and the alternative;
 // the time left and none where plain waiting pays at least as much. It also returns the payoff.
 func (b *Balancer) theta(r *request, s *server, left time.Duration) (time.Duration, *server, float64) {
-	soon := *r // as if what comes later than promptly were missed
-	if p := r.class.Prompt; p > 0 {
-		soon.end, soon.aim = min(r.end, b.now+p), min(r.aim, b.now+p)
-	}
-	span := soon.end - b.now
+	soon, span := *r, min(cmp.Or(r.class.Prompt, left), left) // as if later answers were lost
+	soon.end, soon.aim = b.now+span, min(r.aim, b.now+span)
 	best, alt, pay := span, (*server)(nil), b.plain(&soon, s, 0)
 	if b.budget >= 1 && b.mayRetry(r) && (r.most == 0 || len(r.tries)+1 < r.most) {
 		alt = b.alternative(&soon, s)
