--- a/internal/anemometer/dispatch/subset_test.go
+++ b/internal/anemometer/dispatch/subset_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"pipitmux/internal/counters"
+	"pipitmux/internal/message"
 	"pipitmux/internal/station/protocol"
+	"pipitmux/internal/station/routing"
 )
 
 // fleet is so many servers in each of three zones.
@@ -113,3 +117,41 @@
 	d.begin(now.Add(10 * busyHalfLife))
 	assert.Equal(t, d.most, 1.0, "what was long ago is forgotten")
 }
+
+// A node's subset grows as soon as more goes out at once, and is kept when the list changes.
+func TestDispatcherFitsTheSubsetToDemand(t *testing.T) {
+	d := New(Options{
+		Zone: "z0", Name: "edge-1", Conns: 100, Budget: message.NewBudget(1 << 20), Count: counters.New(),
+		Log: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(d.Close)
+	configuration, err := routing.Parse([]byte(`{"configRevision":1,"virtualServers":[
+{"name":"reads","hostHeader":"h","pathPrefix":"/","trafficClass":"idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2}],
+"pools":[{"name":"tools"}]}`))
+	assert.NilError(t, err)
+	d.Configure(configuration)
+	tell := func(servers []protocol.Server) {
+		d.Servers(protocol.ServicePartition("tools"), []protocol.ServerList{{Service: "tools", Version: 1, Servers: servers}})
+	}
+	sentTo := func() int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.services["tools"].servers)
+	}
+	tell(fleet(15))
+	assert.Equal(t, sentTo(), subsetLeast)
+	var ends []func()
+	for range 10 {
+		ends = append(ends, d.Begin("tools"))
+	}
+	assert.Equal(t, sentTo(), busyTimes*10)
+	for _, end := range ends {
+		end()
+	}
+	tell(fleet(15)[1:])
+	assert.Equal(t, sentTo(), busyTimes*10, "connections are kept")
+	d.services["tools"].avoided.Store(3)
+	tell(fleet(15))
+	assert.Equal(t, sentTo(), busyTimes*10+3, "others stand in for those that are set aside")
+	d.Begin("unknown")()
+}
