Resume a stream at another server than the one that broke off

Cause: a line of turns prefers its server, so the one that broke a stream off was the likeliest to be asked to go on with it; and a second resumption took the id of the first. Change: a request may name a server to avoid, which gets it only where there is no other; an answer that streams names its server; each submission of an exchange has an id of its own.

--- a/internal/anemometer/gateway/answer.go
+++ b/internal/anemometer/gateway/answer.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"pipitmux/internal/core"
 	"pipitmux/internal/message"
 	"pipitmux/internal/station/routing"
+	"pipitmux/logic"
 )
 
 // copySize is what a stream passes through.
@@ -64,21 +66,20 @@
 	body        []byte
 	affinity    string  // line of turns that keeps to the same servers, empty: to none
 	worth       float64 // 0: its class's
-	again       bool    // an earlier submission's stream broke off
-	lastEvent   string  // of that stream, empty: none has come
 	maxAttempts int     // 0: its class's
+
+	again     int            // how many submissions' streams broke off before
+	lastEvent string         // of those streams, empty: none has come
+	avoid     logic.ServerID // the server of the last of them
 }
 
-// resumedPrefix sets the id of a further submission apart from the first one's, which may not
+// resumedPrefix sets the id of a further submission apart from earlier ones', which may not
 // have been forgotten yet. No client's id holds such a byte.
 const resumedPrefix = "\x00"
 
 // id names the submission to the owner; servers see the client's id.
 func (s submission) id(attempt string) string {
-	if s.again {
-		return resumedPrefix + attempt
-	}
-	return attempt
+	return strings.Repeat(resumedPrefix, s.again) + attempt
 }
 
 // dispatch has the request carried out by its service's servers.
@@ -104,7 +105,7 @@
 	id := s.id(x.attempt)
 	request := core.Request{
 		ID: id, Class: x.route.Name, Arrived: time.Now(), Wait: left, Call: withLastEvent(x.call(s.body), s.lastEvent), Session: w,
-		Worth: s.worth, MaxAttempts: s.maxAttempts,
+		Worth: s.worth, MaxAttempts: s.maxAttempts, Avoid: s.avoid,
 	}
 	if x.route.Persistence || s.affinity != "" && x.route.Class == routing.Streaming {
 		request.Prefer = x.gateway.opt.Dispatcher.Prefer(x.service, s.affinity)
--- a/internal/anemometer/gateway/resume.go
+++ b/internal/anemometer/gateway/resume.go
@@ -19,6 +19,7 @@
 		len(reply.Body) > 0 || reply.Length != message.Unknown {
 		return a
 	}
+	s.avoid = a.Server
 	reply.Rest = &resumedStream{exchange: x, submission: s, source: reply.Rest, attempts: a.Attempts}
 	return a
 }
@@ -27,8 +28,8 @@
 // gives whole events only: the next server goes on behind the last one.
 type resumedStream struct {
 	exchange   *exchange
-	submission submission
-	attempts   int // sent so far
+	submission submission // that brought the present source
+	attempts   int        // sent so far
 	events     events.Cutter
 	whole      []byte // events that were not read yet
 	err        error  // with which reading ends once whole is empty
@@ -73,10 +74,11 @@
 	}
 	s.source.Close()
 	s.events.Drop()
-	next := s.submission
-	next.again, next.maxAttempts, next.lastEvent = true, left, s.events.LastID()
-	a := s.exchange.submit(next)
+	s.submission.again++
+	s.submission.maxAttempts, s.submission.lastEvent = left, s.events.LastID()
+	a := s.exchange.submit(s.submission)
 	s.attempts += a.Attempts
+	s.submission.avoid = a.Server
 	reply, _ := a.Reply.(*message.Reply)
 	if reply == nil {
 		return false
--- a/internal/anemometer/gateway/resume_test.go
+++ b/internal/anemometer/gateway/resume_test.go
@@ -137,3 +137,14 @@
 	<-r.turns.ends
 	<-r.turns.ends
 }
+
+// A route that allows more servers has a stream go on more than once.
+func TestStreamGoesOnAsOftenAsItsRouteAllows(t *testing.T) {
+	serve, asked := breaking(2, len(eventText(1))+3)
+	r := newRig(t, true, serve)
+	response := r.ask(t, "POST", "/often/x", "input", turnHeaders...)
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), wholeStream())
+	assert.Equal(t, asked.Load(), int64(3))
+}
--- a/internal/anemometer/gateway/standin_test.go
+++ b/internal/anemometer/gateway/standin_test.go
@@ -27,6 +27,7 @@
 const configuration = `{"configRevision":1,"virtualServers":[
 {"name":"turns","hostHeader":"h","pathPrefix":"/turns/","trafficClass":"streaming","timeoutMs":5000,"targetLatencyMs":250,"priority":1,"poolName":"llm","retryLimit":2,"retained":true,"retentionS":60,"persistence":true},
 {"name":"resumable","hostHeader":"h","pathPrefix":"/resumable/","trafficClass":"streaming","timeoutMs":5000,"targetLatencyMs":250,"priority":1,"poolName":"llm","retryLimit":2,"sessionResume":true},
+{"name":"often","hostHeader":"h","pathPrefix":"/often/","trafficClass":"streaming","timeoutMs":5000,"targetLatencyMs":250,"priority":1,"poolName":"llm","retryLimit":3,"sessionResume":true},
 {"name":"reads","hostHeader":"h","pathPrefix":"/reads/","trafficClass":"idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2},
 {"name":"orders","hostHeader":"h","pathPrefix":"/orders/","trafficClass":"non_idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2}],
 "pools":[{"name":"llm","engine":{"streamChunk":2}},{"name":"tools"}],"limits":{"maxBodyBytes":1000}}`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	Hint      time.Duration    // a guess at its work; 0: not told
 	Prefer    []logic.ServerID // that hold part of its prompt, best first
 	Worth     float64          // 0: its class's
+	Avoid     logic.ServerID   // gets it only where there is no other backend
 	// MaxAttempts is how many attempts the request may have, 0: as many as its class.
 	MaxAttempts int
 	Arrived     time.Time
@@ -56,8 +57,9 @@
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration
-	Ran        bool // of a refusal: an attempt may have run, it is harmless only since the request may be repeated
-	Attempts   int  // that were sent
+	Ran        bool           // of a refusal: an attempt may have run, it is harmless only since the request may be repeated
+	Attempts   int            // that were sent
+	Server     logic.ServerID // whose streamed answer it is, else empty
 	// Reply is set where Kind is Served. Where Kind is Failed it may be: it then is the newest
 	// failure that a backend answered with and that goes to the client unchanged, in the place
 	// of a refusal too. Only a carrier that ends attempts with Pass brings such ones. Who gets
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -239,7 +239,7 @@
 		h.until = h.Arrived.Add(openMost)
 	}
 	q := logic.Request{ID: id, Class: r.Class, Retry: r.Retry, Tenant: r.Tenant, Hint: r.Hint, Expires: r.Wait, Coming: r.Open,
-		Prefer: r.Prefer, Worth: r.Worth, MaxAttempts: r.MaxAttempts}
+		Prefer: r.Prefer, Worth: r.Worth, MaxAttempts: r.MaxAttempts, Avoid: r.Avoid}
 	if !r.Open {
 		// What the request waited for its turn is gone from the client's patience.
 		q.Expires = h.until.Sub(o.world.Now())
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -39,7 +39,7 @@
 	}
 	r.streams = true
 	server, latency := t.server, t.stream.latency
-	o.answer(id, Answer{Kind: Served, Reply: e.Reply})
+	o.answer(id, Answer{Kind: Served, Reply: e.Reply, Server: server})
 	o.tell(id, logic.Started{ID: id, Attempt: n, Server: server, Latency: latency})
 	if e.Report != nil { // told now: at the stream's end it would be old
 		o.tell(id, logic.Probed{Server: server, Result: logic.OK, Latency: latency, Report: e.Report})
--- a/internal/core/stream_test.go
+++ b/internal/core/stream_test.go
@@ -60,7 +60,7 @@
 	for name, result := range map[string]logic.Result{"whole": logic.OK, "broken": logic.Reset, "left": logic.Canceled, "out of time": logic.TimedOut} {
 		s, reply, copied := newStreamed(nil), &closing{}, &closing{}
 		s.ends[0](Ended{Result: logic.OK, Begun: true, Reply: reply, Report: []float64{2}, At: s.later(time.Second)})
-		require.Equal(t, []Answer{{Kind: Served, Reply: reply, Attempts: 2}}, s.answers, name)
+		require.Equal(t, []Answer{{Kind: Served, Reply: reply, Attempts: 2, Server: "a"}}, s.answers, name)
 		assert.Equal(t, []logic.Event{
 			logic.Started{ID: "r", Server: "a", Latency: time.Second},
 			logic.Probed{Server: "a", Latency: time.Second, Report: []float64{2}},
--- a/logic/api.go
+++ b/logic/api.go
@@ -199,7 +199,8 @@
 	Worth   float64       // of this request, above 0 and finite; 0: its class's
 	Prefer  []ServerID    // servers known to hold part of its prompt, best first
 
-	MaxAttempts int // attempts allowed for this request, 0: its class's
+	MaxAttempts int      // attempts allowed for this request, 0: its class's
+	Avoid       ServerID // gets it only where there is no other server, "": any may
 }
 
 // Whole tells that the last byte has come of a request that was told as Coming: its time
--- a/logic/balancer.go
+++ b/logic/balancer.go
@@ -107,7 +107,7 @@
 	tries                      []attempt
 	open, most, work           int // attempts out, allowed (0: any); load of each, none while it comes
 	alt                        *server
-	prefer                     []ServerID
+	told                       Request
 	retried, closed, streaming bool
 	brief                      bool // its client waits so briefly that, were it late, its aim is over
 	idle                       bool // the end of its last attempt, or that there was none, tells of no load
@@ -238,7 +238,7 @@
 
 func (b *Balancer) admit(q Request, c *class) *request {
 	b.seq++
-	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true, prefer: q.Prefer}
+	r := &request{id: q.ID, seq: b.seq, class: c, unit: c.scale, cost: 1, idle: true, told: q}
 	if r.most, r.work = cmp.Or(q.MaxAttempts, c.MaxAttempts, b.cfg.MaxAttempts), 1; q.Coming {
 		r.most, r.work = 1, 0
 	}
--- a/logic/choose.go
+++ b/logic/choose.go
@@ -88,7 +88,7 @@
 
 // preferred returns the first server that holds part of the prompt, promises such a gain and isn't crowded.
 func (b *Balancer) preferred(r *request, least float64) *server {
-	for _, id := range r.prefer {
+	for _, id := range r.told.Prefer {
 		s := b.servers[id]
 		if s != nil && !s.aside(b.now) && b.maySend(r, s) && b.gain(r, s, 0) >= least &&
 			s.load(b.now) <= heldLeast+heldTimes*float64(len(b.bySeq))*s.Capacity/b.nearSum {
--- a/logic/guard.go
+++ b/logic/guard.go
@@ -24,7 +24,8 @@
 // maySend tells whether no rule forbids a send to the server now. All that is out for long may be lost.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	free := s.limit == 0 || (b.now-s.sent).Seconds() > silentAfter*(s.base+r.cost*r.class.hint)
-	return s.serves() && (free || s.load(b.now) < s.limit) && b.mayTake(s) && b.mayRepeat(r, s)
+	return s.serves() && (s.ID != r.told.Avoid || len(b.ready) == 1) && (free || s.load(b.now) < s.limit) &&
+		b.mayTake(s) && b.mayRepeat(r, s)
 }
 
 // mayRepeat tells whether a further attempt goes to a server not tried yet and can double no effect.
--- a/logic/prompt_test.go
+++ b/logic/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -103,3 +104,18 @@
 	assert.Empty(t, of[Send](out))
 	assert.Len(t, of[Refuse](out), 1)
 }
+
+// A request keeps away from the server that it is to avoid, unless that is the only one.
+func TestAvoidedServerGetsNothingWhereThereAreOthers(t *testing.T) {
+	for seq := range 50 {
+		b := resumableNode(t, Safe, true)
+		id := RequestID(strconv.Itoa(seq))
+		sends := of[Send](b.Handle(0, Request{ID: id, Class: "c", Expires: time.Second, Avoid: "s1", Prefer: []ServerID{"s1"}}))
+		require.Len(t, sends, 1)
+		assert.NotEqual(t, ServerID("s1"), sends[0].Server)
+	}
+	cfg := testSettings()
+	b := newNode(t, cfg, Server{ID: "only", Capacity: 1})
+	sends := of[Send](b.Handle(0, Request{ID: "r", Class: cfg.Classes[0].Name, Expires: time.Second, Avoid: "only"}))
+	assert.Len(t, sends, 1)
+}
