Play the seed that shows a flaw without the flaw too

Cause: the flaw tests search up to 10,000 seeds and the plain simulation plays fewer, so a check removed by hand could leave the package green. Change: each flaw's test plays the seed it found on the code as it is.

--- a/internal/barograph/replica/simulation_test.go
+++ b/internal/barograph/replica/simulation_test.go
@@ -27,7 +27,8 @@
 				o.seed = seed
 				ran.Add(1)
 				if err := simulate(o); err != nil {
-					failed.CompareAndSwap(nil, &err)
+					failure := error(&seedError{seed, err})
+					failed.CompareAndSwap(nil, &failure)
 				}
 			}
 		})
@@ -39,6 +40,15 @@
 	return ran.Load(), nil
 }
 
+// seedError is the failure of one seed's simulation.
+type seedError struct {
+	seed uint64
+	err  error
+}
+
+func (e *seedError) Error() string { return e.err.Error() } // which names the seed
+func (e *seedError) Unwrap() error { return e.err }
+
 // counts are of what happened in simulations: what never happens is not tested either.
 type counts struct {
 	owners, changes, restored, handovers, wipes, reads, writes, recent uint64
@@ -103,7 +113,8 @@
 	assert.NilError(t, failure)
 }
 
-// TestSimulationFindsFlaws tests the tests: each defect must show.
+// TestSimulationFindsFlaws tests the tests: each defect must show. The seed that shows it is
+// played without the defect too, so that the same fault in the code itself would show as well.
 func TestSimulationFindsFlaws(t *testing.T) {
 	const seeds = 10_000
 	for _, flawed := range []struct {
@@ -124,6 +135,11 @@
 			assert.Assert(t, failure != nil, "no seed of %d fails", runs)
 			assert.Assert(t, !errors.Is(failure, errNotJudged), "%v", failure)
 			t.Logf("after %d seeds: %v", runs, failure)
+			var shown *seedError
+			assert.Assert(t, errors.As(failure, &shown))
+			right := flawed.options
+			right.flaws, right.forgetful, right.seed = replica.Flaws{}, false, shown.seed
+			assert.NilError(t, simulate(right), "seed %d without the flaw", shown.seed)
 		})
 	}
 }
