--- a/internal/anemometer/dispatch/dispatch.go
+++ b/internal/anemometer/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"pipitmux/internal/core"
 	"pipitmux/internal/counters"
 	"pipitmux/internal/message"
-	"pipitmux/internal/station/hashing"
 	"pipitmux/internal/station/protocol"
 	"pipitmux/internal/station/routing"
 	"pipitmux/internal/upstream"
@@ -25,19 +23,10 @@
 )
 
 const (
-	// worthMost is the worth of a request of the highest priority and usual size, the
-	// paper's example figure; each further rank is worth rankShare of the one before.
-	worthMost = 20.0
-	rankShare = 0.6
 	// crossCharge and connectCharge are the prices of a send into another zone and of a new
 	// connection, as parts of a usual request's worth.
 	crossCharge   = 0.03
 	connectCharge = 0.01
-	// usualShare is how many usual answers fit in a route's target, until answers tell.
-	usualShare = 2
-	// promptTimes is how many targets an answer that may be sent for again is given to come from
-	// either of two servers.
-	promptTimes = 2
 	// retryAfter is what refused clients are told.
 	retryAfter = 300 * time.Millisecond
 	// idleFor is how long a connection to a server rests before it is closed, connectWithin
@@ -47,10 +36,6 @@
 	userTimeout   = 3 * time.Second
 	// resizeEvery is how often it is looked whether fewer servers would do.
 	resizeEvery = time.Second
-	// preferred is how many servers a program's turns keep to, best first.
-	preferred = 3
-	// defaultClass is what a service without a route is given: the module needs a class.
-	defaultClass = "none"
 )
 
 // Options are what a Dispatcher needs.
@@ -89,13 +74,6 @@
 	drained int          // draining ones
 }
 
-// candidate is a server that a program's turns may keep to.
-type candidate struct {
-	id   logic.ServerID
-	hash uint64
-	near bool // in this node's zone
-}
-
 // New returns a Dispatcher without services.
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{opt: o, quit: make(chan struct{}), services: map[string]*service{}, classes: map[string][]logic.Class{}, lists: map[string][]protocol.Server{}}
@@ -282,105 +260,3 @@
 	}
 	return s.core
 }
-
-// Prefer lists the servers to which the requests of one key keep: those of this node's
-// zone first, in the key's own order.
-func (d *Dispatcher) Prefer(name, key string) []logic.ServerID {
-	d.mu.Lock()
-	var servers []candidate
-	if s := d.services[name]; s != nil {
-		servers = s.servers // replaced as a whole, never changed
-	}
-	d.mu.Unlock()
-	if key == "" {
-		return nil
-	}
-	return best(servers, key)
-}
-
-// candidates are the servers that take requests, as a node of the zone sees them.
-func candidates(servers []protocol.Server, zone string) []candidate {
-	taking := make([]candidate, 0, len(servers))
-	for _, x := range servers {
-		if !x.Draining {
-			taking = append(taking, candidate{logic.ServerID(x.ID), hashing.Sum64(x.ID), x.Zone == zone})
-		}
-	}
-	return taking
-}
-
-// ranked is a candidate with what it draws for a key.
-type ranked struct {
-	candidate
-	weight uint64
-}
-
-// before tells whether a server goes before another.
-func (r ranked) before(o ranked) bool {
-	if r.near != o.near {
-		return r.near
-	}
-	return r.weight > o.weight
-}
-
-// best returns the first few servers in a key's order, in one pass.
-func best(servers []candidate, key string) []logic.ServerID {
-	first := make([]ranked, 0, preferred+1)
-	for _, s := range servers {
-		r := ranked{s, hashing.Weight(key, s.hash)}
-		if len(first) == preferred && first[preferred-1].before(r) {
-			continue
-		}
-		at := len(first)
-		for at > 0 && r.before(first[at-1]) {
-			at--
-		}
-		first = slices.Insert(first, at, r)
-		first = first[:min(len(first), preferred)]
-	}
-	ids := make([]logic.ServerID, 0, len(first))
-	for _, r := range first {
-		ids = append(ids, r.id)
-	}
-	return ids
-}
-
-// classesOf makes a class of each route for each service that it may go to.
-func classesOf(c *routing.Configuration) map[string][]logic.Class {
-	classes := map[string][]logic.Class{}
-	for i := range c.Routes {
-		class := classOf(&c.Routes[i])
-		for _, w := range c.Routes[i].Weights {
-			if w.Ratio > 0 {
-				classes[w.Pool] = append(classes[w.Pool], class)
-			}
-		}
-	}
-	for _, p := range c.Pools {
-		if len(classes[p.Name]) == 0 {
-			classes[p.Name] = []logic.Class{{Name: defaultClass, Aim: time.Second, Deadline: time.Second, Effect: logic.Unsafe}}
-		}
-	}
-	return classes
-}
-
-func classOf(r *routing.Route) logic.Class {
-	class := logic.Class{
-		Name: r.Name, Aim: r.Timeout, Deadline: r.Timeout, Prompt: promptTimes * r.TargetLatency, Usual: r.TargetLatency / usualShare, Worth: worthOf(r.Priority),
-		Effect: logic.Unsafe, MaxAttempts: max(r.RetryLimit, 1), Stream: r.Class == routing.Streaming,
-	}
-	class.Resumable = class.Stream && r.SessionResume
-	if r.Class == routing.Idempotent || class.Resumable {
-		class.Effect = logic.Safe
-	}
-	return class
-}
-
-// worthOf is the worth of a usual request of a rank, 0 being the highest.
-func worthOf(rank int) float64 {
-	worth := worthMost
-	for range min(max(rank, 0), 9) {
-		worth *= rankShare
-	}
-	return worth
-}
--- a/internal/anemometer/gateway/request.go
+++ b/internal/anemometer/gateway/request.go
@@ -21,7 +21,6 @@
 	previousHeader = "Previous"
 	budgetHeader   = "Budget"
 	tokensHeader   = "Oakseam-Token-Count"
-	prefixHeader   = "Oakseam-Prompt-Prefix"
 )
 
 // connectionHeaders concern one connection only and are not handed on, either way.
