--- a/cmd/oaklab/tier_test.go
+++ b/cmd/oaklab/tier_test.go
@@ -21,7 +21,7 @@
 	require.NoError(t, err, "%s", out)
 	opt := tierlab.Default()
 	opt.EdgeProgram, opt.ControlProgram = filepath.Join(dir, "oakseam-edge"), filepath.Join(dir, "oakseam-control")
-	opt.Network, opt.LogDir = "127.30", dir // differs from the default, so that the command can run at the same time
+	opt.LogDir = dir
 	return opt
 }
 
--- a/cmd/oakseam/registry_test.go
+++ b/cmd/oakseam/registry_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,34 +74,16 @@
 	assert.Less(t, time.Since(started), 10*time.Second)
 	n.waitUntil("calls fail", func() bool { return n.counter("list.failed") > "1" })
 
-	// Some send a request and stay, the others are silent. All reconnect whenever they are ended.
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		var conns []net.Conn
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				for _, c := range conns {
-					c.Close()
-				}
-				return
-			default:
-			}
-			c, err := net.DialTimeout("tcp", n.addr, patience)
-			if err != nil {
-				continue
-			}
-			if i%3 == 0 {
-				io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"[:20+i%8]) // some send only a part
-			}
-			if conns = append(conns, c); len(conns) > 400 {
-				conns[0].Close()
-				conns = conns[1:]
-			}
-		}
-	}()
-	defer func() { close(stop); <-done }()
+	// Some send a part of a request, the others are silent. Those that stay reconnect whenever their
+	// session ends: they alone are more than the node has sessions for. The others come and go.
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	defer close(stop)
+	for i := range stayingClients {
+		clients.Go(func() { n.stayConnected(stop, i) })
+	}
+	clients.Go(func() { n.comeAndGo(stop) })
 	n.waitUntil("sessions are shed", func() bool { return n.counter("session.shed") != "0" })
 	for range 4 {
 		assert.Equal(t, 200, n.ask("topup").status)
@@ -122,6 +105,71 @@
 	assert.Equal(t, 200, a.status)
 }
 
+// stayingClients is the number of clients that stay. It exceeds the sockets of the node that they
+// keep busy, so that some sessions must be shed however fast clients and node are.
+const stayingClients = 160
+
+// partOfRequest returns what client i sends: nothing, a part of a request, or seldom a whole one.
+func partOfRequest(i int) string {
+	if i%3 != 0 {
+		return ""
+	}
+	return "GET / HTTP/1.1\r\nHost: x\r\n\r\n"[:20+i%8]
+}
+
+// stayConnected keeps a session open, and opens another one whenever it ends, until stop is closed.
+func (n *node) stayConnected(stop <-chan struct{}, i int) {
+	for !isClosed(stop) {
+		c, err := net.DialTimeout("tcp", n.addr, patience)
+		if err != nil {
+			continue
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			io.WriteString(c, partOfRequest(i))
+			io.Copy(io.Discard, c)
+		}()
+		select {
+		case <-ended:
+		case <-stop:
+		}
+		c.Close()
+		<-ended
+	}
+}
+
+// comeAndGo opens sessions as fast as it can, and closes the oldest of 400, until stop is closed.
+func (n *node) comeAndGo(stop <-chan struct{}) {
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for i := 0; !isClosed(stop); i++ {
+		c, err := net.DialTimeout("tcp", n.addr, patience)
+		if err != nil {
+			continue
+		}
+		io.WriteString(c, partOfRequest(i))
+		if conns = append(conns, c); len(conns) > 400 {
+			conns[0].Close()
+			conns = conns[1:]
+		}
+	}
+}
+
+// isClosed reports whether a channel that carries nothing is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ten processes start without a list while the registry refuses every call for 6 s. All must be
 // ready within 10 s of their start.
 func TestReadySoonAfterRegistryRefusals(t *testing.T) {
--- a/internal/audit/tier/checker_test.go
+++ b/internal/audit/tier/checker_test.go
@@ -286,3 +286,8 @@
 	assert.Equal(t, h.Draining["e"], first)
 	assert.Equal(t, len(h.Shown)+len(h.Kills), 2)
 }
+
+// A person reads counts by status, in the order of the status.
+func TestFormatCountsOrdersByStatus(t *testing.T) {
+	assert.Equal(t, formatCounts(map[int]int{503: 2, 0: 1, 200: 2414}), "0: 1, 200: 2414, 503: 2")
+}
--- a/internal/audit/tier/report.go
+++ b/internal/audit/tier/report.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -112,6 +115,15 @@
 	return true
 }
 
+// formatCounts lists counts by status, in the order of the status.
+func formatCounts(counts map[int]int) string {
+	var parts []string
+	for _, status := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d: %d", status, counts[status]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // Print writes the report as a table.
 func (r *Report) Print(to io.Writer) {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -121,7 +133,7 @@
 	}
 	w.Flush()
 	for k, statuses := range r.Statuses {
-		fmt.Fprintf(to, "%s by status (0: no whole answer): %v\n", Kind(k), statuses)
+		fmt.Fprintf(to, "%s by status (0: no whole answer): %s\n", Kind(k), formatCounts(statuses))
 	}
 	fmt.Fprintf(to, "turns: %d programs, %d of them spent their budget, %d turns went on from another; first byte p50 %.1f ms, p99 %.1f ms\n",
 		r.Programs, r.BudgetExhausted, r.ContinuedTurns, r.First.P50, r.First.P99)
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -116,11 +116,19 @@
 	op.sendRequest()
 }
 
-// sendRequest sends one request of the operation through the frontend of its zone.
+// deadline is when the client gives up the operation.
+func (op *operation) deadline() time.Duration { return op.startedAt + op.class.DeadlineMS.ms() }
+
+// sendRequest sends one request of the operation through the frontend of its zone. It sends nothing
+// once the deadline has passed: in a live run the timer that calls it may fire late.
 func (op *operation) sendRequest() {
 	sim := op.sim
+	left := op.deadline() - sim.now
+	if left <= 0 {
+		sim.stats.recordUnserved(op, timedOut)
+		return
+	}
 	op.requests++
-	left := op.startedAt + op.class.DeadlineMS.ms() - sim.now
 	timeout := min(time.Duration(sim.scenario.Clients.RequestTimeoutShare.From*float64(op.class.DeadlineMS.ms())), left)
 	n := sim.frontend.pick(op.zone)
 	if n == nil {
@@ -240,7 +248,7 @@
 	if op.honoursRetryAfter && retryAfter > 0 {
 		delay = max(delay, min(retryAfter, sim.scenario.Clients.MaxRetryAfterMS.ms()))
 	}
-	if !retrySafe || op.requests > int(sim.scenario.Clients.Retries.From) || sim.now+delay >= op.startedAt+op.class.DeadlineMS.ms() {
+	if !retrySafe || op.requests > int(sim.scenario.Clients.Retries.From) || sim.now+delay >= op.deadline() {
 		sim.stats.recordUnserved(op, result)
 		return
 	}
--- a/internal/emulator/live_test.go
+++ b/internal/emulator/live_test.go
@@ -62,3 +62,27 @@
 		})
 	}
 }
+
+// The timer of a retry may fire late. A client whose time is over sends nothing more, and is due no
+// answer.
+func TestLateRetryTimerSendsNothing(t *testing.T) {
+	scenario, err := Parse("late.yaml", []byte(smallScenario))
+	require.NoError(t, err)
+	for name, late := range map[string]bool{"late": true, "in time": false} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(scenario, 1)
+			for _, n := range sim.nodes {
+				n.inRotation = true
+			}
+			op := &operation{sim: sim, id: 1, class: &scenario.Classes[0], startedAt: sim.now}
+			op.requests = 1
+			if late {
+				sim.now = op.deadline()
+			}
+			before := sim.traffic.requests
+			op.sendRequest()
+			assert.Equal(t, late, sim.traffic.requests == before)
+			assert.Equal(t, late, op.requests == 1)
+		})
+	}
+}
--- a/internal/gossip/contract_test.go
+++ b/internal/gossip/contract_test.go
@@ -28,6 +28,8 @@
 	// SetFaults makes the network lose, duplicate and reorder datagrams from now on. Nil where
 	// that is impossible.
 	SetFaults func()
+	// Settle waits until no datagram is in transit. Nil where Send delivers at once.
+	Settle func()
 }
 
 // Clause is one promise of the contract.
@@ -239,6 +241,9 @@
 	if _, err := exchange(all[0], all[1], []byte("to another")); err != nil {
 		return err
 	}
+	if n.Settle != nil { // a datagram that arrives while the reader reads was never queued
+		n.Settle()
+	}
 	keptCount := make(chan int, 1) // counts the datagrams that were queued before the last one
 	go func() {
 		count := 0
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -51,12 +51,16 @@
 }
 
 // delayedNet is the same with a clock, as in the emulator: datagrams take up to 5 ms.
-func delayedNet() Net {
+func delayedNet() Net { return netWithDelay(5 * time.Millisecond) }
+
+// netWithDelay is an in-memory network whose datagrams take up to maxDelay.
+func netWithDelay(maxDelay time.Duration) Net {
 	n, count := gossip.NewMemoryNetwork(nil), 0
 	rng := rand.New(rand.NewPCG(1, 3)) // used under the network's lock
 	faulty := false
+	var inTransit sync.WaitGroup
 	n.SetDelivery(func(_, _ string) []time.Duration {
-		takes := func() time.Duration { return time.Duration(rng.IntN(int(5 * time.Millisecond))) }
+		takes := func() time.Duration { return time.Duration(rng.IntN(int(maxDelay))) }
 		switch {
 		case faulty && rng.Float64() < 0.2:
 			return nil
@@ -64,13 +68,20 @@
 			return []time.Duration{takes(), takes()}
 		}
 		return []time.Duration{takes()}
-	}, func(d time.Duration, come func()) { time.AfterFunc(d, come) })
+	}, func(d time.Duration, deliver func()) {
+		inTransit.Add(1)
+		time.AfterFunc(d, func() {
+			defer inTransit.Done()
+			deliver()
+		})
+	})
 	return Net{
 		Listen: func() (gossip.Transport, error) {
 			count++
 			return n.Listen(fmt.Sprint("node-", count)), nil
 		},
 		SetFaults: func() { faulty = true },
+		Settle:    inTransit.Wait,
 	}
 }
 
@@ -78,6 +89,12 @@
 	checkTransport(t, func(*testing.T) Net { return delayedNet() })
 }
 
+// Datagrams that are still in transit when the reader begins to read are not in its queue, however
+// late they arrive.
+func TestSlowReaderQueueIsBoundedWithLateDatagrams(t *testing.T) {
+	assert.NoError(t, among(2, checkSlowReader)(netWithDelay(120*time.Millisecond)))
+}
+
 // wrong is a transport that breaks one promise.
 type wrong struct {
 	*gossip.MemoryTransport
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -27,7 +27,7 @@
 type Options struct {
 	EdgeProgram    string // path of the data plane's program
 	ControlProgram string // path of the control plane's program
-	Network        string // first two bytes of all addresses, within 127.0.0.0/8
+	Network        string // first two bytes of all addresses, within 127.0.0.0/8; empty: a network that no other run uses
 	Folder         string // for the disks of the machines; empty: a temporary folder
 	LogDir         string // for the logs of the processes; empty: logs are discarded
 	Seconds        float64
@@ -44,7 +44,7 @@
 
 // Default returns the options of a usual run, without the paths of the programs.
 func Default() Options {
-	return Options{Network: "127.20", Seconds: 25, Edges: 2, Cores: 3, Storages: 4, Agents: 24, Seed: 1}
+	return Options{Seconds: 25, Edges: 2, Cores: 3, Storages: 4, Agents: 24, Seed: 1}
 }
 
 // Result is the result of a run.
@@ -122,6 +122,14 @@
 
 // Run executes one run. It ends everything that it has started.
 func Run(ctx context.Context, opt Options) (*Result, error) {
+	if opt.Network == "" {
+		network, reservation, err := reserveNetwork()
+		if err != nil {
+			return nil, err
+		}
+		defer reservation.Close()
+		opt.Network = network
+	}
 	folder, err := os.MkdirTemp(opt.Folder, "oaklab-tier")
 	if err != nil {
 		return nil, err
