--- a/internal/controlplane/coordinator/calls.go
+++ b/internal/controlplane/coordinator/calls.go
@@ -84,21 +84,50 @@
 		if revision, _ := state.Configuration(); revision > args.Revision && !args.DirectoryOnly {
 			reply.Revision, reply.Steps, newer = revision, state.Since(args.Revision), true
 		}
-		if d := state.Directory(); d.Version > args.Directory {
-			reply.Directory, newer = &d, true
-		}
+		newer = addDirectory(state, args, reply) || newer
 	})
 	if args.DirectoryOnly {
 		return newer
 	}
 	for partition := range protocol.ServicePartitions {
 		c.node.Host.ReadLocal(protocol.ServiceGroup(partition), func(m host.StateMachine) {
-			lists, version := m.(*servers.Machine).Lists()
-			if version > args.Services[partition] {
-				reply.Services[partition], newer = version, true
-				reply.Lists = append(reply.Lists, lists...)
-			}
+			newer = addLists(m.(*servers.Machine), partition, args, reply) || newer
 		})
 	}
 	return newer
 }
+
+// addDirectory adds a newer directory to the reply, as a change if the caller can apply one. It
+// reports whether there is a newer one.
+func addDirectory(state *revisions.Machine, args *protocol.WatchArgs, reply *protocol.WatchReply) bool {
+	directory := state.Directory()
+	if directory.Version <= args.Directory {
+		return false
+	}
+	if args.AcceptsChanges {
+		if change, ok := state.DirectorySince(args.Directory); ok {
+			reply.DirectoryChange = change
+			return true
+		}
+	}
+	reply.Directory = &directory
+	return true
+}
+
+// addLists adds the newer lists of a partition to the reply, as changes if the caller can apply them.
+// It reports whether there are newer ones.
+func addLists(state *servers.Machine, partition int, args *protocol.WatchArgs, reply *protocol.WatchReply) bool {
+	lists, version := state.Lists()
+	if version <= args.Services[partition] {
+		return false
+	}
+	reply.Services[partition] = version
+	if args.AcceptsChanges {
+		if changes, ok := state.Since(args.Services[partition]); ok {
+			reply.ListChanges = append(reply.ListChanges, changes...)
+			return true
+		}
+	}
+	reply.Lists = append(reply.Lists, lists...)
+	return true
+}
--- a/internal/controlplane/revisions/membership_test.go
+++ b/internal/controlplane/revisions/membership_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/tier/diff"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -80,3 +81,33 @@
 	emptied, retiring := m.Emptied("s1")
 	assert.Assert(t, !emptied && retiring)
 }
+
+// The change since a version of the directory leads to the newest one. A restored machine knows no
+// earlier versions.
+func TestDirectorySinceGivesTheChange(t *testing.T) {
+	m := newAssignedMachine(t)
+	base := m.Directory()
+	assert.Equal(t, apply(t, m, membershipUpdate(5, 0, true, 1, 2, 3, 4)), Accepted)
+	assert.Equal(t, apply(t, m, membershipUpdate(5, 1, false, 2, 3, 4)), Accepted)
+	assert.Equal(t, apply(t, m, retire("s1")), Accepted)
+	for range 2 { // the second is remembered
+		change, ok := m.DirectorySince(base.Version)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(change.Nodes), 0)
+		got, err := diff.ApplyDirectory(base, *change)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m.Directory())
+	}
+	_, ok := m.DirectorySince(m.Directory().Version)
+	assert.Assert(t, !ok)
+	restored := New(nil)
+	assert.NilError(t, restored.Restore(m.Snapshot()))
+	_, ok = restored.DirectorySince(base.Version)
+	assert.Assert(t, !ok)
+	for i := range 2 * maxRecentDirectories {
+		n := node(10+i, "core", protocol.Core)
+		apply(t, m, Command{Register: &n})
+	}
+	_, ok = m.DirectorySince(base.Version)
+	assert.Assert(t, !ok, "what is kept is bounded")
+}
--- a/internal/controlplane/revisions/revisions.go
+++ b/internal/controlplane/revisions/revisions.go
@@ -103,6 +103,7 @@
 	state           state
 	body            []byte
 	steps           recentSteps
+	directories     recentDirectories
 	acceptedDigests map[Digest]struct{}
 	changed         func()
 }
@@ -131,7 +132,11 @@
 	if err := cbor.Unmarshal(text, &command); err != nil {
 		return Unreadable.Bytes()
 	}
+	before := m.state.Directory
 	result := m.apply(&command)
+	if m.state.Directory.Version != before.Version {
+		m.directories.add(before)
+	}
 	if result == Accepted {
 		m.changed()
 	}
@@ -330,6 +335,12 @@
 // Directory returns the directory. The values it refers to must not be modified.
 func (m *Machine) Directory() protocol.Directory { return m.state.Directory }
 
+// DirectorySince returns the change from a version of the directory to the newest one, or false if
+// that version is no longer known. It must not be modified.
+func (m *Machine) DirectorySince(version uint64) (*protocol.DirectoryChange, bool) {
+	return m.directories.changeTo(version, m.state.Directory)
+}
+
 // Emptied reports whether the node is not and will not become a voter of any partition, and
 // whether it is retiring. Before the partitions are assigned it may still receive some.
 func (m *Machine) Emptied(node string) (emptied, retiring bool) {
@@ -375,7 +386,7 @@
 			return errors.Wrap(err, "restore configuration")
 		}
 	}
-	m.state, m.body, m.steps = next, body, recentSteps{}
+	m.state, m.body, m.steps, m.directories = next, body, recentSteps{}, recentDirectories{}
 	m.acceptedDigests = make(map[Digest]struct{}, len(next.AcceptedChanges))
 	for _, d := range next.AcceptedChanges {
 		m.acceptedDigests[d] = struct{}{}
--- a/internal/controlplane/servers/servers.go
+++ b/internal/controlplane/servers/servers.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"oakseam/internal/tier/diff"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -44,6 +45,7 @@
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct {
 	state   state
+	recent  recentChanges
 	changed func()
 }
 
@@ -83,11 +85,16 @@
 func (m *Machine) setServers(s Service) {
 	m.state.Version++
 	list := protocol.ServerList{Service: s.Name, Version: m.state.Version, Servers: s.Servers}
+	var before protocol.ServerList
 	// Callers hold references to the lists, so they are copied before a change.
 	lists := slices.Clone(m.state.Lists)
 	at, found := slices.BinarySearchFunc(lists, s.Name, func(l protocol.ServerList, name string) int {
 		return cmp.Compare(l.Service, name)
 	})
+	if found {
+		before = lists[at]
+	}
+	m.recent.add(diff.Servers(before, list))
 	switch {
 	case found && len(s.Servers) == 0:
 		lists = slices.Delete(lists, at, at+1)
@@ -103,6 +110,23 @@
 // partition's version. The lists must not be modified.
 func (m *Machine) Lists() ([]protocol.ServerList, uint64) { return m.state.Lists, m.state.Version }
 
+// Since returns the changes from a version of the partition to the newest one, or false if they are
+// no longer known or larger than the whole lists. They must not be modified.
+func (m *Machine) Since(version uint64) ([]protocol.ServerListChange, bool) {
+	changes, ok := m.recent.since(version)
+	if !ok {
+		return nil, false
+	}
+	size, whole := 0, 0
+	for _, c := range changes {
+		size += changeSize(c)
+	}
+	for _, l := range m.state.Lists {
+		whole += len(l.Servers)
+	}
+	return changes, size <= whole
+}
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() []byte {
 	text, err := cbor.Marshal(&m.state)
@@ -120,7 +144,7 @@
 			return errors.Wrap(err, "restore services")
 		}
 	}
-	m.state = next
+	m.state, m.recent = next, recentChanges{}
 	m.changed()
 	return nil
 }
--- a/internal/controlplane/servers/servers_test.go
+++ b/internal/controlplane/servers/servers_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/tier/diff"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -73,3 +74,42 @@
 	m := New(func() { t.Fatal("change reported") })
 	assert.DeepEqual(t, m.Apply([]byte("no publication")), Rejected)
 }
+
+// The changes since a version, applied to the lists of that version, give the newest lists. A restored
+// machine knows none, and many changes are sent as whole lists.
+func TestSinceGivesTheChanges(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 1, 1, service("p", "a", "b", "c", "d"), service("q", "e", "f"))
+	lists, version := m.Lists()
+	apply(t, m, 1, 2, service("p", "a", "b", "d"))
+	apply(t, m, 1, 3, service("q"))
+	changes, ok := m.Since(version)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(changes), 2)
+	for _, c := range changes {
+		lists = diff.ApplyServers(lists, c)
+	}
+	newest, _ := m.Lists()
+	assert.DeepEqual(t, lists, newest)
+
+	_, ok = m.Since(0)
+	assert.Assert(t, !ok, "from nothing the whole lists are smaller")
+	_, ok = m.Since(version + 5)
+	assert.Assert(t, !ok)
+	restored := New(nil)
+	assert.NilError(t, restored.Restore(m.Snapshot()))
+	_, ok = restored.Since(version)
+	assert.Assert(t, !ok, "a snapshot holds no changes")
+}
+
+// What is kept for those behind is bounded.
+func TestRecentChangesAreBounded(t *testing.T) {
+	var r recentChanges
+	for version := range uint64(3 * maxRecentChanges) {
+		r.add(protocol.ServerListChange{Version: version + 1, Removed: make([]string, 100)})
+	}
+	assert.Assert(t, r.size <= maxRecentServers)
+	assert.Assert(t, len(r.list) <= maxRecentChanges)
+	_, ok := r.since(1)
+	assert.Assert(t, !ok)
+}
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -80,6 +80,32 @@
 	Servers []Server
 }
 
+// ServerListChange changes the list of one service of a partition. Each increases the partition's
+// version by one.
+type ServerListChange struct {
+	Service string
+	Version uint64   // of the list, and of its partition, after the change
+	Servers []Server // added servers, and the new state of changed ones
+	Removed []string // ids of removed servers
+}
+
+// PartitionChange holds the new members of a turn partition.
+type PartitionChange struct {
+	Number  int
+	Members PartitionMembers
+}
+
+// DirectoryChange leads from version Base of the directory to Version.
+type DirectoryChange struct {
+	Base           uint64
+	Version        uint64
+	Nodes          []Node           // added nodes, and the new state of changed ones
+	RemovedNodes   []replica.NodeID // ids of removed nodes
+	Retiring       []string         // all of them
+	Partitions     []PartitionChange
+	PartitionCount int // number of partitions after the change
+}
+
 // Raft groups of the control plane.
 const (
 	ConfigurationGroup replica.GroupID = "configuration"
@@ -200,6 +226,9 @@
 	Confirmed bool                      // the reply's configuration must be linearizable: no older than the newest at this moment
 	// DirectoryOnly: the caller wants neither the configuration nor the server lists.
 	DirectoryOnly bool
+	// AcceptsChanges: the caller applies ListChanges and DirectoryChange. Builds before these existed
+	// do not set it and receive whole lists and directories.
+	AcceptsChanges bool
 	// Patient: the caller knows no better node. The node must not reply before it has something
 	// newer or can prove that its state is recent.
 	Patient bool
@@ -226,9 +255,14 @@
 
 	Revision  uint64              // revision after Steps
 	Steps     []ConfigurationStep // from the caller's revision, or a single one with Base 0
-	Directory *Directory
-	Services  [ServicePartitions]uint64 // versions of the server lists
-	Lists     []ServerList              // complete lists of the partitions with a newer version
+	Directory *Directory          // whole
+	// DirectoryChange takes the place of Directory where the caller's version is recent.
+	DirectoryChange *DirectoryChange
+	Services        [ServicePartitions]uint64 // versions of the server lists
+	Lists           []ServerList              // complete lists of the partitions with a newer version
+	// ListChanges take the place of Lists for partitions whose version at the caller is recent, in
+	// the order of their versions.
+	ListChanges []ServerListChange
 }
 
 // TurnOutcome is the state of a turn at the end of a call. Its values are part of the wire
--- a/internal/tier/watch/watch.go
+++ b/internal/tier/watch/watch.go
@@ -57,9 +57,14 @@
 	configuration []byte // at revision
 	needWhole     bool   // the steps from revision did not apply: request the whole configuration
 	directory     protocol.Directory
-	services      [protocol.ServicePartitions]uint64 // versions of the server lists
-	listsOutdated bool                               // the process uses lists from elsewhere, so services does not describe them
-	sources       *Sources
+	// needWholeDirectory: a change of the directory did not apply.
+	needWholeDirectory bool
+	// needWholeLists: changes of the lists of a partition did not apply.
+	needWholeLists [protocol.ServicePartitions]bool
+	services       [protocol.ServicePartitions]uint64                // versions of the server lists
+	lists          [protocol.ServicePartitions][]protocol.ServerList // at these versions
+	listsOutdated  bool                                              // the process uses lists from elsewhere, so services does not describe them
+	sources        *Sources
 }
 
 // New returns a Follower. Run starts it.
@@ -160,11 +165,19 @@
 	defer f.mu.Unlock()
 	args := protocol.WatchArgs{
 		Node: f.options.Name, Revision: f.revision, Directory: f.directory.Version, Services: f.services,
-		Confirmed: !f.confirmed, DirectoryOnly: f.options.DirectoryOnly, Patient: patient, Wait: LongPollWait,
+		Confirmed: !f.confirmed, DirectoryOnly: f.options.DirectoryOnly, AcceptsChanges: true, Patient: patient, Wait: LongPollWait,
 	}
 	if f.needWhole {
 		args.Revision = 0
 	}
+	if f.needWholeDirectory {
+		args.Directory = 0
+	}
+	for partition, needed := range f.needWholeLists {
+		if needed {
+			args.Services[partition] = 0
+		}
+	}
 	if f.listsOutdated && !patient {
 		// A patient call goes to a node that cannot vouch now. It must wait for a proof; asking
 		// for all lists would make the node reply at once.
@@ -219,34 +232,13 @@
 	if f.confirmed && reply.Revision > f.revision && f.applySteps(reply) {
 		updates = append(updates, Update{Revision: f.revision, Configuration: f.configuration})
 	}
-	if reply.Directory != nil && reply.Directory.Version > f.directory.Version {
-		f.directory = *reply.Directory
-		updates = append(updates, Update{Directory: reply.Directory})
+	if f.mergeDirectory(reply) {
+		directory := f.directory
+		updates = append(updates, Update{Directory: &directory})
 	}
 	return append(updates, f.mergeLists(reply)...)
 }
 
-// mergeLists takes over the newer server lists.
-func (f *Follower) mergeLists(reply *protocol.WatchReply) (updates []Update) {
-	if f.listsOutdated && !reply.Vouched {
-		return nil
-	}
-	if f.listsOutdated && reply.Services != ([protocol.ServicePartitions]uint64{}) {
-		f.listsOutdated, f.services = false, [protocol.ServicePartitions]uint64{}
-	}
-	for partition, version := range reply.Services {
-		if version <= f.services[partition] {
-			continue
-		}
-		f.services[partition] = version
-		lists := slices.DeleteFunc(slices.Clone(reply.Lists), func(list protocol.ServerList) bool {
-			return protocol.ServicePartition(list.Service) != partition
-		})
-		updates = append(updates, Update{Lists: lists, Partition: partition})
-	}
-	return updates
-}
-
 // applySteps applies the steps to a newer configuration. It skips steps that were already
 // applied from another node's reply. If a step does not apply, the configuration stays as it
 // is and the next call requests the whole configuration.
