--- a/internal/controlplane/node/addresses.go
+++ b/internal/controlplane/node/addresses.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io/fs"
 	"maps"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/durable"
+	"oakseam/internal/tier/hashing"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -63,6 +65,17 @@
 	return changed
 }
 
+// Digest returns a digest of the known nodes. Address books that hold the same have the same one.
+func (a *AddressBook) Digest() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	digest := uint64(0)
+	for _, n := range a.nodes {
+		digest ^= hashing.Sum64(fmt.Sprintf("%d %d %q %q %q", n.ID, n.Class, n.Name, n.Address, n.Zone))
+	}
+	return digest
+}
+
 // Save stores the known nodes.
 func (a *AddressBook) Save() error {
 	text, err := cbor.Marshal(a.All())
--- a/internal/controlplane/node/calls.go
+++ b/internal/controlplane/node/calls.go
@@ -30,11 +30,14 @@
 // replicaService serves the calls between members of groups.
 type replicaService struct{ node *Node }
 
-// Hello exchanges the identities of two processes and returns the known nodes.
+// Hello exchanges the identities of two processes and returns the known nodes, unless the caller
+// knows the same.
 func (c *replicaService) Hello(args *protocol.HelloArgs, reply *protocol.HelloReply) error {
 	c.node.learnNodes(args.Self)
 	reply.Self = c.node.Self
-	reply.Nodes = c.node.Addresses.All()
+	if !args.WithoutNodes && args.KnownNodes != c.node.Addresses.Digest() {
+		reply.Nodes = c.node.Addresses.All()
+	}
 	return nil
 }
 
--- a/internal/controlplane/node/hello.go
+++ b/internal/controlplane/node/hello.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,6 +19,9 @@
 	// by itself.
 	helloRetryInterval = 100 * time.Millisecond
 	helloInterval      = 10 * time.Second
+	// helloFanout is how many randomly chosen nodes beside the core nodes a round calls once a node has
+	// responded. The directory tells the rest.
+	helloFanout = 4
 )
 
 // learnNodes adds nodes to the address book and stores it if it changed.
@@ -33,46 +37,57 @@
 // Learn adds the directory's nodes to the address book.
 func (n *Node) Learn(d protocol.Directory) { n.learnNodes(d.Nodes...) }
 
-// introduce sends Hello to the seeds and all known nodes periodically until ctx ends. Rounds
-// are frequent until a node has responded.
+// introduce sends Hello periodically until ctx ends: to the seeds and all known nodes, frequently,
+// until a node has responded, and from then on to some of them.
 func (n *Node) introduce(ctx context.Context) {
+	responded := false
 	for {
 		interval := helloRetryInterval
-		for _, address := range n.peerAddresses() {
+		for _, address := range n.peerAddresses(responded) {
 			if n.hello(ctx, address) {
 				interval = helloInterval
 			}
 		}
+		responded = interval == helloInterval
 		if !wait.For(ctx, interval) {
 			return
 		}
 	}
 }
 
-// peerAddresses returns the addresses of the seeds and the known nodes, except this node's.
-func (n *Node) peerAddresses() []string {
-	var addresses []string
+// peerAddresses returns the addresses of the seeds and the known nodes, except this node's; if sampled
+// only those of the seeds, the core nodes and helloFanout others.
+func (n *Node) peerAddresses(sampled bool) []string {
 	seen := map[string]bool{n.Self.Address: true}
-	add := func(address string) {
+	var addresses, others []string
+	add := func(list *[]string, address string) {
 		if !seen[address] {
 			seen[address] = true
-			addresses = append(addresses, address)
+			*list = append(*list, address)
 		}
 	}
 	for _, s := range n.seeds {
-		add(s)
+		add(&addresses, s)
 	}
 	for _, o := range n.Addresses.All() {
-		add(o.Address)
+		if o.Class == protocol.Core {
+			add(&addresses, o.Address)
+		} else {
+			add(&others, o.Address)
+		}
+	}
+	if sampled && len(others) > helloFanout {
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		others = others[:helloFanout]
 	}
-	return addresses
+	return append(addresses, others...)
 }
 
 // hello exchanges identities with the process at an address, and reports whether it responded.
 func (n *Node) hello(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	args := protocol.HelloArgs{Self: n.Self}
+	args := protocol.HelloArgs{Self: n.Self, KnownNodes: n.Addresses.Digest()}
 	var reply protocol.HelloReply
 	if err := n.Pool.Call(ctx, address, "Replica.Hello", &args, &reply); err != nil {
 		return false
--- a/internal/controlplane/node/liveness.go
+++ b/internal/controlplane/node/liveness.go
@@ -43,7 +43,7 @@
 func (n *Node) responds(ctx context.Context, o protocol.Node) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	args := protocol.HelloArgs{Self: n.Self}
+	args := protocol.HelloArgs{Self: n.Self, WithoutNodes: true}
 	var reply protocol.HelloReply
 	err := n.Pool.Call(ctx, o.Address, "Replica.Hello", &args, &reply)
 	return err == nil && reply.Self.ID == o.ID
--- a/internal/controlplane/node/node_test.go
+++ b/internal/controlplane/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,3 +97,70 @@
 	}
 	assert.Assert(t, MemberLostAfter > time.Second)
 }
+
+// Address books that hold the same nodes have the same digest, in whichever order they learned them,
+// and any difference shows.
+func TestDigestTellsAddressBooksApart(t *testing.T) {
+	newBook := func(nodes ...protocol.Node) *AddressBook {
+		a, err := LoadAddressBook(&durable.MemoryStore{})
+		assert.NilError(t, err)
+		a.Learn(nodes...)
+		return a
+	}
+	one, two := core(1, "a", "h:1"), core(2, "b", "h:2")
+	assert.Equal(t, newBook(one, two).Digest(), newBook(two, one).Digest())
+	seen := map[uint64]bool{newBook(one, two).Digest(): true}
+	moved, renamed, other := one, one, one
+	moved.Address, renamed.Name, other.ID = "h:3", "c", 7
+	for _, n := range []protocol.Node{moved, renamed, other} {
+		digest := newBook(n, two).Digest()
+		assert.Assert(t, !seen[digest], "%+v", n)
+		seen[digest] = true
+	}
+}
+
+// A node that knows the same as its caller does not send it, and neither does one that is only probed.
+func TestHelloSendsNodesOnlyWhereTheyDiffer(t *testing.T) {
+	addresses, err := LoadAddressBook(&durable.MemoryStore{})
+	assert.NilError(t, err)
+	caller := core(1, "a", "h:1")
+	addresses.Learn(caller, core(2, "b", "h:2"))
+	service := &replicaService{&Node{Self: core(2, "b", "h:2"), Addresses: addresses}}
+	for _, c := range []struct {
+		args protocol.HelloArgs
+		want int
+	}{
+		{protocol.HelloArgs{Self: caller}, 2},
+		{protocol.HelloArgs{Self: caller, KnownNodes: addresses.Digest()}, 0},
+		{protocol.HelloArgs{Self: caller, KnownNodes: addresses.Digest() + 1}, 2},
+		{protocol.HelloArgs{Self: caller, WithoutNodes: true}, 0},
+	} {
+		var reply protocol.HelloReply
+		assert.NilError(t, service.Hello(&c.args, &reply))
+		assert.Equal(t, len(reply.Nodes), c.want, "%+v", c.args)
+		assert.Equal(t, reply.Self.Name, "b")
+	}
+}
+
+// After the first round a node greets the core nodes and a bounded number of others, so that greetings
+// do not grow with the square of the nodes.
+func TestGreetingsAreBounded(t *testing.T) {
+	addresses, err := LoadAddressBook(&durable.MemoryStore{})
+	assert.NilError(t, err)
+	n := &Node{Self: core(1, "a", "h:1"), Addresses: addresses, seeds: []string{"h:1", "h:2", "h:3"}}
+	addresses.Learn(n.Self, core(2, "b", "h:2"), core(4, "d", "h:4"))
+	for i := range 100 {
+		addresses.Learn(protocol.Node{ID: replica.NodeID(100 + i), Name: fmt.Sprint("s-", i), Class: protocol.Storage, Address: fmt.Sprint("s:", i)})
+	}
+	assert.Equal(t, len(n.peerAddresses(false)), 103)
+	reached := map[string]bool{}
+	for range 200 {
+		sampled := n.peerAddresses(true)
+		assert.Equal(t, len(sampled), 3+helloFanout)
+		assert.DeepEqual(t, sampled[:3], []string{"h:2", "h:3", "h:4"})
+		for _, address := range sampled {
+			reached[address] = true
+		}
+	}
+	assert.Equal(t, len(reached), 103, "every node is greeted in the end")
+}
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -163,9 +163,16 @@
 }
 
 // HelloArgs introduces one control plane process to another.
-type HelloArgs struct{ Self Node }
+type HelloArgs struct {
+	Self Node
+	// KnownNodes is a digest of the nodes that the caller knows, 0: none. The reply omits the nodes if
+	// the called node knows the same.
+	KnownNodes uint64
+	// WithoutNodes: the caller wants to know only whether the node responds.
+	WithoutNodes bool
+}
 
-// HelloReply describes the called node and the nodes that it knows.
+// HelloReply describes the called node and the nodes that it knows, unless the caller needs none.
 type HelloReply struct {
 	Self  Node
 	Nodes []Node
