--- a/internal/dataplane/turnclient/turnclient.go
+++ b/internal/dataplane/turnclient/turnclient.go
@@ -31,9 +31,6 @@
 // ErrUnavailable means that no leader answered in time. The call may nevertheless have taken effect.
 var ErrUnavailable = errors.New("the leader of the program's partition did not answer in time")
 
-// ErrUnsure means that not every partition could be asked for a turn.
-var ErrUnsure = errors.New("not all partitions answered whether they store the turn")
-
 // Client calls storage nodes.
 type Client struct {
 	pool *rpc.Pool
@@ -179,61 +176,8 @@
 	c.leaders[partition] = leader
 }
 
-// Find searches all partitions for a turn. It returns false without an error only if the leader of
-// every partition has said that it does not store the turn.
-func (c *Client) Find(ctx context.Context, attempt string) (history []byte, found bool, err error) {
-	without := map[int]bool{}
-	for {
-		nodes, partitions := c.storageNodes(), c.partitions()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		replies := c.findOnAll(callCtx, nodes, attempt)
-		// A lost node does not answer, so the search ends as soon as the others have covered all
-		// partitions.
-		for range nodes {
-			reply := <-replies
-			if reply.Found {
-				cancel()
-				return reply.History, true, nil
-			}
-			for _, partition := range reply.Without {
-				without[partition] = true
-			}
-			if partitions > 0 && len(without) == partitions {
-				cancel()
-				return nil, false, nil
-			}
-		}
-		cancel()
-		if !wait.For(ctx, retryPause) {
-			return nil, false, ErrUnsure
-		}
-	}
-}
-
-// findOnAll asks all storage nodes at once. Each gives one reply, an empty one if the call fails.
-func (c *Client) findOnAll(ctx context.Context, nodes []protocol.Node, attempt string) <-chan protocol.FindReply {
-	replies := make(chan protocol.FindReply, len(nodes))
-	for _, n := range nodes {
-		go func() {
-			args := protocol.FindArgs{Attempt: attempt, Within: callTimeout}
-			var reply protocol.FindReply
-			if c.pool.Call(ctx, n.Address, "Turns.Find", &args, &reply) != nil {
-				reply = protocol.FindReply{}
-			}
-			replies <- reply
-		}()
-	}
-	return replies
-}
-
 func (c *Client) partitions() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.directory.Partitions)
 }
-
-func (c *Client) storageNodes() []protocol.Node {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(c.directory.Nodes), func(n protocol.Node) bool { return n.Class != protocol.Storage })
-}
--- a/internal/dataplane/turnclient/turnclient_test.go
+++ b/internal/dataplane/turnclient/turnclient_test.go
@@ -276,3 +276,25 @@
 	assert.Equal(t, len(c.unresponsiveSince), 1)
 	assert.Assert(t, c.isUnresponsive(2))
 }
+
+// Once a partition has answered, the nodes that vote only there are not asked again.
+func TestFindAsksAgainOnlyWherePartitionsAreMissing(t *testing.T) {
+	c, nodes := startNodes(t, 3)
+	directory := c.directory
+	directory.Partitions = []protocol.PartitionMembers{{Voters: []replica.NodeID{1, 2}}, {Voters: []replica.NodeID{3}}}
+	c.SetDirectory(directory)
+	nodes[0].find = func(int) protocol.FindReply { return protocol.FindReply{Without: []int{0}} }
+	nodes[1].find = func(int) protocol.FindReply { return protocol.FindReply{} }
+	nodes[2].find = func(call int) protocol.FindReply {
+		if call < 4 {
+			return protocol.FindReply{}
+		}
+		return protocol.FindReply{Without: []int{1}}
+	}
+	_, found, err := c.Find(longContext(t), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	assert.Equal(t, nodes[0].called(), 1)
+	assert.Equal(t, nodes[1].called(), 1)
+	assert.Equal(t, nodes[2].called(), 4)
+}
