--- a/internal/controlplane/coordinator/coordinator_test.go
+++ b/internal/controlplane/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"oakseam/internal/controlplane/adminapi"
+	"oakseam/internal/controlplane/controlplanetest"
 	"oakseam/internal/controlplane/node"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/controlplane/revisions"
@@ -41,29 +42,12 @@
 	})
 	for _, group := range Groups() {
 		if run {
-			awaitLeader(t, n, group)
+			controlplanetest.AwaitLeader(t, n, group, testTimeout)
 		}
 	}
 	return c
 }
 
-func awaitLeader(t *testing.T, n *node.Node, group replica.GroupID) {
-	t.Helper()
-	for {
-		_, changed := n.Host.Applied(group)
-		status, err := n.Host.Status(group)
-		assert.NilError(t, err)
-		if status.LeaderReady {
-			return
-		}
-		select {
-		case <-changed:
-		case <-time.After(testTimeout):
-			t.Fatal("no leader elected")
-		}
-	}
-}
-
 func configuration(revision uint64) []byte {
 	return fmt.Appendf(nil, `{"configRevision":%d,"virtualServers":[],"pools":[]}`, revision)
 }
--- a/internal/controlplane/revisions/compat_test.go
+++ b/internal/controlplane/revisions/compat_test.go
@@ -1,13 +1,11 @@
 package revisions
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/controlplane/controlplanetest"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/tier/protocol"
 )
@@ -22,18 +20,11 @@
 	earlierNextBody = `{"routes":[{"service":"tiny"},{"service":"large"}]}`
 )
 
-func earlierBytes(t *testing.T, name string) []byte {
-	t.Helper()
-	data, err := os.ReadFile(filepath.Join("testdata", "earlier_build", name))
-	assert.NilError(t, err)
-	return data
-}
-
 // earlierCommands returns the commands in the order in which they were applied.
 func earlierCommands(t *testing.T) []earlierCommand {
 	return []earlierCommand{
-		{"change_first", Command{Change: &Change{Base: 0, Revision: 5, Digest: DigestOf(0, []byte(earlierBody)), Patch: earlierBytes(t, "first.patch")}}},
-		{"change_next", Command{Change: &Change{Base: 5, Revision: 8, Digest: DigestOf(5, []byte(earlierNextBody)), Patch: earlierBytes(t, "next.patch")}}},
+		{"change_first", Command{Change: &Change{Base: 0, Revision: 5, Digest: DigestOf(0, []byte(earlierBody)), Patch: controlplanetest.EarlierBytes(t, "first.patch")}}},
+		{"change_next", Command{Change: &Change{Base: 5, Revision: 8, Digest: DigestOf(5, []byte(earlierNextBody)), Patch: controlplanetest.EarlierBytes(t, "next.patch")}}},
 		{"register_core", Command{Register: &protocol.Node{ID: 1<<63 + 1, Name: "core-1", Class: 2, Address: "10.1.0.1:7380", Zone: "zone-a"}}},
 		{"register_storage_1", Command{Register: &protocol.Node{ID: 2, Name: "storage-1", Class: 3, Address: "10.1.0.2:7381", Zone: "zone-b"}}},
 		{"register_storage_2", Command{Register: &protocol.Node{ID: 3, Name: "storage-2", Class: 3, Address: "10.1.0.3:7381", Zone: "zone-c"}}},
@@ -68,13 +59,7 @@
 func TestDecodesCommandsOfEarlierBuild(t *testing.T) {
 	for _, c := range earlierCommands(t) {
 		t.Run(c.name, func(t *testing.T) {
-			raw := earlierBytes(t, c.name+".cbor")
-			var got Command
-			assert.NilError(t, cbor.Unmarshal(raw, &got))
-			assert.DeepEqual(t, got, c.command)
-			written, err := c.command.Encode()
-			assert.NilError(t, err)
-			assert.DeepEqual(t, written, raw)
+			controlplanetest.CheckEarlierMessage(t, c.name+".cbor", c.command)
 		})
 	}
 }
@@ -83,11 +68,11 @@
 func TestAppliesCommandsOfEarlierBuild(t *testing.T) {
 	m := New(nil)
 	for _, c := range earlierCommands(t) {
-		assert.DeepEqual(t, m.Apply(earlierBytes(t, c.name+".cbor")), []byte{1})
+		assert.DeepEqual(t, m.Apply(controlplanetest.EarlierBytes(t, c.name+".cbor")), []byte{1})
 	}
 	checkEarlierState(t, m)
 	chain := m.Since(5)
-	assert.DeepEqual(t, chain, []protocol.ConfigurationStep{{Base: 5, Revision: 8, Patch: earlierBytes(t, "next.patch")}})
+	assert.DeepEqual(t, chain, []protocol.ConfigurationStep{{Base: 5, Revision: 8, Patch: controlplanetest.EarlierBytes(t, "next.patch")}})
 	conflict := Command{Change: &Change{Base: 7, Revision: 9}}
 	text, err := conflict.Encode()
 	assert.NilError(t, err)
@@ -97,11 +82,7 @@
 
 // A snapshot of an earlier build must be restored whole, and written in the same form.
 func TestRestoresSnapshotOfEarlierBuild(t *testing.T) {
-	raw := earlierBytes(t, "snapshot.cbor")
-	m := New(nil)
-	assert.NilError(t, m.Restore(raw))
-	checkEarlierState(t, m)
-	assert.DeepEqual(t, m.Snapshot(), raw)
+	controlplanetest.CheckEarlierSnapshot(t, New(nil), checkEarlierState)
 }
 
 // checkEarlierState checks the state after all commands, also that both changes are remembered.
@@ -112,6 +93,6 @@
 	assert.Equal(t, string(body), earlierNextBody)
 	assert.DeepEqual(t, m.Directory(), earlierDirectory())
 	for _, name := range []string{"change_first.cbor", "change_next.cbor"} {
-		assert.DeepEqual(t, m.Apply(earlierBytes(t, name)), []byte{1})
+		assert.DeepEqual(t, m.Apply(controlplanetest.EarlierBytes(t, name)), []byte{1})
 	}
 }
--- a/internal/controlplane/servers/compat_test.go
+++ b/internal/controlplane/servers/compat_test.go
@@ -1,14 +1,12 @@
 package servers
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/controlplane/controlplanetest"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -16,13 +14,6 @@
 // them. They must not be regenerated: a node reads them from its disk after an upgrade, and nodes of
 // both builds send them to each other.
 
-func earlierBytes(t *testing.T, name string) []byte {
-	t.Helper()
-	data, err := os.ReadFile(filepath.Join("testdata", "earlier_build", name))
-	assert.NilError(t, err)
-	return data
-}
-
 func earlierServers() []protocol.Server {
 	return []protocol.Server{
 		{ID: "s-1", Address: "10.2.0.1:9000", Zone: "zone-a", Capacity: 3, Draining: true, Warmup: 4 * time.Second},
@@ -41,28 +32,16 @@
 // The lister's publications of an earlier build must be read with all their fields, and written in
 // the same form.
 func TestDecodesPublicationOfEarlierBuild(t *testing.T) {
-	raw := earlierBytes(t, "publication.cbor")
-	var got Publication
-	assert.NilError(t, cbor.Unmarshal(raw, &got))
-	assert.DeepEqual(t, got, earlierPublication())
-	want := earlierPublication()
-	written, err := want.Encode()
-	assert.NilError(t, err)
-	assert.DeepEqual(t, written, raw)
-
+	controlplanetest.CheckEarlierMessage(t, "publication.cbor", earlierPublication())
 	m := New(nil)
-	assert.DeepEqual(t, m.Apply(raw), []byte{1})
+	assert.DeepEqual(t, m.Apply(controlplanetest.EarlierBytes(t, "publication.cbor")), []byte{1})
 	checkEarlierState(t, m)
-	assert.DeepEqual(t, m.Snapshot(), earlierBytes(t, "snapshot.cbor"))
+	assert.DeepEqual(t, m.Snapshot(), controlplanetest.EarlierBytes(t, "snapshot.cbor"))
 }
 
 // A snapshot of an earlier build must be restored whole, and written in the same form.
 func TestRestoresSnapshotOfEarlierBuild(t *testing.T) {
-	raw := earlierBytes(t, "snapshot.cbor")
-	m := New(nil)
-	assert.NilError(t, m.Restore(raw))
-	checkEarlierState(t, m)
-	assert.DeepEqual(t, m.Snapshot(), raw)
+	controlplanetest.CheckEarlierSnapshot(t, New(nil), checkEarlierState)
 }
 
 // checkEarlierState checks the lists, and that epoch and sequence are known: they tell a late
--- a/internal/controlplane/storage/storage_test.go
+++ b/internal/controlplane/storage/storage_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/controlplane/controlplanetest"
 	"oakseam/internal/controlplane/node"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/tier/protocol"
@@ -36,28 +37,11 @@
 		n.Close()
 	})
 	for partition := range 2 {
-		awaitLeader(t, n, protocol.TurnGroup(partition))
+		controlplanetest.AwaitLeader(t, n, protocol.TurnGroup(partition), testTimeout)
 	}
 	return storageNode, &turnsService{storageNode}
 }
 
-func awaitLeader(t *testing.T, n *node.Node, group replica.GroupID) {
-	t.Helper()
-	for {
-		_, changed := n.Host.Applied(group)
-		status, err := n.Host.Status(group)
-		assert.NilError(t, err)
-		if status.LeaderReady {
-			return
-		}
-		select {
-		case <-changed:
-		case <-time.After(testTimeout):
-			t.Fatal("no leader elected")
-		}
-	}
-}
-
 func (s *turnsService) admit(t *testing.T, args protocol.AdmitArgs) protocol.AdmitReply {
 	t.Helper()
 	args.Within = testTimeout
--- a/internal/controlplane/turns/compat_test.go
+++ b/internal/controlplane/turns/compat_test.go
@@ -1,27 +1,19 @@
 package turns
 
 import (
-	"os"
-	"path/filepath"
 	"reflect"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"oakseam/internal/controlplane/controlplanetest"
 )
 
 // The fixtures are commands and a snapshot as the build before identifiers were renamed wrote them.
 // They must not be regenerated: a node reads them from its disk after an upgrade, and nodes of both
 // builds send them to each other.
 
-func earlierBytes(t *testing.T, name string) []byte {
-	t.Helper()
-	data, err := os.ReadFile(filepath.Join("testdata", "earlier_build", name))
-	assert.NilError(t, err)
-	return data
-}
-
 func earlierClock() time.Duration { return 0 }
 
 type earlierCommand struct {
@@ -46,13 +38,7 @@
 func TestDecodesCommandsOfEarlierBuild(t *testing.T) {
 	for _, c := range earlierCommands() {
 		t.Run(c.name, func(t *testing.T) {
-			raw := earlierBytes(t, c.name+".cbor")
-			var got Command
-			assert.NilError(t, cbor.Unmarshal(raw, &got))
-			assert.DeepEqual(t, got, c.command)
-			written, err := c.command.Encode()
-			assert.NilError(t, err)
-			assert.DeepEqual(t, written, raw)
+			controlplanetest.CheckEarlierMessage(t, c.name+".cbor", c.command)
 		})
 	}
 }
@@ -62,11 +48,11 @@
 func TestAppliesCommandsOfEarlierBuild(t *testing.T) {
 	m := New(earlierClock)
 	for _, c := range earlierCommands() {
-		assert.DeepEqual(t, m.Apply(earlierBytes(t, c.name+".cbor")), []byte{1})
+		assert.DeepEqual(t, m.Apply(controlplanetest.EarlierBytes(t, c.name+".cbor")), []byte{1})
 	}
 	checkEarlierState(t, m)
-	assert.DeepEqual(t, m.Snapshot(), earlierBytes(t, "snapshot.cbor"))
-	assert.DeepEqual(t, m.Apply(earlierBytes(t, "admit.cbor")), []byte{4}) // the attempt has ended
+	assert.DeepEqual(t, m.Snapshot(), controlplanetest.EarlierBytes(t, "snapshot.cbor"))
+	assert.DeepEqual(t, m.Apply(controlplanetest.EarlierBytes(t, "admit.cbor")), []byte{4}) // the attempt has ended
 	assert.DeepEqual(t, m.Apply([]byte("no command")), []byte{5})
 	spent, missing := earlierCommands()[2].command, earlierCommands()[2].command
 	spent.Admit.Attempt, missing.Admit.Previous = "attempt-3", "nowhere"
@@ -80,11 +66,7 @@
 // A snapshot of an earlier build must be restored whole, and written in the same form. It holds one
 // program and one turn, so that the order of a map can't change its bytes.
 func TestRestoresSnapshotOfEarlierBuild(t *testing.T) {
-	raw := earlierBytes(t, "snapshot.cbor")
-	m := New(earlierClock)
-	assert.NilError(t, m.Restore(raw))
-	checkEarlierState(t, m)
-	assert.DeepEqual(t, m.Snapshot(), raw)
+	controlplanetest.CheckEarlierSnapshot(t, New(earlierClock), checkEarlierState)
 }
 
 // checkEarlierState checks the state after all commands.
