--- a/internal/dataplane/gateway/answer.go
+++ b/internal/dataplane/gateway/answer.go
@@ -144,15 +144,16 @@
 		defer reply.Close()
 		x.forward(reply, persist)
 	case a.Kind == core.Rejected && !a.MayHaveRun:
-		x.gateway.reject(x.writer, max(a.RetryAfter, overloadRetryAfter), "answer.refused")
+		x.gateway.countUnserved("answer.refused", x.service)
+		respondRejected(x.writer, max(a.RetryAfter, overloadRetryAfter))
 	case a.Kind == core.Duplicate:
-		x.gateway.countUnserved("answer.duplicate")
+		x.gateway.countUnserved("answer.duplicate", x.service)
 		http.Error(x.writer, "the id is in use", http.StatusConflict)
 	case time.Now().Before(x.deadline):
-		x.gateway.countUnserved("answer.failed")
+		x.gateway.countUnserved("answer.failed", x.service)
 		http.Error(x.writer, "no server answered", http.StatusBadGateway)
 	default:
-		x.gateway.countUnserved("answer.late")
+		x.gateway.countUnserved("answer.late", x.service)
 		http.Error(x.writer, "no server answered in time", http.StatusGatewayTimeout)
 	}
 }
@@ -179,11 +180,11 @@
 	if reply.Rest == nil {
 		x.writer.Write(reply.Body)
 	} else if !x.forwardStream(reply) {
-		x.gateway.countUnserved("answer.broken")
+		x.gateway.countUnserved("answer.broken", x.service)
 		panic(http.ErrAbortHandler) // makes net/http close the connection before the response is complete
 	}
 	if persist != nil && !persist() {
-		x.gateway.countUnserved("answer.not-kept")
+		x.gateway.countUnserved("answer.not-kept", x.service)
 		panic(http.ErrAbortHandler)
 	}
 	x.gateway.opt.Counters.Add("answer.served")
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -178,8 +178,14 @@
 	http.Error(w, "no route", http.StatusNotFound)
 }
 
+// reject answers 503 to a request that has not been passed on to a service.
 func (g *Gateway) reject(w http.ResponseWriter, after time.Duration, reason string) {
-	g.countUnserved(reason)
+	g.countUnserved(reason, "")
+	respondRejected(w, after)
+}
+
+// respondRejected answers 503 and says when the client may try again.
+func respondRejected(w http.ResponseWriter, after time.Duration) {
 	w.Header().Set("Retry-After", seconds(after))
 	http.Error(w, "try again", http.StatusServiceUnavailable)
 }
@@ -187,11 +193,12 @@
 // logInterval bounds the log to one line per interval for requests that ended for the same reason.
 const logInterval = time.Second
 
-// countUnserved counts a request that was not served, and logs it at most once per logInterval.
-func (g *Gateway) countUnserved(reason string) {
+// countUnserved counts a request that was not served, and logs it at most once per logInterval for each
+// reason and service. The service is empty if the request was not passed on to one.
+func (g *Gateway) countUnserved(reason, service string) {
 	g.opt.Counters.Add(reason)
-	if skipped, ok := jsonlog.Allow(reason, logInterval); ok {
-		klog.InfoS("Request not served", "cause", reason, "alike", skipped)
+	if skipped, ok := jsonlog.Allow(reason+" "+service, logInterval); ok {
+		klog.InfoS("Request not served", "cause", reason, "service", service, "alike", skipped)
 	}
 }
 
