--- a/logic/choose.go
+++ b/logic/choose.go
@@ -44,9 +44,8 @@
 	need := b.requiredChance(r)*(r.class.reward+r.class.penalty) - r.class.penalty
 	b.sendTokens = min(b.sendTokens+minSendRate*(b.now-b.sendTokensAt).Seconds(), maxSendTokens)
 	b.sendTokensAt = b.now
-	// After a loss of capacity the others may be overloaded, and a node that sends little learns it too late:
-	// it admits less at once, by worth, and more again as answers come soon. It does the same if many nodes
-	// share each server and answers take twice their work: one request of each node is then too much.
+	// After a loss of capacity, which a node that sends little learns too late, it admits less, by worth, and
+	// more again as answers come soon; so too if many nodes share servers and answers take twice their work.
 	b.toleratedLoss = min(b.toleratedLoss, 1-b.capacityLeft)
 	shared := min(float64(len(b.ring)-len(b.subset)), 1)
 	over := max(1-b.capacityLeft-b.toleratedLoss, (b.fleetSlowdown-math.Ln2)*shared)
--- a/logic/constants.go
+++ b/logic/constants.go
@@ -55,7 +55,7 @@
 	coldBurst        = 0.5              // share of the cold rule's window that may be saved up for a burst
 	peakHalfLife     = 30 * time.Second // of the highest rate that warm servers were seen to serve
 	sparseRate       = 5.0              // a node that sends a server fewer per second learns its limit late,
-	lowUtilization   = 0.5              // unless servers report less than this share of their slots in use
+	lowUtilization   = 0.5              // but up to this share of slots in use no loss counts, then ever more
 	capacityHalfLife = 8 * time.Second  // of the highest capacity of the ready servers
 	toleranceGain    = 0.04             // share of lost capacity that an answer in half its aim shows to be
 	toleranceLoss    = 0.20             // no loss, and that one later or missed shows to be one after all
--- a/logic/list.go
+++ b/logic/list.go
@@ -67,9 +67,8 @@
 	})
 }
 
-// refreshSubset returns the servers that this node sends to, in a large fleet a subset: each gets more of the
-// node's requests, so its latency is known better and its connections stay in use. Servers form a ring by
-// hash on which nodes start at even distances, so that each server has about equally many nodes.
+// refreshSubset returns the servers that this node sends to, in a large fleet a subset, known better and over
+// reused connections. Nodes start at even distances on a ring by hash: servers get about equally many nodes.
 func (b *Balancer) refreshSubset() []*server {
 	if b.now-b.subsetAt < curveTTL && len(b.subset) > 0 {
 		return b.subset
@@ -101,9 +100,11 @@
 	}
 	b.fullCapacity = max(total, total+(b.fullCapacity-total)*math.Exp2(-gap/float64(capacityHalfLife)))
 	b.capacityLeft = total / b.fullCapacity * healthy / b.subsetCapacity
-	if b.demand.perSecond(b.now) > sparseRate*float64(len(b.subset)) ||
-		b.cfg.Slots && b.meanReport*float64(len(b.subset)) < lowUtilization*b.subsetCapacity {
+	if b.demand.perSecond(b.now) > sparseRate*float64(len(b.subset)) {
 		b.capacityLeft = 1
+	} else if b.cfg.Slots { // a loss counts as far as the free slots are gone
+		used := b.meanReport * float64(len(b.subset)) / b.subsetCapacity
+		b.capacityLeft = 1 - (1-b.capacityLeft)*min(max((used-lowUtilization)/(1-lowUtilization), 0), 1)
 	}
 	return b.subset
 }
--- a/logic/slots_test.go
+++ b/logic/slots_test.go
@@ -58,3 +58,11 @@
 	assert.Zero(t, countRejectedAfterLoss(t, true, 1))
 	assert.Positive(t, countRejectedAfterLoss(t, true, 9), "nearly full")
 }
+
+// A loss counts the more the fewer slots are free: nothing while half of them are, all once none is.
+func TestLostCapacityCountsAsFarAsSlotsAreGone(t *testing.T) {
+	half, most := countRejectedAfterLoss(t, true, 6), countRejectedAfterLoss(t, true, 10)
+	assert.Zero(t, countRejectedAfterLoss(t, true, 5))
+	assert.Less(t, half, most)
+	assert.GreaterOrEqual(t, countRejectedAfterLoss(t, false, 10), most)
+}
