--- a/internal/tier/protocol/capacity_test.go
+++ b/internal/tier/protocol/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/tier/delta"
+	"oakseam/internal/tier/diff"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/scaletest"
 )
@@ -42,6 +44,47 @@
 		hello := &protocol.HelloReply{Self: reply.Directory.Nodes[0], Nodes: reply.Directory.Nodes}
 		b.Run(fmt.Sprintf("hello/nodes=%d", count), func(b *testing.B) { benchmarkEncodedSize(b, hello) })
 	}
+	for _, count := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("change/servers=%d", count), func(b *testing.B) { benchmarkEncodedSize(b, serverChange(count)) })
+		b.Run(fmt.Sprintf("change/nodes=%d", count), func(b *testing.B) { benchmarkEncodedSize(b, directoryChange(count)) })
+	}
+	b.Run("hello/same", func(b *testing.B) {
+		benchmarkEncodedSize(b, &protocol.HelloReply{Self: scaletest.Directory(1, 1).Nodes[0]})
+	})
+}
+
+// serverChange returns what a process gets when one of count servers begins to drain.
+func serverChange(count int) *protocol.WatchReply {
+	before := scaletest.Lists(count)[0]
+	after := before
+	after.Version++
+	after.Servers = slices.Clone(before.Servers)
+	after.Servers[0].Draining = true
+	return &protocol.WatchReply{
+		Vouched: true, Services: [protocol.ServicePartitions]uint64{after.Version},
+		ListChanges: []protocol.ServerListChange{diff.Servers(before, after)},
+	}
+}
+
+// directoryChange returns what a process gets when one partition of a tier with count nodes gets
+// another voter.
+func directoryChange(count int) *protocol.WatchReply {
+	before := *scaletest.Directory(8, count-8)
+	after := before
+	after.Version++
+	after.Partitions = slices.Clone(before.Partitions)
+	after.Partitions[0].Change = 9
+	after.Partitions[0].Voters = append(slices.Clone(before.Partitions[0].Voters), before.Nodes[9].ID)
+	change := diff.Directory(before, after)
+	return &protocol.WatchReply{Vouched: true, DirectoryChange: &change}
+}
+
+// What one change costs a process must not grow with the fleet.
+func TestChangesAreAsSmallInLargeFleets(t *testing.T) {
+	for _, change := range []func(int) *protocol.WatchReply{serverChange, directoryChange} {
+		small, large := scaletest.EncodedSize(change(30)), scaletest.EncodedSize(change(3000))
+		assert.Assert(t, large <= small+16, "%d bytes at 30, %d at 3,000", small, large)
+	}
 }
 
 func benchmarkEncodedSize(b *testing.B, message any) {
