--- a/internal/controlplane/replica/simulation_faults_test.go
+++ b/internal/controlplane/replica/simulation_faults_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/virtualclock"
 )
 
 // fault injects a random fault, or heals the network for a while.
@@ -56,15 +57,15 @@
 	if target == nil {
 		return
 	}
-	ways := s.Random.IntN(3)
-	for _, other := range s.nodes {
-		if ways != 0 {
-			s.net.cuts[link{target.id, other.id}] = true
-		}
-		if ways != 1 {
-			s.net.cuts[link{other.id, target.id}] = true
-		}
+	virtualclock.Isolate(s.Clock, target.id, s.nodeIDs(), s.net.cut)
+}
+
+// nodeIDs returns the ids of all nodes, in their order.
+func (s *simulation) nodeIDs() (ids []replica.NodeID) {
+	for _, n := range s.nodes {
+		ids = append(ids, n.id)
 	}
+	return ids
 }
 
 // isolateNewLeader partitions a new leader away before all others know about its term, and reconnects the nodes
@@ -84,25 +85,9 @@
 	})
 }
 
-func (s *simulation) faultSplit() {
-	leftSide := make([]bool, len(s.nodes))
-	for i := range leftSide {
-		leftSide[i] = s.Chance(0.5)
-	}
-	for i, a := range s.nodes {
-		for j, b := range s.nodes {
-			if leftSide[i] != leftSide[j] {
-				s.net.cuts[link{a.id, b.id}] = true
-			}
-		}
-	}
-}
+func (s *simulation) faultSplit() { virtualclock.Split(s.Clock, s.nodeIDs(), s.net.cut) }
 
-func (s *simulation) faultNetworkQuality() {
-	s.net.loss = []float64{0, 0.02, 0.1, 0.3}[s.Random.IntN(4)]
-	s.net.duplicated = []float64{0, 0.1, 0.5}[s.Random.IntN(3)]
-	s.net.delayed = []float64{0, 0.05, 0.3}[s.Random.IntN(3)]
-}
+func (s *simulation) faultNetworkQuality() { s.net.quality = s.RandomQuality() }
 
 func (s *simulation) faultFreeze() {
 	if n := s.randomNode(); n != nil {
--- a/internal/controlplane/replica/simulation_network_test.go
+++ b/internal/controlplane/replica/simulation_network_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/virtualclock"
 )
 
 // link is one direction between two nodes.
@@ -13,30 +14,31 @@
 type network struct {
 	simulation *simulation
 	cuts       map[link]bool
-	loss       float64
-	duplicated float64
-	delayed    float64 // share of messages with a long delay, so that others overtake them
+	quality    virtualclock.Quality // delayed messages are overtaken by others
 }
 
 func (n *network) clear() {
-	n.loss, n.duplicated, n.delayed = 0, 0, 0
+	n.quality = virtualclock.Quality{}
 	clear(n.cuts)
 }
 
+// cut cuts the link in one direction.
+func (n *network) cut(from, to replica.NodeID) { n.cuts[link{from, to}] = true }
+
 // send sends a message unless it gets lost.
 func (n *network) send(m replica.Message) {
-	if n.cuts[link{m.From, m.To}] || n.simulation.Chance(n.loss) {
+	if n.cuts[link{m.From, m.To}] || n.simulation.Chance(n.quality.Loss) {
 		return
 	}
 	n.carry(m)
-	if n.simulation.Chance(n.duplicated) {
+	if n.simulation.Chance(n.quality.Duplicated) {
 		n.carry(m)
 	}
 }
 
 func (n *network) carry(m replica.Message) {
 	delay := n.simulation.Between(200*time.Microsecond, n.simulation.maxDelay)
-	if n.simulation.Chance(n.delayed) {
+	if n.simulation.Chance(n.quality.Delayed) {
 		delay += n.simulation.Between(0, 3*simulatedTiming.ElectionTimeout)
 	}
 	n.simulation.After(delay, func() {
--- a/internal/controlplane/simulation/faults_test.go
+++ b/internal/controlplane/simulation/faults_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/virtualclock"
 )
 
 // minDiskLossInterval is the minimum time between two losses of a disk.
@@ -70,35 +71,21 @@
 	if selected == nil {
 		return
 	}
-	ways := w.Random.IntN(3)
-	for _, other := range w.nodes {
-		if ways != 0 {
-			w.network.cutLinks[link{selected.address, other.address}] = true
-		}
-		if ways != 1 {
-			w.network.cutLinks[link{other.address, selected.address}] = true
-		}
-	}
+	virtualclock.Isolate(w.Clock, selected.address, w.nodeAddresses(), w.network.cut)
 }
 
-func (w *world) faultSplit() {
-	left := make([]bool, len(w.nodes))
-	for i := range left {
-		left[i] = w.Chance(0.5)
-	}
-	for i, a := range w.nodes {
-		for j, b := range w.nodes {
-			if left[i] != left[j] {
-				w.network.cutLinks[link{a.address, b.address}] = true
-			}
-		}
+// nodeAddresses returns the addresses of all nodes, in their order.
+func (w *world) nodeAddresses() (addresses []endpoint) {
+	for _, n := range w.nodes {
+		addresses = append(addresses, n.address)
 	}
+	return addresses
 }
 
+func (w *world) faultSplit() { virtualclock.Split(w.Clock, w.nodeAddresses(), w.network.cut) }
+
 func (w *world) faultNetworkQuality() {
-	w.network.lossRate = []float64{0, 0.02, 0.1, 0.3}[w.Random.IntN(4)]
-	w.network.duplicationRate = []float64{0, 0.1, 0.5}[w.Random.IntN(3)]
-	w.network.slowRate = []float64{0, 0.05, 0.3}[w.Random.IntN(3)]
+	w.network.quality = w.RandomQuality()
 	w.maxDelay = []time.Duration{normalMaxDelay, degradedMaxDelay}[w.Random.IntN(2)]
 }
 
--- a/internal/controlplane/simulation/network_test.go
+++ b/internal/controlplane/simulation/network_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/virtualclock"
 )
 
 // endpoint is the address of a node or a client.
@@ -16,27 +17,25 @@
 
 // network delivers messages, and may lose, duplicate or delay them.
 type network struct {
-	world           *world
-	cutLinks        map[link]bool
-	linkLossRate    map[link]float64 // loss rate of single links
-	lossRate        float64
-	duplicationRate float64
-	slowRate        float64 // rate of long delays, so that messages overtake each other
+	world        *world
+	cutLinks     map[link]bool
+	linkLossRate map[link]float64     // loss rate of single links
+	quality      virtualclock.Quality // delayed messages are overtaken by others
 }
 
 func (n *network) clear() {
-	n.lossRate, n.duplicationRate, n.slowRate = 0, 0, 0
+	n.quality = virtualclock.Quality{}
 	clear(n.cutLinks)
 	clear(n.linkLossRate)
 }
 
 // send sends a message. arrive runs on its arrival.
 func (n *network) send(from, to endpoint, arrive func()) {
-	if n.cutLinks[link{from, to}] || n.world.Chance(n.lossRate) || len(n.linkLossRate) > 0 && n.world.Chance(n.linkLossRate[link{from, to}]) {
+	if n.cutLinks[link{from, to}] || n.world.Chance(n.quality.Loss) || len(n.linkLossRate) > 0 && n.world.Chance(n.linkLossRate[link{from, to}]) {
 		return
 	}
 	delay := n.world.Between(200*time.Microsecond, n.world.maxDelay)
-	if n.slowRate > 0 && n.world.Chance(n.slowRate) {
+	if n.quality.Delayed > 0 && n.world.Chance(n.quality.Delayed) {
 		delay += n.world.Between(0, 3*n.world.timing().ElectionTimeout)
 	}
 	n.world.After(delay, func() {
@@ -54,11 +53,14 @@
 	}
 	arrive := func() { to.execute(func() { to.receive(m) }) }
 	n.send(from, to.address, arrive)
-	if n.duplicationRate > 0 && n.world.Chance(n.duplicationRate) {
+	if n.quality.Duplicated > 0 && n.world.Chance(n.quality.Duplicated) {
 		n.send(from, to.address, arrive)
 	}
 }
 
+// cut cuts the link in one direction.
+func (n *network) cut(from, to endpoint) { n.cutLinks[link{from, to}] = true }
+
 func (n *network) cutBoth(a, b endpoint) {
 	n.cutLinks[link{a, b}] = true
 	n.cutLinks[link{b, a}] = true
--- a/internal/controlplane/simulation/registry_test.go
+++ b/internal/controlplane/simulation/registry_test.go
@@ -104,7 +104,7 @@
 			return false
 		}
 		return other == nil || !other.up || other.frozen || w.network.cutLinks[link{n.address, other.address}] ||
-			w.network.cutLinks[link{other.address, n.address}] || w.Chance(w.network.lossRate)
+			w.network.cutLinks[link{other.address, n.address}] || w.Chance(w.network.quality.Loss)
 	})
 }
 
