--- a/internal/tier/diff/diff_test.go
+++ b/internal/tier/diff/diff_test.go
@@ -144,3 +144,27 @@
 		assert.DeepEqual(t, got, held)
 	}
 }
+
+// BenchmarkServers makes and applies the change of one server among many. The figures are in
+// docs/performance.md.
+func BenchmarkServers(b *testing.B) {
+	for _, count := range []int{30, 300, 3000} {
+		before := protocol.ServerList{Service: "s", Version: 1}
+		for i := range count {
+			before.Servers = append(before.Servers, protocol.Server{ID: fmt.Sprintf("server-%05d", i)})
+		}
+		after := protocol.ServerList{Service: "s", Version: 2, Servers: slices.Clone(before.Servers)}
+		after.Servers[count/2].Draining = true
+		change := Servers(before, after)
+		b.Run(fmt.Sprintf("make/servers=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				Servers(before, after)
+			}
+		})
+		b.Run(fmt.Sprintf("apply/servers=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				ApplyServers([]protocol.ServerList{before}, change)
+			}
+		})
+	}
+}
