--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,15 +1,15 @@
-// Command 2 sends requests that must run at most once, while servers lose the answers of requests that they
-// ran. See claim.txt.
+// Command 2 sends long requests that must run at most once to servers that begin before they have read the
+// whole body, while some of them lose their answers. See claim.txt.
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,25 +24,20 @@
 	servers   = 8
 	troubled  = 4    // servers that lose answers: a share of 0.5
 	lostShare = 0.05 // of the answers of requests that they ran
-	length    = 25 * time.Second
-	clients   = 24
-	work      = 40 * time.Millisecond
+	length    = 40 * time.Second
+	clients   = 12
+
+	bodyBytes  = 1 << 20  // a quarter of maxBodyBytes
+	readFirst  = 64 << 10 // of the body, before the server begins
+	closeShare = 0.33     // of the answers that end their connection
+	work       = 40 * time.Millisecond
+	readLater  = 20 * time.Millisecond // after its answer the server pauses this long, then reads the rest
 )
 
-// configuration has two routes of one pool. The page's list of what makes a configuration invalid does not
-// name equal names. NAMES=distinct gives the routes different names: then nothing runs twice.
-func configuration() string {
-	names := [2]string{"meter-records", "meter-records"}
-	if os.Getenv("NAMES") == "distinct" {
-		names = [2]string{"reading-reconcile", "register-lookup"}
-	}
-	route := `{"name":"%s","hostHeader":"%s","pathPrefix":"%s","trafficClass":"%s","timeoutMs":3000,"targetLatencyMs":600,"priority":2,"poolName":"%s","retryLimit":2}`
-	return `{"configRevision":1,"virtualServers":[` +
-		fmt.Sprintf(route, names[0], host, "/reconcile/", "non_idempotent", service) + "," +
-		fmt.Sprintf(route, names[1], host, "/lookup/", "idempotent", service) +
-		`],"pools":[{"name":"` + service + `","healthMonitor":"/health","maxConnections":96,"protocol":"h1","tlsProfile":false}],
+const configuration = `{"configRevision":1,"virtualServers":[{"name":"reading-reconcile","hostHeader":"` + host + `","pathPrefix":"/reconcile/",
+"trafficClass":"non_idempotent","timeoutMs":6000,"targetLatencyMs":800,"priority":2,"poolName":"` + service + `","retryLimit":2}],
+"pools":[{"name":"` + service + `","healthMonitor":"/health","maxConnections":96,"protocol":"h1","tlsProfile":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-}
 
 type runs struct {
 	mu   sync.Mutex
@@ -50,10 +45,17 @@
 	lost int
 }
 
-// answer runs a request and answers it, or resets the connection instead.
+// answer begins the request with the first part of its body, runs it, answers, and reads the rest of the body
+// later. Where the answer is lost it resets the connection instead of the answer.
 func (r *runs) answer(tier *lab.Tier, number int) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
-		io.Copy(io.Discard, request.Body)
+		control := http.NewResponseController(w)
+		if control.EnableFullDuplex() != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, request.Body, readFirst); err != nil {
+			return // too little came to begin with
+		}
 		id := request.Header.Get("Oakseam-Attempt-Id")
 		loses := lab.Trouble() && number < troubled && rand.Float64() < lostShare
 		r.mu.Lock()
@@ -62,16 +64,23 @@
 			r.lost++
 		}
 		r.mu.Unlock()
-		tier.Record("server %d runs %s %s, its answer is lost: %t", number, request.URL.Path, id, loses)
+		tier.Record("server %d runs %s, its answer is lost: %t", number, id, loses)
 		time.Sleep(work)
-		if !loses {
-			io.WriteString(w, "done\n")
+		if loses {
+			if c, _, err := control.Hijack(); err == nil {
+				c.(*net.TCPConn).SetLinger(0) // a reset
+				c.Close()
+			}
 			return
 		}
-		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			c.(*net.TCPConn).SetLinger(0) // a reset
-			c.Close()
+		w.Header().Set("Content-Length", "5")
+		if rand.Float64() < closeShare {
+			w.Header().Set("Connection", "close")
 		}
+		io.WriteString(w, "done\n")
+		control.Flush()
+		time.Sleep(readLater)
+		io.Copy(io.Discard, request.Body)
 	}
 }
 
@@ -88,33 +97,33 @@
 			return 2, err
 		}
 	}
-	if err := tier.Begin(configuration()); err != nil {
+	if err := tier.Begin(configuration); err != nil {
 		return 2, err
 	}
 	edges := tier.Of("edge")
-	client := &http.Client{Timeout: 3500 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
-	var next, orders, answered atomic.Int64
-	send := func(path string) {
+	client := &http.Client{Timeout: 7 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	body := bytes.Repeat([]byte("reading "), bodyBytes/8)
+	var next, answered atomic.Int64
+	var mu sync.Mutex
+	statuses := map[string]int{} // of the requests' answers, by attempt id; 0: none
+	send := func() {
 		id := fmt.Sprintf("%016x", next.Add(1))
-		method := http.MethodGet
-		var body io.Reader
-		if path == "/reconcile/" {
-			method, body = http.MethodPost, strings.NewReader("a reading")
-			orders.Add(1)
-		}
-		request, _ := http.NewRequest(method, "http://"+edges[rand.IntN(len(edges))].Front()+path+"1", body)
+		request, _ := http.NewRequest(http.MethodPost, "http://"+edges[rand.IntN(len(edges))].Front()+"/reconcile/1", bytes.NewReader(body))
 		request.Host = host
 		request.Header.Set("Oakseam-Attempt-Id", id)
-		request.Header.Set("Oakseam-Time-Budget", "3000")
+		request.Header.Set("Oakseam-Time-Budget", "6000")
 		response, err := client.Do(request)
-		if err != nil {
-			tier.Record("client: %s %s: no answer (%v)", path, id, err)
-			return
+		status := 0
+		if err == nil {
+			status = response.StatusCode
+			io.Copy(io.Discard, response.Body)
+			response.Body.Close()
 		}
-		defer response.Body.Close()
-		io.Copy(io.Discard, response.Body)
-		tier.Record("client: %s %s: %d", path, id, response.StatusCode)
-		if response.StatusCode == http.StatusOK {
+		tier.Record("client: %s: %d (%v)", id, status, err)
+		mu.Lock()
+		statuses[id] = status
+		mu.Unlock()
+		if status == http.StatusOK {
 			answered.Add(1)
 		}
 	}
@@ -123,7 +132,7 @@
 	for range clients {
 		done.Go(func() {
 			for time.Now().Before(until) {
-				send([]string{"/reconcile/", "/lookup/"}[rand.IntN(2)])
+				send()
 				time.Sleep(30 * time.Millisecond)
 			}
 		})
@@ -132,28 +141,21 @@
 	time.Sleep(time.Second)
 	ran.mu.Lock()
 	defer ran.mu.Unlock()
-	orderIDs := map[string]bool{}
-	text, err := os.ReadFile("record.txt")
-	if err != nil {
-		return 2, err
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		if fields := strings.Fields(line); len(fields) > 3 && fields[1] == "client:" && fields[2] == "/reconcile/" {
-			orderIDs[strings.TrimSuffix(fields[3], ":")] = true
-		}
-	}
-	twice := 0
+	twice, refused := 0, 0
 	for id, at := range ran.of {
-		if len(at) > 1 && orderIDs[id] {
-			twice++
-			tier.Record("the non-idempotent request %s ran %d times, on servers %v", id, len(at), at)
-			if twice <= 5 {
-				fmt.Printf("the non-idempotent request %s ran %d times, on servers %v\n", id, len(at), at)
+		if len(at) > 1 {
+			if twice++; twice <= 5 {
+				fmt.Printf("request %s ran %d times, on servers %v; its client got %d\n", id, len(at), at, statuses[id])
 			}
+			tier.Record("request %s ran %d times, on servers %v", id, len(at), at)
+		}
+		if s := statuses[id]; s == http.StatusServiceUnavailable {
+			refused++
+			tier.Record("request %s was refused with %d and ran on servers %v", id, s, at)
 		}
 	}
-	fmt.Printf("%d requests, %d of them non-idempotent; %d answered with 200; %d answers lost; %d non-idempotent requests ran more than once\n",
-		next.Load(), orders.Load(), answered.Load(), ran.lost, twice)
+	fmt.Printf("%d requests, %d answered with 200; %d answers lost; %d requests ran more than once, %d were answered 503 though they ran\n",
+		next.Load(), answered.Load(), ran.lost, twice, refused)
 	if twice > 0 {
 		return 1, nil
 	}
--- a/review/lab/platform.go
+++ b/review/lab/platform.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	tierfakes "oakseam/internal/fakes/tier"
@@ -54,7 +56,7 @@
 // Serve starts a server of a service and lists it. The handler need not care for requests that are for
 // another server, nor for the health check.
 func (t *Tier) Serve(p *Platform, number int, service string, capacity int, handler http.HandlerFunc) error {
-	l, err := net.Listen("tcp", t.ServerIP(number)+":0")
+	l, err := listen(t.ServerIP(number) + ":0")
 	if err != nil {
 		return err
 	}
@@ -111,3 +113,16 @@
 
 // Trouble reports whether the case plays its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// listen listens with small buffers, as the links of the deployment have ("small windows: a peer that does not
+// read holds the writer up").
+func listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		failed := raw.Control(func(descriptor uintptr) {
+			err = errors.Join(syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 32<<10),
+				syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1460))
+		})
+		return errors.Join(failed, err)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
