--- a/review/2/main.go
+++ b/review/2/main.go
@@ -91,6 +91,7 @@
 	}
 	defer tier.Close()
 	defer platform.Close()
+	tier.SmallBuffers = true
 	ran := &runs{of: map[string][]int{}}
 	for i := range servers {
 		if err := tier.Serve(platform, i, service, 6, ran.answer(tier, i)); err != nil {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -53,6 +53,8 @@
 	Network  string // first three bytes of all addresses
 	Machines []*Machine
 	Start    time.Time
+	// SmallBuffers has the servers' sockets buffer little and use segments of a network's size.
+	SmallBuffers bool
 
 	mu     sync.Mutex
 	ends   []End
--- a/review/lab/platform.go
+++ b/review/lab/platform.go
@@ -12,16 +12,26 @@
 	"sync"
 	"syscall"
 	"time"
-
-	tierfakes "oakseam/internal/fakes/tier"
 )
 
+// Member is a server as the platform lists it.
+type Member struct {
+	MemberID     string  `json:"memberId"`
+	PoolName     string  `json:"poolName"`
+	Address      string  `json:"address"`
+	Zone         string  `json:"zone"`
+	Revision     string  `json:"configRevision"`
+	Capacity     int     `json:"capacity"`
+	MemberState  string  `json:"memberState"`
+	WarmupLeftMs float64 `json:"warmupLeftMs"`
+}
+
 // Platform lists the servers, all on one page.
 type Platform struct {
 	server *http.Server
 
 	mu      sync.Mutex
-	members []tierfakes.Member
+	members []Member
 }
 
 // NewPlatform serves the list at an address until Close.
@@ -37,7 +47,7 @@
 }
 
 // Add lists one more server.
-func (p *Platform) Add(m tierfakes.Member) {
+func (p *Platform) Add(m Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members = append(p.members, m)
@@ -56,7 +66,11 @@
 // Serve starts a server of a service and lists it. The handler need not care for requests that are for
 // another server, nor for the health check.
 func (t *Tier) Serve(p *Platform, number int, service string, capacity int, handler http.HandlerFunc) error {
-	l, err := listen(t.ServerIP(number) + ":0")
+	open := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	if t.SmallBuffers {
+		open = listenSmall
+	}
+	l, err := open(t.ServerIP(number) + ":0")
 	if err != nil {
 		return err
 	}
@@ -75,7 +89,7 @@
 		h.Set("Oakseam-Server-Seal", id+"."+r.Header.Get("Oakseam-Attempt-Id"))
 		handler(w, r)
 	}))
-	p.Add(tierfakes.Member{MemberID: id, PoolName: service, Address: l.Addr().String(), Zone: zones[number%len(zones)], Capacity: capacity, MemberState: tierfakes.InService})
+	p.Add(Member{MemberID: id, PoolName: service, Address: l.Addr().String(), Zone: zones[number%len(zones)], Revision: "v1", Capacity: capacity, MemberState: "in_service"})
 	return nil
 }
 
@@ -114,9 +128,9 @@
 // Trouble reports whether the case plays its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// listen listens with small buffers, as the links of the deployment have ("small windows: a peer that does not
+// listenSmall listens with small buffers, as the links of the deployment have ("small windows: a peer that does not
 // read holds the writer up").
-func listen(address string) (net.Listener, error) {
+func listenSmall(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		failed := raw.Control(func(descriptor uintptr) {
 			err = errors.Join(syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 32<<10),
