Spread the voters of groups over the zones, so that any one zone may go

Cause: voters were chosen by rendezvous order alone; with nine storage nodes in four zones three of a partition's five voters could share a zone, and its loss or cut stopped the partition. Change: a zone holds at most as many voters as leaves a majority without it; first assignment, replacement, surplus and an own step that moves a voter out of an overfull zone, one change at a time. Nodes of unknown zone and too few zones change nothing.

--- a/internal/controlplane/coordinator/benchmark_test.go
+++ b/internal/controlplane/coordinator/benchmark_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"oakseam/internal/controlplane/repair"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/scaletest"
@@ -33,7 +34,7 @@
 		partitions = partitions[:0]
 		for partition := range protocol.TurnPartitions(storageNodes) {
 			ranked := rankNodes(protocol.TurnGroup(partition), nodes)
-			partitions = append(partitions, ranked[:FeasibleVoters(toleratedLosses, storageNodes)])
+			partitions = append(partitions, repair.SelectVoters(ranked, FeasibleVoters(toleratedLosses, storageNodes)))
 		}
 	}
 	b.ReportMetric(float64(len(partitions)), "partitions")
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -284,7 +284,8 @@
 	assignment := &revisions.Assignment{}
 	for partition := range protocol.TurnPartitions(len(nodes)) {
 		ranked := rankNodes(protocol.TurnGroup(partition), nodes)
-		assignment.Partitions = append(assignment.Partitions, ranked[:FeasibleVoters(c.toleratedLosses, len(nodes))])
+		voters := FeasibleVoters(c.toleratedLosses, len(nodes))
+		assignment.Partitions = append(assignment.Partitions, repair.SelectVoters(ranked, voters))
 	}
 	if err := c.submit(ctx, &revisions.Command{Assign: assignment}); err != nil {
 		klog.ErrorS(err, "Assigning the turn partitions failed; will retry")
--- a/internal/controlplane/coordinator/notifier.go
+++ b/internal/controlplane/coordinator/notifier.go
@@ -31,12 +31,7 @@
 	return n.next
 }
 
-// rankNodes returns the ids of nodes in a group's rendezvous order.
-func rankNodes(group replica.GroupID, nodes []protocol.Node) []replica.NodeID {
-	ranked := hashing.Rank(string(group), nodes, func(n protocol.Node) uint64 { return uint64(n.ID) })
-	ids := make([]replica.NodeID, 0, len(ranked))
-	for _, n := range ranked {
-		ids = append(ids, n.ID)
-	}
-	return ids
+// rankNodes returns nodes in a group's rendezvous order.
+func rankNodes(group replica.GroupID, nodes []protocol.Node) []protocol.Node {
+	return hashing.Rank(string(group), nodes, func(n protocol.Node) uint64 { return uint64(n.ID) })
 }
--- a/internal/controlplane/repair/repair.go
+++ b/internal/controlplane/repair/repair.go
@@ -55,7 +55,7 @@
 		return withoutMember(current, lost[0]), true
 	case len(current.Voters) > view.TargetVoters:
 		return withoutMember(current, p.surplusVoter(view)), true
-	case healthy < view.TargetVoters:
+	case healthy < view.TargetVoters || p.canImprovePlacement(view):
 		if next, ok := p.promote(view); ok {
 			return next, true
 		}
@@ -66,9 +66,13 @@
 	return p.planLearners(view)
 }
 
-// NeedsVoter reports whether the group needs another voter. If so, Plan needs View.Alive.
+// NeedsVoter reports whether the group needs another voter, also in place of one in a zone that
+// holds too many. If so, Plan needs View.Alive.
 func (p *Planner) NeedsVoter(view View) bool {
-	return view.Status.LeaderReady && !view.Status.ChangePending && len(view.Status.Members.Voters)-len(p.lost(view)) < view.TargetVoters
+	if !view.Status.LeaderReady || view.Status.ChangePending {
+		return false
+	}
+	return len(view.Status.Members.Voters)-len(p.lost(view)) < view.TargetVoters || p.mayImprovePlacement(view)
 }
 
 func (p *Planner) initMaps() {
@@ -97,18 +101,35 @@
 }
 
 // surplusVoter returns the voter to remove: the last one in the group's rendezvous order,
-// never the leader.
+// never the leader. Voters of zones that hold too many go first.
 func (p *Planner) surplusVoter(view View) replica.NodeID {
 	voters := slices.DeleteFunc(slices.Clone(view.Status.Members.Voters), func(id replica.NodeID) bool { return id == view.Status.Self })
+	zones := p.voterZones(view)
+	misplaced := slices.DeleteFunc(slices.Clone(voters), func(id replica.NodeID) bool {
+		n, known := findNode(view.Nodes, id)
+		return !known || !zones.exceeds(n.Zone)
+	})
+	if len(misplaced) > 0 {
+		voters = misplaced
+	}
 	ranked := hashing.Rank(string(view.Status.Group), voters, func(id replica.NodeID) uint64 { return uint64(id) })
 	return ranked[len(ranked)-1]
 }
 
-// promote makes a learner that has caught up a voter.
+// promote makes a learner that has caught up a voter. One in a full zone has to wait for one that
+// is still catching up in a zone with room.
 func (p *Planner) promote(view View) (replica.Members, bool) {
 	current := view.Status.Members
+	zones, catchingUp := p.voterZones(view), false
 	for _, n := range p.candidates(view) {
-		if !slices.Contains(current.Learners, n.ID) || !heardRecently(view, n.ID) || !hasCaughtUp(view, n.ID) {
+		if !slices.Contains(current.Learners, n.ID) || !heardRecently(view, n.ID) {
+			continue
+		}
+		if catchingUp && !zones.hasRoom(n.Zone) {
+			return current, false
+		}
+		if !hasCaughtUp(view, n.ID) {
+			catchingUp = catchingUp || zones.hasRoom(n.Zone)
 			continue
 		}
 		delete(p.invited, n.ID)
@@ -155,15 +176,21 @@
 	return current, false
 }
 
-// candidates returns the nodes that may become voters, in the group's rendezvous order.
+// candidates returns the nodes that may become voters, in the group's rendezvous order, those of
+// zones with room first. A group with all its voters takes another one only into such a zone.
 func (p *Planner) candidates(view View) []protocol.Node {
 	var nodes []protocol.Node
 	for _, n := range view.Alive {
-		if !slices.Contains(view.Status.Members.Voters, n.ID) && !slices.Contains(view.Retiring, n.Name) {
+		if mayBecomeVoter(view, n) {
 			nodes = append(nodes, n)
 		}
 	}
-	return hashing.Rank(string(view.Status.Group), nodes, func(n protocol.Node) uint64 { return uint64(n.ID) })
+	ranked := hashing.Rank(string(view.Status.Group), nodes, func(n protocol.Node) uint64 { return uint64(n.ID) })
+	withRoom, full := p.voterZones(view).divide(ranked)
+	if len(view.Status.Members.Voters)-len(p.lost(view)) >= view.TargetVoters {
+		return withRoom
+	}
+	return append(withRoom, full...)
 }
 
 // planLearners corrects the set of learners: all nodes that are not voters if AllAsLearners
@@ -191,6 +218,11 @@
 	return replica.Members{Voters: current.Voters, Learners: want}, true
 }
 
+// mayBecomeVoter reports whether a node is not a voter and may be one.
+func mayBecomeVoter(view View, n protocol.Node) bool {
+	return !slices.Contains(view.Status.Members.Voters, n.ID) && !slices.Contains(view.Retiring, n.Name)
+}
+
 func findNode(nodes []protocol.Node, id replica.NodeID) (protocol.Node, bool) {
 	at := slices.IndexFunc(nodes, func(n protocol.Node) bool { return n.ID == id })
 	if at < 0 {
