Split the exchange of an attempt by its jobs

Change: sending and reading the head, the response with its bounds, and receiving the body are functions of their own; the order of effects and every result stay as they were.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -112,59 +112,85 @@
 			p.put(c, stopWake() && reusable)
 		}
 	}()
-	written := time.Now()
 	up := &upload{pool: p, conn: c, call: call, timer: timer, responseDeadline: a.AnswerDeadline}
+	res, verdict, err := p.sendAndReadHead(ctx, a, up)
+	if err != nil {
+		return end, nil, err
+	}
+	end.Result, end.LoadReport = verdict.Result, verdict.Report
+	r := newResponse(ctx, res, up, stopWake)
+	if s, err = p.receiveBody(&end, r, res, verdict); err != nil {
+		return end, nil, &Error{ResponseBegun, withCause(ctx, err)}
+	}
+	// The connection is not reused if the server announced a close, if bytes follow the response,
+	// or if the response was not read completely.
+	reusable = r.keepConn && s == nil && c.reader.Buffered() == 0
+	return end, s, nil
+}
+
+// sendAndReadHead writes the request, or starts writing it while its body still arrives, and reads
+// the head of the response. Its error is an *Error with the stage that was reached.
+func (p *Pool) sendAndReadHead(ctx context.Context, a core.Attempt, up *upload) (*http.Response, Classification, error) {
+	written := time.Now()
 	var unsent error // why the request could not be written whole
-	if call.Rest != nil {
+	if up.call.Rest != nil {
 		up.startStreaming(a.Timeout)
 	} else if unsent = up.writeBuffered(time.Until(a.Deadline)); unsent != nil && up.stage() == NotConnected {
-		p.recordBreak(c, unsent, time.Since(written))
-		return end, nil, &Error{NotConnected, withCause(ctx, unsent)}
+		p.recordBreak(up.conn, unsent, time.Since(written))
+		return nil, Classification{}, &Error{NotConnected, withCause(ctx, unsent)}
 	}
 	// A server may answer and close before it has read the whole body: its answer is still there.
-	res, verdict, err := p.readResponse(c, call)
+	res, verdict, err := p.readResponse(up.conn, up.call)
 	if err != nil {
 		err = cmp.Or(unsent, up.cause(err))
-		p.recordBreak(c, err, time.Since(written))
-		return end, nil, &Error{up.stage(), withCause(ctx, err)}
+		p.recordBreak(up.conn, err, time.Since(written))
+		return nil, Classification{}, &Error{up.stage(), withCause(ctx, err)}
 	}
+	return res, verdict, nil
+}
+
+// newResponse returns the response whose head was read, and bounds what may follow it on its
+// connection. The body is not closed, because Close would first read an endless response to its end.
+// The connection is closed instead if the body was not read completely.
+func newResponse(ctx context.Context, res *http.Response, up *upload, stopWake func() bool) response {
+	c := up.conn
 	c.keepAlive = keepAliveTimeout(res.Header)
-	early := up.stage() != FullyWritten // the server responded before it had the whole request
 	c.readLimit = maxHeadBytes + message.MaxBuffered
-	// The body is not closed, because Close would first read an endless response to its end. The
-	// connection is closed instead if the body was not read completely.
-	end.Result, end.LoadReport = verdict.Result, verdict.Report
-	noBody := call.Method == http.MethodHead
-	sized := noBody || res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	keepConn := !early && !res.Close && sized && !c.gotMisrouted
-	r := response{ctx: ctx, upload: up, length: res.ContentLength, body: res.Body, stopWake: stopWake, keepConn: keepConn}
+	early := up.stage() != FullyWritten // the server responded before it had the whole request
+	sized := up.call.Method == http.MethodHead || res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	r := response{
+		ctx: ctx, upload: up, length: res.ContentLength, body: res.Body, stopWake: stopWake,
+		keepConn: !early && !res.Close && sized && !c.gotMisrouted,
+	}
 	if !sized {
 		r.body = &closeDelimitedBody{res.Body, up}
 	}
+	return r
+}
+
+// receiveBody sets the reply of a response that is passed on, and discards the body of any other. It
+// returns the stream of a body that is passed on as it arrives.
+func (p *Pool) receiveBody(end *core.AttemptResult, r response, res *http.Response, verdict Classification) (*stream, error) {
+	passedOn := verdict.Result == logic.OK || verdict.PassThrough
 	switch {
-	case noBody && (verdict.Result == logic.OK || verdict.PassThrough):
-		end.Reply, end.PassThrough = p.withHead(&message.Reply{Length: res.ContentLength}, res), verdict.Result != logic.OK
-	case verdict.Result == logic.OK && verdict.Stream && res.ContentLength <= message.MaxBodyBytes:
+	case !passedOn:
+		return nil, discardBody(r.body, message.MaxBuffered)
+	case r.upload.call.Method == http.MethodHead:
+		end.Reply, end.PassThrough = p.withHead(&message.Reply{Length: r.length}, res), verdict.Result != logic.OK
+		return nil, nil
+	case verdict.Result == logic.OK && verdict.Stream && r.length <= message.MaxBodyBytes:
 		end.Streaming = true
-		c.allowLongBody()
-		s = p.newStream(r)
-		end.Reply = p.withHead(&message.Reply{Length: res.ContentLength, Rest: s}, res)
-		return end, s, nil
-	case verdict.Result == logic.OK || verdict.PassThrough:
-		var reply *message.Reply
-		if reply, s, err = p.readReply(r); err != nil {
-			return end, nil, &Error{ResponseBegun, withCause(ctx, err)}
-		}
-		end.Reply, end.PassThrough = p.withHead(reply, res), verdict.Result != logic.OK
-	default:
-		if err := discardBody(r.body, message.MaxBuffered); err != nil {
-			return end, nil, &Error{ResponseBegun, withCause(ctx, err)}
-		}
+		r.upload.conn.allowLongBody()
+		s := p.newStream(r)
+		end.Reply = p.withHead(&message.Reply{Length: r.length, Rest: s}, res)
+		return s, nil
 	}
-	// The connection is not reused if the server announced a close, if bytes follow the response,
-	// or if the response was not read completely.
-	reusable = keepConn && s == nil && c.reader.Buffered() == 0
-	return end, s, nil
+	reply, s, err := p.readReply(r)
+	if err != nil {
+		return nil, err
+	}
+	end.Reply, end.PassThrough = p.withHead(reply, res), verdict.Result != logic.OK
+	return s, nil
 }
 
 // readResponse reads and classifies the head of the response. It discards responses to other
