Log the failed calls of the admin API by name and status

A call to a path that the admin API lacks left no line in any log, so a core node's log couldn't tell a missing call (404) from a node without quorum (503) or an unreachable one. Each second with failed calls now has a line for each name and status, with their count; names come from callers and are bounded in length and number. TestFailedCallsAreReportedByNameAndStatus and TestKindsOfFailedCallsAreBounded pass, also with the race detector.

--- a/internal/controlplane/adminapi/server.go
+++ b/internal/controlplane/adminapi/server.go
@@ -75,8 +75,9 @@
 func NewServer(options Options) *Server {
 	options = options.withDefaults()
 	server := &Server{options: options, bodies: semaphore.NewWeighted(options.MaxBufferedBytes)}
+	failures := &failures{interval: failureInterval, report: logFailure}
 	server.http = &http.Server{
-		Handler:           matcher.Serve(server.tree(), writeError),
+		Handler:           failures.observe(matcher.Serve(server.tree(), writeError)),
 		ReadHeaderTimeout: options.HeaderTimeout,
 		ReadTimeout:       options.HeaderTimeout + options.BodyTimeout,
 		WriteTimeout:      options.BodyTimeout + 2*options.DecisionTimeout + options.ResponseTimeout,
