--- a/internal/controlplane/node/node.go
+++ b/internal/controlplane/node/node.go
@@ -51,6 +51,8 @@
 	Bootstrap      bool
 	Seeds          []string // net/rpc addresses of core nodes
 	OnUnknownGroup func(replica.GroupID) bool
+	// Dial connects to another node; TCP by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Node is one process of the control plane.
@@ -96,7 +98,7 @@
 		}
 	}
 	n.Addresses.Learn(n.Self)
-	n.Pool, n.bulk = rpc.NewPool(rpc.Options{}), rpc.NewPool(rpc.Options{StaleAfter: bulkStaleTimeout})
+	n.Pool, n.bulk = rpc.NewPool(rpc.Options{Dial: options.Dial}), rpc.NewPool(rpc.Options{StaleAfter: bulkStaleTimeout, Dial: options.Dial})
 	n.Host, err = host.New(host.Options{
 		Self: id, Timing: Timing(options.Class), Store: disk, Now: n.Now, Seed: rand.Uint64(), OnUnknownGroup: options.OnUnknownGroup,
 		Transport: &transport{addresses: n.Addresses, regular: lane{pool: n.Pool}, bulk: lane{pool: n.bulk}},
