Share SQLite's connection, statements and opening on a full disk

Cause: the tallies need a database file of their own with the same pragmas, prepared statements and treatment of a full disk. Change: the connection with its statements is now an embedded type, VersionError names the version that is read, and waiting for space is a function of the store package; nothing that the groups' store does changed.

--- a/internal/controlplane/node/node.go
+++ b/internal/controlplane/node/node.go
@@ -74,7 +74,7 @@
 // Open opens the node's disk and reads its identity.
 func Open(options Options) (*Node, error) {
 	n := &Node{seeds: options.Seeds, start: time.Now()}
-	disk, err := openStore(options.DataDir)
+	disk, err := store.AwaitSpace(func() (*store.SQLite, error) { return store.Open(options.DataDir) })
 	if err != nil {
 		return nil, errors.Wrap(err, "open store")
 	}
@@ -107,28 +107,6 @@
 	return n, nil
 }
 
-// Backoff between attempts to open a store on a full disk.
-const (
-	minOpenBackoff = 50 * time.Millisecond
-	maxOpenBackoff = 2 * time.Second
-)
-
-// openStore opens the store in a folder. If there is no store yet and the disk is full, it
-// retries with a backoff.
-func openStore(folder string) (store.Store, error) {
-	for backoff := minOpenBackoff; ; backoff = min(2*backoff, maxOpenBackoff) {
-		disk, err := store.Open(folder)
-		if err == nil {
-			return disk, nil
-		}
-		if !errors.Is(err, store.ErrFull) {
-			return nil, err
-		}
-		klog.ErrorS(err, "The disk is full; the node starts once there is space", "pause", backoff)
-		time.Sleep(backoff)
-	}
-}
-
 // identity returns the id stored on the disk, or creates one. An empty disk means that votes
 // and copies are lost, so the node gets a new identity.
 func identity(disk store.Store, options Options) (replica.NodeID, error) {
--- a/internal/controlplane/store/load.go
+++ b/internal/controlplane/store/load.go
@@ -3,7 +3,6 @@
 import (
 	"database/sql/driver"
 	"fmt"
-	"io"
 	"net/url"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,17 +11,14 @@
 	"oakseam/internal/controlplane/replica"
 )
 
-// setVersionSQL writes schemaVersion into the file.
-var setVersionSQL = fmt.Sprintf("PRAGMA user_version = %d;", schemaVersion)
-
 // VersionError reports a database file that another version of the program wrote.
 type VersionError struct {
-	Found int64
+	Found, Read int64
 }
 
 // Error implements error.
 func (e *VersionError) Error() string {
-	return fmt.Sprintf("the store has schema version %d, this program reads version %d", e.Found, schemaVersion)
+	return fmt.Sprintf("the store has schema version %d, this program reads version %d", e.Found, e.Read)
 }
 
 // Load implements Store.
@@ -99,28 +95,6 @@
 	}
 }
 
-// query passes each row of a query's result to handleRow. The values are valid only during the
-// call.
-func (s *SQLite) query(statement string, handleRow func([]driver.Value) error) error {
-	rows, err := s.connection.Query(statement, nil)
-	if err != nil {
-		return err
-	}
-	row := make([]driver.Value, len(rows.Columns()))
-	for {
-		err := rows.Next(row)
-		if err == io.EOF {
-			return rows.Close()
-		}
-		if err != nil {
-			return errors.Join(err, rows.Close())
-		}
-		if err := handleRow(row); err != nil {
-			return errors.Join(err, rows.Close())
-		}
-	}
-}
-
 // logEndOf returns the end of a stored log.
 func logEndOf(stored replica.PersistentState) logEnd {
 	end := logEnd{last: stored.Snapshot.Index}
--- a/internal/controlplane/store/sqlite.go
+++ b/internal/controlplane/store/sqlite.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"context"
 	"database/sql/driver"
 	"os"
 	"path/filepath"
@@ -9,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
-	"github.com/mattn/go-sqlite3"
 
 	"oakseam/internal/controlplane/replica"
 )
@@ -20,16 +18,14 @@
 
 // SQLite is a Store in one database file. It holds the file's lock while it is open.
 type SQLite struct {
-	mu         sync.Mutex
-	connection *sqlite3.SQLiteConn
-	statements map[string]*sqlite3.SQLiteStmt // prepared statements by their text
-	arguments  []driver.NamedValue            // buffer that run reuses
-	groups     map[replica.GroupID]*group
-	nextID     int64
-	nextSeq    int64    // sequence number of the next entry, over all groups
-	undo       []func() // reverts what the current change did to the fields above
-	failure    error    // *FailedError or ErrClosed: no further change is possible
-	closed     bool
+	mu sync.Mutex
+	database
+	groups  map[replica.GroupID]*group
+	nextID  int64
+	nextSeq int64    // sequence number of the next entry, over all groups
+	undo    []func() // reverts what the current change did to the fields above
+	failure error    // *FailedError or ErrClosed: no further change is possible
+	closed  bool
 }
 
 // group is the in-memory record of a stored group.
@@ -54,11 +50,10 @@
 		return nil, err
 	}
 	s := &SQLite{
-		connection: connection,
-		statements: map[string]*sqlite3.SQLiteStmt{},
-		groups:     map[replica.GroupID]*group{},
-		nextID:     1,
-		nextSeq:    1,
+		database: newDatabase(connection),
+		groups:   map[replica.GroupID]*group{},
+		nextID:   1,
+		nextSeq:  1,
 	}
 	if err := s.initialize(directory, maxPages); err != nil {
 		return nil, errors.Join(err, connection.Close())
@@ -66,24 +61,12 @@
 	return s, nil
 }
 
-// connect opens the database file. The path may contain any characters.
-func connect(path string) (*sqlite3.SQLiteConn, error) {
-	location := "file:" + escapePath(path) + "?_busy_timeout=0"
-	opened, err := (&sqlite3.SQLiteDriver{}).Open(location)
-	if err != nil {
-		return nil, errors.Wrapf(classifyOpenError(err), "open %s", path)
-	}
-	return opened.(*sqlite3.SQLiteConn), nil
-}
-
 // initialize applies the pragmas, creates the tables, syncs the directory and loads the groups.
 func (s *SQLite) initialize(directory string, maxPages int) error {
-	for _, statement := range pragmas(maxPages) {
-		if _, err := s.connection.Exec(statement, nil); err != nil {
-			return wrap(classifyOpenError(err), statement)
-		}
+	if err := s.configure(maxPages); err != nil {
+		return err
 	}
-	if err := s.createTables(); err != nil {
+	if err := s.createTables(schema, schemaVersion); err != nil {
 		return err
 	}
 	if err := syncDirectory(directory); err != nil {
@@ -99,26 +82,6 @@
 	return nil
 }
 
-// createTables creates the tables of a new file and rejects a file with another schema version.
-func (s *SQLite) createTables() error {
-	var version int64
-	err := s.query(sqlReadVersion, func(row []driver.Value) error {
-		version = row[0].(int64)
-		return nil
-	})
-	if err != nil {
-		return wrap(classifyOpenError(err), "read the version")
-	}
-	if version != 0 && version != schemaVersion {
-		return &VersionError{Found: version}
-	}
-	if version == schemaVersion {
-		return nil // write nothing, so that the store opens on a full disk
-	}
-	_, err = s.connection.Exec("BEGIN IMMEDIATE;"+schema+setVersionSQL+"COMMIT;", nil)
-	return wrap(classifyOpenError(err), "create the tables")
-}
-
 // Identity implements Store.
 func (s *SQLite) Identity() (replica.NodeID, bool, error) {
 	s.mu.Lock()
@@ -181,12 +144,7 @@
 		return nil
 	}
 	s.closed, s.failure = true, ErrClosed
-	var failures []error
-	for _, statement := range s.statements {
-		failures = append(failures, statement.Close())
-	}
-	failures = append(failures, s.connection.Close())
-	return wrap(errors.Join(failures...), "close the store")
+	return s.database.close()
 }
 
 // commit executes the change in one durable transaction. If the disk is full, the change is
@@ -211,20 +169,6 @@
 	return s.failure
 }
 
-func (s *SQLite) transact(change func() error) error {
-	if err := s.run(sqlBegin); err != nil {
-		return wrap(err, "begin")
-	}
-	err := change()
-	if err == nil {
-		err = wrap(s.run(sqlCommit), "commit")
-	}
-	if err != nil {
-		_ = s.run(sqlRollback) // SQLite may have rolled back already; nothing more is written in either case
-	}
-	return err
-}
-
 // undoChange reverts the in-memory fields after a rollback. It also moves the write-ahead log into
 // the database, so that the log's space can be reused.
 func (s *SQLite) undoChange() {
@@ -232,7 +176,7 @@
 		s.undo[i]()
 	}
 	s.undo = s.undo[:0]
-	_, _ = s.connection.Exec(sqlCheckpoint, nil) // best effort
+	s.checkpoint()
 }
 
 func (s *SQLite) write(w *Write) error {
@@ -314,47 +258,6 @@
 	return record, nil
 }
 
-// run executes a statement, which is prepared on its first use.
-func (s *SQLite) run(text string, values ...driver.Value) error {
-	statement, ok := s.statements[text]
-	if !ok {
-		prepared, err := s.connection.Prepare(text)
-		if err != nil {
-			return err
-		}
-		statement = prepared.(*sqlite3.SQLiteStmt)
-		s.statements[text] = statement
-	}
-	s.arguments = s.arguments[:0]
-	for i, value := range values {
-		s.arguments = append(s.arguments, driver.NamedValue{Ordinal: i + 1, Value: value})
-	}
-	_, err := statement.ExecContext(context.Background(), s.arguments)
-	clear(s.arguments) // do not keep a state reachable
-	return err
-}
-
-// isFull reports whether SQLite returned SQLITE_FULL. In this case the outcome is certain: SQLite
-// has rolled back what it could not write. A sync that fails for lack of space is not included.
-func isFull(err error) bool {
-	var failure sqlite3.Error
-	return errors.As(err, &failure) && failure.Code == sqlite3.ErrFull
-}
-
-// classifyOpenError adds ErrInUse or ErrFull to an error of opening the store.
-func classifyOpenError(err error) error {
-	var failure sqlite3.Error
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &failure) && (failure.Code == sqlite3.ErrBusy || failure.Code == sqlite3.ErrLocked):
-		return errors.Join(ErrInUse, err)
-	case isFull(err):
-		return errors.Join(ErrFull, err)
-	}
-	return err
-}
-
 func makeDirectory(directory string) error {
 	if err := os.MkdirAll(directory, directoryMode); err != nil {
 		return wrap(err, "create the store's directory")
