Read the bound mergeMs of the settings

Cause: tallies must be whole within mergeMs after a cut, and the settings file states that bound. Change: timingBounds.mergeMs is read and checked like the others, default 3000 ms.

--- a/internal/tier/settings/bounds.go
+++ b/internal/tier/settings/bounds.go
@@ -22,6 +22,7 @@
 	Again          time.Duration // again_s, 0 s
 	Finish         time.Duration // finishS, 10 s
 	Settle         time.Duration // settleMs, 1000 ms
+	Merge          time.Duration // mergeMs, 3000 ms
 }
 
 // MaxBound is the longest time that the file may state.
@@ -61,5 +62,6 @@
 		{"again_s", s, 0, &b.Again},
 		{"finishS", s, 10 * s, &b.Finish},
 		{"settleMs", ms, 1000 * ms, &b.Settle},
+		{"mergeMs", ms, 3000 * ms, &b.Merge},
 	}
 }
