Count tallies at every core node, on both sides of a cut

Change: package tallies is the pure state, a union of one append-only log per disk life; store.Tallies keeps the logs in a file of its own; package tallysync commits in groups, pushes own entries to the other core nodes, fetches what is missing and acknowledges once machineLosses + 1 nodes have synced an add, or all that answer if a cut leaves fewer; adminapi serves the two calls. An origin is a random number in the tallies' file rather than the node's id, since ids of a first start are derived from addresses and an emptied disk must not continue a log.

--- a/cmd/oakseam-control/main.go
+++ b/cmd/oakseam-control/main.go
@@ -18,6 +18,8 @@
 	"oakseam/internal/controlplane/node"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/controlplane/storage"
+	"oakseam/internal/controlplane/store"
+	"oakseam/internal/controlplane/tallysync"
 	"oakseam/internal/tier/platform"
 	"oakseam/internal/tier/process"
 	"oakseam/internal/tier/protocol"
@@ -56,8 +58,23 @@
 		return err
 	}
 	defer n.Close()
+	talliesStore, err := store.AwaitSpace(func() (*store.Tallies, error) { return store.OpenTallies(s.DataDir) })
+	if err != nil {
+		return errors.Wrap(err, "open tallies")
+	}
+	defer talliesStore.Close()
+	transport := tallysync.NewPoolTransport()
+	defer transport.Close()
+	tallies, err := tallysync.New(tallysync.Options{
+		Self: n.Self, ToleratedLosses: s.FaultTolerance.MachineLosses, Store: talliesStore, Transport: transport,
+		Members: n.Addresses.All, MergeBound: s.Bounds.Merge,
+	})
+	if err != nil {
+		return err
+	}
 	core, err := coordinator.New(coordinator.Options{
-		Node: n, ToleratedLosses: s.FaultTolerance.MachineLosses, Bootstrap: options.Bootstrap, Seeds: options.Seeds,
+		Tallies: tallies,
+		Node:    n, ToleratedLosses: s.FaultTolerance.MachineLosses, Bootstrap: options.Bootstrap, Seeds: options.Seeds,
 		ConfigApply: s.Bounds.ConfigApply, DrainBound: s.Bounds.Drain,
 	})
 	if err != nil {
@@ -71,7 +88,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other processes")
 	}
-	server := adminapi.NewServer(adminapi.Options{Authority: core})
+	server := adminapi.NewServer(adminapi.Options{Authority: core, Tallies: coordinator.TalliesAPI{Node: tallies}})
 	defer server.Close()
 	go server.Serve(api)
 	klog.InfoS("Replicating configuration and services", "id", n.Self.ID, "address", options.Address, "first", options.Bootstrap)
--- a/internal/controlplane/adminapi/authority.go
+++ b/internal/controlplane/adminapi/authority.go
@@ -6,9 +6,12 @@
 //	GET  /api/Configuration.Show       200 with the bytes as they were sent, 404 none yet, 503
 //	POST /api/Retire.Begin/{node}      200 accepted, 400, 404 unknown node, 409 too few nodes, 413, 503
 //	GET  /api/Retire.Show/{node}       200, 404 unknown node, 503
+//	POST /api/Tallies.Modify/{tally}   200 counted, 400, 409 counted with another amount, 413, 500, 503, 504
+//	GET  /api/Tallies.Show/{tally}     200, 400, 503
 //
 // Status 503 means that the outcome is unknown or that the call cannot be decided now: the
-// same call may be repeated. Any other error is final.
+// same call may be repeated. Any other error is final. The calls for tallies differ: there, 503 means
+// that nothing was done, and 500 and 504 that the add may be or become counted.
 package adminapi
 
 import (
--- a/internal/controlplane/adminapi/calls.go
+++ b/internal/controlplane/adminapi/calls.go
@@ -52,6 +52,7 @@
 	add(http.MethodGet, pathShow, s.show)
 	add(http.MethodPost, pathRetireBegin, s.retireBegin)
 	add(http.MethodGet, pathRetireShow, s.retireShow)
+	s.addTallies(add)
 	return tree
 }
 
--- a/internal/controlplane/adminapi/server.go
+++ b/internal/controlplane/adminapi/server.go
@@ -30,6 +30,7 @@
 // Options configure a Server. All except Authority may be 0 for the defaults.
 type Options struct {
 	Authority        Authority
+	Tallies          Tallies       // nil: the server has no calls for tallies
 	MaxBodyBytes     int64         // bytes of one configuration
 	MaxBufferedBytes int64         // bytes of all configurations being read or decided at once, at least MaxBodyBytes
 	MaxConnections   int           // open connections; more wait to be accepted
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/controlplane/revisions"
 	"oakseam/internal/controlplane/servers"
+	"oakseam/internal/controlplane/tallysync"
 	"oakseam/internal/tier/protocol"
 )
 
@@ -53,6 +54,8 @@
 	storageCountChangedAt time.Time // when storageCount last changed
 	storageCount          int
 	startedAt             time.Time
+
+	tallies *tallysync.Node
 }
 
 // Options configure a Coordinator.
@@ -68,6 +71,8 @@
 	// DrainBound is how soon a draining server must receive no new requests after the platform's
 	// list shows it as draining; 0 if unknown.
 	DrainBound time.Duration
+	// Tallies holds the tallies of this node; nil if it has none.
+	Tallies *tallysync.Node
 }
 
 // DefaultConfigApply is the usual bound on putting a configuration into force.
@@ -93,7 +98,7 @@
 
 // New restores or creates the groups of a core node.
 func New(options Options) (*Coordinator, error) {
-	c := &Coordinator{node: options.Node, toleratedLosses: options.ToleratedLosses, updates: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, startedAt: time.Now(), staleAfter: StaleAfter(options.ConfigApply), listInterval: lister.Interval(options.DrainBound)}
+	c := &Coordinator{node: options.Node, toleratedLosses: options.ToleratedLosses, updates: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, startedAt: time.Now(), staleAfter: StaleAfter(options.ConfigApply), listInterval: lister.Interval(options.DrainBound), tallies: options.Tallies}
 	var first replica.Members
 	if options.Bootstrap {
 		for _, s := range options.Seeds {
@@ -139,14 +144,23 @@
 
 // Run serves other processes on l until ctx ends or the disk fails.
 func (c *Coordinator) Run(ctx context.Context, l net.Listener, platform lister.Platform) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	services := map[string]any{"Control": &controlService{c}}
+	if c.tallies != nil {
+		services[tallysync.ServiceName] = c.tallies.Service()
+		go c.serveTallies(ctx, cancel)
+	}
 	go c.register(ctx)
 	go c.maintainGroups(ctx)
 	go c.learnDirectory(ctx)
 	go c.removeGoneNodes(ctx)
 	go lister.New(platform, &listerTask{c}, c.listInterval).Run(ctx)
-	return c.node.Serve(ctx, l, map[string]any{"Control": &controlService{c}})
+	err := c.node.Serve(ctx, l, services)
+	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
 }
 
 // register keeps this node registered in the directory.
--- /dev/null
+++ b/internal/controlplane/store/tallies.go
@@ -0,0 +1,205 @@
+package store
+
+import (
+	"database/sql/driver"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"oakseam/internal/controlplane/tallies"
+)
+
+// talliesFileName is the name of the tallies' database file in the store's directory.
+const talliesFileName = "tallies.db"
+
+// talliesSchemaVersion is stored in the file's user_version. A file with another version is rejected.
+const talliesSchemaVersion = 1
+
+// talliesSchema creates the tables. Entries of all logs are stored in the order in which they were
+// written, so that a commit fills few pages. Origins are stored as signed numbers with the same bits.
+const talliesSchema = `
+CREATE TABLE IF NOT EXISTS origin (
+	id INTEGER PRIMARY KEY
+);
+CREATE TABLE IF NOT EXISTS names (
+	id   INTEGER PRIMARY KEY,
+	name TEXT NOT NULL UNIQUE
+);
+CREATE TABLE IF NOT EXISTS entries (
+	origin   INTEGER NOT NULL,
+	sequence INTEGER NOT NULL,
+	name     INTEGER NOT NULL,
+	member   TEXT NOT NULL,
+	amount   INTEGER NOT NULL
+);
+`
+
+const (
+	sqlSetOrigin   = "INSERT INTO origin (id) VALUES (?)"
+	sqlAddName     = "INSERT INTO names (id, name) VALUES (?, ?)"
+	sqlAddEntry    = "INSERT INTO entries (origin, sequence, name, member, amount) VALUES (?, ?, ?, ?, ?)"
+	sqlReadOrigin  = "SELECT id FROM origin"
+	sqlReadNames   = "SELECT id, name FROM names"
+	sqlReadTallies = "SELECT origin, sequence, name, member, amount FROM entries ORDER BY rowid"
+)
+
+// Tallies stores the logs of tallies in one database file. It has the contract of Store: an Append
+// that returned nil is durable; one that failed with ErrFull changed nothing and may be retried, and
+// no other one may be made before; after any other failure every later one fails with ErrFailed.
+// It is safe for concurrent use.
+type Tallies struct {
+	mu sync.Mutex
+	database
+	origin  tallies.Origin
+	names   map[string]int64
+	added   []string // names that the current change added
+	failure error    // *FailedError or ErrClosed: no further change is possible
+	closed  bool
+}
+
+// OpenTallies opens the tallies' store in a directory and creates both if they do not exist. A new
+// file gets a random origin: an empty disk must never continue a log that it no longer holds.
+func OpenTallies(directory string) (*Tallies, error) { return openTalliesLimited(directory, 0) }
+
+// openTalliesLimited is OpenTallies with a bound on the number of database pages; 0 means no bound.
+func openTalliesLimited(directory string, maxPages int) (*Tallies, error) {
+	if err := makeDirectory(directory); err != nil {
+		return nil, err
+	}
+	connection, err := connect(filepath.Join(directory, talliesFileName))
+	if err != nil {
+		return nil, err
+	}
+	s := &Tallies{database: newDatabase(connection), names: map[string]int64{}}
+	if err := s.initialize(directory, maxPages); err != nil {
+		return nil, errors.Join(err, s.database.close())
+	}
+	return s, nil
+}
+
+func (s *Tallies) initialize(directory string, maxPages int) error {
+	if err := s.configure(maxPages); err != nil {
+		return err
+	}
+	if err := s.createTables(talliesSchema, talliesSchemaVersion); err != nil {
+		return err
+	}
+	if err := syncDirectory(directory); err != nil {
+		return err
+	}
+	if err := s.loadOrigin(); err != nil {
+		return err
+	}
+	return s.loadNames(map[int64]string{})
+}
+
+// loadOrigin reads the origin, and creates it in a new file.
+func (s *Tallies) loadOrigin() error {
+	err := s.query(sqlReadOrigin, func(row []driver.Value) error {
+		s.origin = tallies.Origin(row[0].(int64))
+		return nil
+	})
+	if err != nil || s.origin != 0 {
+		return wrap(err, "read the origin")
+	}
+	origin := tallies.Origin(rand.Uint64() | 1)
+	if err := s.run(sqlSetOrigin, int64(origin)); err != nil {
+		return wrap(classifyOpenError(err), "create the origin")
+	}
+	s.origin = origin
+	return nil
+}
+
+func (s *Tallies) loadNames(byID map[int64]string) error {
+	return wrap(s.query(sqlReadNames, func(row []driver.Value) error {
+		id, name := row[0].(int64), textOf(row[1])
+		s.names[name], byID[id] = id, name
+		return nil
+	}), "read the names")
+}
+
+// Origin returns the origin of this disk's own log.
+func (s *Tallies) Origin() tallies.Origin { return s.origin }
+
+// Load passes the stored entries to add, one log's in the order of the log.
+func (s *Tallies) Load(add func(tallies.Run) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return ErrClosed
+	}
+	byID := map[int64]string{}
+	if err := s.loadNames(byID); err != nil {
+		return err
+	}
+	return wrap(s.query(sqlReadTallies, func(row []driver.Value) error {
+		entry := tallies.Entry{Tally: byID[row[2].(int64)], Member: textOf(row[3]), Amount: row[4].(int64)}
+		return add(tallies.Run{Origin: tallies.Origin(row[0].(int64)), First: uint64(row[1].(int64)), Entries: []tallies.Entry{entry}})
+	}), "read the entries")
+}
+
+// Append makes runs durable in one commit. Each continues its log.
+func (s *Tallies) Append(runs []tallies.Run) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure != nil {
+		return s.failure
+	}
+	s.added = s.added[:0]
+	err := s.transact(func() error { return s.append(runs) })
+	switch {
+	case err == nil:
+		return nil
+	case isFull(err):
+		for _, name := range s.added {
+			delete(s.names, name)
+		}
+		s.checkpoint()
+		return &FullError{Cause: err}
+	}
+	s.failure = &FailedError{Cause: err}
+	return s.failure
+}
+
+func (s *Tallies) append(runs []tallies.Run) error {
+	for _, run := range runs {
+		for i, entry := range run.Entries {
+			name, err := s.nameID(entry.Tally)
+			if err != nil {
+				return err
+			}
+			if err := s.run(sqlAddEntry, int64(run.Origin), int64(run.First)+int64(i), name, entry.Member, entry.Amount); err != nil {
+				return errors.Wrap(err, fmt.Sprintf("append entry %d", run.First+uint64(i)))
+			}
+		}
+	}
+	return nil
+}
+
+// nameID returns the number of a tally's name and creates it for a new one.
+func (s *Tallies) nameID(name string) (int64, error) {
+	if id, known := s.names[name]; known {
+		return id, nil
+	}
+	id := int64(len(s.names)) + 1
+	if err := s.run(sqlAddName, id, name); err != nil {
+		return 0, errors.Wrap(err, "add a name")
+	}
+	s.names[name] = id
+	s.added = append(s.added, name)
+	return id, nil
+}
+
+// Close closes the store. Every later call fails with ErrClosed.
+func (s *Tallies) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed, s.failure = true, ErrClosed
+	return s.database.close()
+}
--- /dev/null
+++ b/internal/controlplane/tallysync/exchange.go
@@ -0,0 +1,221 @@
+package tallysync
+
+import (
+	"context"
+	"time"
+
+	"oakseam/internal/controlplane/tallies"
+	"oakseam/internal/tier/rpc"
+)
+
+// ExchangeArgs brings the entries that the caller wrote and the called node lacks, and asks for what
+// the caller lacks.
+type ExchangeArgs struct {
+	Digest uint64 // of what the caller holds, including the runs
+	// Vector tells what the caller holds. It is set if the caller wants what it lacks.
+	Vector tallies.Vector
+	Runs   []tallies.Run
+}
+
+// ExchangeReply tells what the called node holds on its disk. It is sent after the call's runs are
+// synced.
+type ExchangeReply struct {
+	Same   bool           // the called node holds what the caller's digest stands for
+	Vector tallies.Vector // otherwise
+	Runs   []tallies.Run  // some entries that the caller lacks, if it asked
+}
+
+// Service serves the calls of other nodes.
+type Service struct{ node *Node }
+
+// Service returns the service for calls under the name ServiceName.
+func (n *Node) Service() *Service { return &Service{n} }
+
+// ServiceName is the name of the service, exchangeMethod that of its call.
+const (
+	ServiceName    = "Tally"
+	exchangeMethod = ServiceName + ".Exchange"
+)
+
+// Exchange stores the caller's entries and tells what this node holds.
+func (s *Service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	n := s.node
+	if len(args.Runs) > 0 {
+		if err := n.receive(context.Background(), args.Runs); err != nil {
+			return err
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state.Digest() == args.Digest {
+		reply.Same = true
+		return nil
+	}
+	reply.Vector = n.state.Vector()
+	if args.Vector != nil {
+		reply.Runs = n.state.Since(args.Vector, maxMessageBytes)
+	}
+	return nil
+}
+
+func (n *Node) exchangeTimeout() time.Duration { return exchangeIntervals * n.interval }
+
+// peer is another core node.
+type peer struct {
+	address string
+	wake    chan struct{} // signals that there may be entries to push
+	stop    context.CancelFunc
+
+	// The following is guarded by Node.mu.
+	zone        string
+	vector      tallies.Vector // what the node said it holds on its disk; nil if it has not answered yet
+	reachable   bool
+	missedTicks int  // since its last answer
+	settled     bool // this node held what the other one did, or gave up waiting for its first answer
+}
+
+// notify starts an exchange unless one is in progress.
+func (p *peer) notify() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// exchangeRepeatedly makes exchanges with a node until ctx ends: at once if there is something to
+// push or to fetch, otherwise regularly.
+func (n *Node) exchangeRepeatedly(ctx context.Context, p *peer) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n.awaitNext(ctx, p, timer) {
+		again := true
+		for again && ctx.Err() == nil {
+			again = n.exchange(ctx, p)
+		}
+		timer.Reset(n.interval)
+	}
+}
+
+// awaitNext waits until the next exchange is due. It returns false when ctx has ended.
+func (n *Node) awaitNext(ctx context.Context, p *peer, timer *time.Timer) bool {
+	for {
+		select {
+		case <-timer.C:
+			return true
+		case <-p.wake:
+			if n.shouldPush(p) {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// shouldPush reports whether a node that responds lacks entries of this node.
+func (n *Node) shouldPush(p *peer) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return p.reachable && n.unpushed(p)
+}
+
+// unpushed reports whether a node lacks entries of this node. n.mu must be held.
+func (n *Node) unpushed(p *peer) bool {
+	own := n.state.Own()
+	return p.vector != nil && p.vector[own] < n.state.Last(own)
+}
+
+// exchange makes one exchange and reports whether the next one should follow at once.
+func (n *Node) exchange(ctx context.Context, p *peer) (again bool) {
+	args, sent := n.newExchange(p)
+	defer n.endPull(p)
+	callCtx, cancel := context.WithTimeout(ctx, n.exchangeTimeout())
+	defer cancel()
+	var reply ExchangeReply
+	if err := n.transport.Exchange(callCtx, p.address, args, &reply); err != nil {
+		return false
+	}
+	if len(reply.Runs) > 0 {
+		if err := n.receive(ctx, reply.Runs); err != nil {
+			reply.Runs = nil // fetched again by a later exchange
+		}
+	}
+	return n.finishExchange(p, args, &reply, sent)
+}
+
+// newExchange returns the arguments of an exchange, and what this node holds at this time.
+func (n *Node) newExchange(p *peer) (*ExchangeArgs, tallies.Vector) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.state.Vector()
+	args := &ExchangeArgs{Digest: n.state.Digest()}
+	if n.unpushed(p) {
+		run, _ := n.state.After(n.state.Own(), p.vector[n.state.Own()], maxMessageBytes)
+		args.Runs = []tallies.Run{run}
+	}
+	// One node at a time is asked, as the others are likely to hold the same.
+	if sent.Lacks(p.vector) && n.pulling == nil {
+		n.pulling = p
+		args.Vector = sent
+	}
+	return args, sent
+}
+
+// endPull lets other exchanges fetch entries.
+func (n *Node) endPull(p *peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pulling == p {
+		n.pulling = nil
+	}
+}
+
+// finishExchange records an answer and reports whether the next exchange should follow at once.
+func (n *Node) finishExchange(p *peer, args *ExchangeArgs, reply *ExchangeReply, sent tallies.Vector) (again bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.state.Own()
+	before := p.vector
+	p.vector = reply.Vector
+	if reply.Same {
+		p.vector = sent
+	} else if p.vector == nil {
+		p.vector = tallies.Vector{}
+	}
+	first := !p.settled || !p.reachable
+	n.recordAnswer(p)
+	lacks := n.state.Vector().Lacks(p.vector)
+	p.settled = p.settled || !lacks
+	if lacks && (len(reply.Runs) > 0 || first && args.Vector == nil && n.pulling == nil) {
+		return true
+	}
+	pushed := len(args.Runs) == 0 || p.vector[own] > before[own]
+	return pushed && n.unpushed(p)
+}
+
+// PoolTransport makes the calls over a pool of connections.
+type PoolTransport struct{ pool *rpc.Pool }
+
+// Time limits of the connections for tallies. They are short, so that the first exchange after a cut
+// soon follows its end.
+const (
+	dialTimeout    = 300 * time.Millisecond
+	initialBackoff = 50 * time.Millisecond
+	maxBackoff     = 100 * time.Millisecond
+	staleAfter     = 500 * time.Millisecond
+)
+
+// NewPoolTransport returns a transport with a pool of its own.
+func NewPoolTransport() *PoolTransport {
+	return &PoolTransport{pool: rpc.NewPool(rpc.Options{
+		DialTimeout: dialTimeout, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff, StaleAfter: staleAfter,
+	})}
+}
+
+// Exchange implements Transport.
+func (t *PoolTransport) Exchange(ctx context.Context, address string, args *ExchangeArgs, reply *ExchangeReply) error {
+	return t.pool.Call(ctx, address, exchangeMethod, args, reply)
+}
+
+// Close closes the connections.
+func (t *PoolTransport) Close() { t.pool.Close() }
--- /dev/null
+++ b/internal/controlplane/tallysync/node.go
@@ -0,0 +1,322 @@
+// Package tallysync replicates tallies between the core nodes without a leader: each node writes its
+// own log, pushes it to the others, and fetches from them what it lacks. An add is acknowledged when
+// enough nodes have synced it to disk. Behind a cut that is all nodes that can be reached; after the
+// cut, the nodes exchange what the other side wrote.
+//
+// A node tells others only of entries that are synced on its own disk.
+package tallysync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"oakseam/internal/controlplane/tallies"
+	"oakseam/internal/tier/protocol"
+	"oakseam/internal/wait"
+)
+
+// DefaultMergeBound is the usual bound on the time from the end of a cut until all nodes hold the same.
+const DefaultMergeBound = 3 * time.Second
+
+const (
+	// minInterval and maxInterval bound the time between two exchanges with a node. The nodes should be
+	// able to make mergeExchanges exchanges within the merge bound.
+	minInterval    = 25 * time.Millisecond
+	maxInterval    = 150 * time.Millisecond
+	mergeExchanges = 20
+	// unreachableTicks is the number of ticks in a row without an answer after which a node counts as
+	// unreachable. A waiting caller leaves after one second, and must get its answer before.
+	unreachableTicks = 4
+	// startTicks is the same for the first answer after the start: as long as a node has heard neither
+	// from its disk's nor from the others' entries, its callers turn to other nodes.
+	startTicks = 8
+	// exchangeIntervals is the timeout of one exchange, in intervals.
+	exchangeIntervals = 2
+	// addTimeout bounds an add: a caller without an answer for a second turns to another node.
+	addTimeout = 800 * time.Millisecond
+	// maxMessageBytes bounds the entries of one message and of one transaction.
+	maxMessageBytes = 64 << 10
+	// fullDiskRetryInterval is the time between two attempts to write to a full disk.
+	fullDiskRetryInterval = 200 * time.Millisecond
+)
+
+// Errors of Add and Total. After any other error than ErrUncertain nothing was written.
+var (
+	// ErrNotReady: the node has not heard from enough other nodes since its start, or its disk is full.
+	ErrNotReady = errors.New("tallies are not available on this node now")
+	// ErrConflict: the id came before with another amount.
+	ErrConflict = errors.New("the memberId was counted with another amount")
+	// ErrTooLarge: the total would not fit into 64 bits.
+	ErrTooLarge = errors.New("the total would be too large")
+	// ErrUncertain: the add is or may be written, but not on enough nodes. It may be repeated.
+	ErrUncertain = errors.New("the add is not on enough nodes yet")
+)
+
+// Store holds the logs durably. Append makes runs durable in one commit; store.Tallies states the
+// whole contract.
+type Store interface {
+	Origin() tallies.Origin
+	Load(add func(tallies.Run) error) error
+	Append(runs []tallies.Run) error
+}
+
+// Transport makes calls to other nodes.
+type Transport interface {
+	Exchange(ctx context.Context, address string, args *ExchangeArgs, reply *ExchangeReply) error
+}
+
+// Options configure a Node.
+type Options struct {
+	Self            protocol.Node
+	ToleratedLosses int // number of machines that may be lost at once
+	Store           Store
+	Transport       Transport
+	Members         func() []protocol.Node // the known core nodes; may contain this one
+	MergeBound      time.Duration          // 0 for DefaultMergeBound
+}
+
+// Node holds the tallies of one core node.
+type Node struct {
+	self           protocol.Node
+	requiredCopies int
+	interval       time.Duration // between two exchanges with a node, and between two ticks
+	store          Store
+	transport      Transport
+	members        func() []protocol.Node
+	queued         chan struct{} // signals that changes wait for the writer
+	stopped        chan struct{} // closed when Run ends
+	loops          sync.WaitGroup
+
+	mu       sync.Mutex
+	state    *tallies.State // holds only what is synced
+	changes  []*change      // wait for the writer
+	peers    map[string]*peer
+	pulling  *peer // the peer from which entries are being fetched
+	ready    bool
+	ended    bool
+	diskFull bool
+	waiting  int           // adds that wait for copies
+	progress chan struct{} // closed when a waiting add is to be checked again
+	degraded degradedPeriod
+}
+
+// New returns a node with what the store holds. It takes part once Run is called.
+func New(options Options) (*Node, error) {
+	bound := options.MergeBound
+	if bound <= 0 {
+		bound = DefaultMergeBound
+	}
+	n := &Node{
+		self: options.Self, requiredCopies: options.ToleratedLosses + 1, interval: min(max(bound/mergeExchanges, minInterval), maxInterval),
+		store: options.Store, transport: options.Transport, members: options.Members,
+		queued: make(chan struct{}, 1), stopped: make(chan struct{}), progress: make(chan struct{}),
+		state: tallies.New(options.Store.Origin()), peers: map[string]*peer{},
+	}
+	err := options.Store.Load(func(run tallies.Run) error {
+		_, err := n.state.Apply(run)
+		return err
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "load tallies")
+	}
+	return n, nil
+}
+
+// Run exchanges entries with the other nodes until ctx ends or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer n.loops.Wait()
+	defer n.end()
+	defer cancel()
+	written := make(chan error, 1)
+	n.loops.Go(func() { written <- n.write(ctx) })
+	ticker := time.NewTicker(n.interval)
+	defer ticker.Stop()
+	n.updateMembers(ctx)
+	last := time.Now()
+	for {
+		select {
+		case err := <-written:
+			return err
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.updateMembers(ctx)
+		n.tick(time.Since(last))
+		last = time.Now()
+	}
+}
+
+// end refuses further calls and ends those that wait.
+func (n *Node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ready, n.ended = false, true
+	close(n.stopped)
+}
+
+// Add adds an amount to a tally under an id, and returns once it is on enough nodes.
+func (n *Node) Add(ctx context.Context, tally, member string, amount int64) error {
+	ctx, cancel := context.WithTimeout(ctx, addTimeout)
+	defer cancel()
+	c := &change{entry: &tallies.Entry{Tally: tally, Member: member, Amount: amount}}
+	if err := n.enqueueReady(c); err != nil {
+		return err
+	}
+	result, err := n.await(ctx, c)
+	if err != nil {
+		return err
+	}
+	return n.awaitCopies(ctx, result.position)
+}
+
+// Total returns the total of a tally as far as this node knows, which includes all adds that it
+// acknowledged.
+func (n *Node) Total(tally string) (int64, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ready {
+		return 0, ErrNotReady
+	}
+	return n.state.Total(tally), nil
+}
+
+// Status describes a node's tallies.
+type Status struct {
+	Ready     bool
+	Entries   int // of all logs
+	Members   int // known nodes, including this one
+	Reachable int // of these
+}
+
+// Status returns the current status.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Status{Ready: n.ready, Entries: n.state.Entries(), Members: len(n.peers) + 1, Reachable: n.reachableNodes()}
+}
+
+// updateMembers starts and ends the exchanges as nodes come and go.
+func (n *Node) updateMembers(ctx context.Context) {
+	members := n.members()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := make(map[string]bool, len(members))
+	for _, member := range members {
+		if member.Class != protocol.Core || member.Address == n.self.Address || member.ID == n.self.ID {
+			continue
+		}
+		current[member.Address] = true
+		n.updatePeer(ctx, member)
+	}
+	for address, p := range n.peers {
+		if !current[address] {
+			p.stop()
+			delete(n.peers, address)
+			n.notifyWaiting()
+		}
+	}
+}
+
+// updatePeer starts the exchanges with a node that is new. n.mu must be held.
+func (n *Node) updatePeer(ctx context.Context, member protocol.Node) {
+	p := n.peers[member.Address]
+	if p == nil {
+		peerCtx, stop := context.WithCancel(ctx)
+		p = &peer{address: member.Address, wake: make(chan struct{}, 1), stop: stop, reachable: true}
+		n.peers[member.Address] = p
+		n.loops.Go(func() { n.exchangeRepeatedly(peerCtx, p) })
+	}
+	p.zone = member.Zone
+}
+
+// tick counts the nodes that have not answered since the last tick, which ended some time ago. Ticks
+// rather than time are counted, because a process that stood still could not hear from anybody. After
+// a long pause the count starts again, and of two ticks that come at once the second does not count.
+func (n *Node) tick(elapsed time.Duration) {
+	if elapsed < n.interval/2 {
+		return
+	}
+	paused := elapsed >= unreachableTicks*n.interval
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	settled := true
+	for _, p := range n.peers {
+		if paused && p.reachable {
+			p.missedTicks = 0
+		}
+		p.missedTicks++
+		if p.reachable && p.missedTicks >= unreachableTicks {
+			p.reachable = false
+			n.notifyWaiting()
+			klog.InfoS("A core node is unreachable for tallies", "address", p.address, "zone", p.zone, "reachable", n.reachableNodes(), "members", len(n.peers)+1)
+		}
+		p.settled = p.settled || p.missedTicks >= startTicks
+		settled = settled && p.settled
+	}
+	if settled && !n.ready && !n.ended && len(n.peers)+1 >= n.requiredCopies {
+		n.ready = true
+		klog.InfoS("Tallies are available", "entries", n.state.Entries(), "reachable", n.reachableNodes(), "members", len(n.peers)+1)
+	}
+	if n.reachableNodes() >= n.requiredCopies {
+		n.degraded.end()
+	}
+}
+
+// await returns the result of a change.
+func (n *Node) await(ctx context.Context, c *change) (changeResult, error) {
+	select {
+	case result := <-c.done:
+		return result, result.err
+	case <-ctx.Done():
+	case <-n.stopped:
+	}
+	return changeResult{}, ErrUncertain
+}
+
+// write is the only writer of the store and the state. It returns when ctx ends or the disk fails.
+func (n *Node) write(ctx context.Context) error {
+	for {
+		select {
+		case <-n.queued:
+		case <-ctx.Done():
+			return nil
+		}
+		for changes := n.takeChanges(); len(changes) > 0; changes = n.takeChanges() {
+			if err := n.commit(ctx, changes); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// appendRuns makes runs durable. While the disk is full, it repeats the same write: the store allows
+// no other one before.
+func (n *Node) appendRuns(ctx context.Context, runs []tallies.Run) error {
+	for {
+		err := n.store.Append(runs)
+		full := isFull(err)
+		n.setDiskFull(full)
+		if !full {
+			return err
+		}
+		if !wait.For(ctx, fullDiskRetryInterval) {
+			return err
+		}
+	}
+}
+
+// setDiskFull records whether the disk is full. While it is, no add is accepted.
+func (n *Node) setDiskFull(full bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if full != n.diskFull {
+		klog.InfoS("The disk of the tallies became full or has space again", "full", full)
+	}
+	n.diskFull = full
+}
