--- a/cmd/oakseam-control/main.go
+++ b/cmd/oakseam-control/main.go
@@ -63,7 +63,7 @@
 		return errors.Wrap(err, "open tallies")
 	}
 	defer talliesStore.Close()
-	transport := tallysync.NewPoolTransport()
+	transport := tallysync.NewPoolTransport(nil)
 	defer transport.Close()
 	tallies, err := tallysync.New(tallysync.Options{
 		Self: n.Self, ToleratedLosses: s.FaultTolerance.MachineLosses, Store: talliesStore, Transport: transport,
--- a/internal/controlplane/cluster/cluster_test.go
+++ b/internal/controlplane/cluster/cluster_test.go
@@ -22,6 +22,8 @@
 	"oakseam/internal/controlplane/coordinator"
 	"oakseam/internal/controlplane/node"
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/store"
+	"oakseam/internal/controlplane/tallysync"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/rpc"
 	"oakseam/internal/wait"
@@ -151,15 +153,22 @@
 		Bootstrap: bootstrap, Seeds: c.seeds, Dial: c.network.dialFrom(machine.address),
 	})
 	assert.NilError(c, err)
+	disk, err := store.OpenTallies(machine.folder)
+	assert.NilError(c, err)
+	transport := tallysync.NewPoolTransport(c.network.dialFrom(machine.address))
+	tallies, err := tallysync.New(tallysync.Options{
+		Self: n.Self, ToleratedLosses: c.toleratedLosses, Store: disk, Transport: transport, Members: n.Addresses.All, MergeBound: mergeBound,
+	})
+	assert.NilError(c, err)
 	core, err := coordinator.New(coordinator.Options{
-		Node: n, ToleratedLosses: c.toleratedLosses, Bootstrap: bootstrap, Seeds: c.seeds, ConfigApply: configApply, DrainBound: drainBound,
+		Tallies: tallies, Node: n, ToleratedLosses: c.toleratedLosses, Bootstrap: bootstrap, Seeds: c.seeds, ConfigApply: configApply, DrainBound: drainBound,
 	})
 	assert.NilError(c, err)
 	api, err := net.Listen("tcp", machine.api)
 	assert.NilError(c, err)
 	calls, err := rpc.Listen(machine.address)
 	assert.NilError(c, err)
-	server := adminapi.NewServer(adminapi.Options{Authority: core})
+	server := adminapi.NewServer(adminapi.Options{Authority: core, Tallies: coordinator.TalliesAPI{Node: tallies}})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { server.Serve(api) })
@@ -170,6 +179,8 @@
 		cancel()
 		running.Wait()
 		n.Close()
+		transport.Close()
+		disk.Close()
 	}
 }
 
--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"oakseam/internal/controlplane/tallies"
@@ -205,10 +206,10 @@
 	staleAfter     = 500 * time.Millisecond
 )
 
-// NewPoolTransport returns a transport with a pool of its own.
-func NewPoolTransport() *PoolTransport {
+// NewPoolTransport returns a transport with a pool of its own. A nil dial connects over TCP.
+func NewPoolTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *PoolTransport {
 	return &PoolTransport{pool: rpc.NewPool(rpc.Options{
-		DialTimeout: dialTimeout, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff, StaleAfter: staleAfter,
+		Dial: dial, DialTimeout: dialTimeout, InitialBackoff: initialBackoff, MaxBackoff: maxBackoff, StaleAfter: staleAfter,
 	})}
 }
 
