Let a started node take tallies as soon as the others have answered

Change: readiness is checked with each answer, a call from a node that did not answer so far starts an exchange with it, dials end after 200 ms.

--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -120,7 +120,9 @@
 	}
 	if len(t.own) > 0 {
 		for _, p := range n.peers {
-			p.notify()
+			if p.reachable {
+				p.notify()
+			}
 		}
 	}
 }
--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -11,7 +11,8 @@
 // ExchangeArgs brings the entries that the caller wrote and the called node lacks, and asks for what
 // the caller lacks.
 type ExchangeArgs struct {
-	Digest uint64 // of what the caller holds, including the runs
+	Address string // of the caller
+	Digest  uint64 // of what the caller holds, including the runs
 	// Vector tells what the caller holds. It is set if the caller wants what it lacks.
 	Vector tallies.Vector
 	Runs   []tallies.Run
@@ -40,6 +41,7 @@
 // Exchange stores the caller's entries and tells what this node holds.
 func (s *Service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	n := s.node
+	n.heardFrom(args.Address)
 	if len(args.Runs) > 0 {
 		if err := n.receive(context.Background(), args.Runs); err != nil {
 			return err
@@ -58,12 +60,21 @@
 	return nil
 }
 
+// heardFrom starts an exchange with a node that did not answer so far and calls itself now.
+func (n *Node) heardFrom(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[address]; p != nil && (!p.settled || !p.reachable) {
+		p.notify()
+	}
+}
+
 func (n *Node) exchangeTimeout() time.Duration { return exchangeIntervals * n.interval }
 
 // peer is another core node.
 type peer struct {
 	address string
-	wake    chan struct{} // signals that there may be entries to push
+	wake    chan struct{} // signals that there may be entries to push, or that the node called
 	stop    context.CancelFunc
 
 	// The following is guarded by Node.mu.
@@ -103,7 +114,7 @@
 		case <-timer.C:
 			return true
 		case <-p.wake:
-			if n.shouldPush(p) {
+			if n.shouldExchange(p) {
 				return true
 			}
 		case <-ctx.Done():
@@ -112,11 +123,11 @@
 	}
 }
 
-// shouldPush reports whether a node that responds lacks entries of this node.
-func (n *Node) shouldPush(p *peer) bool {
+// shouldExchange reports whether a node lacks entries of this node, or has not answered so far.
+func (n *Node) shouldExchange(p *peer) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return p.reachable && n.unpushed(p)
+	return n.unpushed(p) || !p.settled || !p.reachable
 }
 
 // unpushed reports whether a node lacks entries of this node. n.mu must be held.
@@ -148,7 +159,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sent := n.state.Vector()
-	args := &ExchangeArgs{Digest: n.state.Digest()}
+	args := &ExchangeArgs{Address: n.self.Address, Digest: n.state.Digest()}
 	if n.unpushed(p) {
 		run, _ := n.state.After(n.state.Own(), p.vector[n.state.Own()], maxMessageBytes)
 		args.Runs = []tallies.Run{run}
@@ -186,6 +197,7 @@
 	n.recordAnswer(p)
 	lacks := n.state.Vector().Lacks(p.vector)
 	p.settled = p.settled || !lacks
+	n.updateReadiness()
 	if lacks && (len(reply.Runs) > 0 || first && args.Vector == nil && n.pulling == nil) {
 		return true
 	}
@@ -199,7 +211,7 @@
 // Time limits of the connections for tallies. They are short, so that the first exchange after a cut
 // soon follows its end.
 const (
-	dialTimeout    = 300 * time.Millisecond
+	dialTimeout    = 200 * time.Millisecond
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 100 * time.Millisecond
 	staleAfter     = 500 * time.Millisecond
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -245,7 +245,6 @@
 	paused := elapsed >= unreachableTicks*n.interval
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	settled := true
 	for _, p := range n.peers {
 		if paused && p.reachable {
 			p.missedTicks = 0
@@ -257,17 +256,28 @@
 			klog.InfoS("A core node is unreachable for tallies", "address", p.address, "zone", p.zone, "reachable", n.reachableNodes(), "members", len(n.peers)+1)
 		}
 		p.settled = p.settled || p.missedTicks >= startTicks
-		settled = settled && p.settled
-	}
-	if settled && !n.ready && !n.ended && len(n.peers)+1 >= n.requiredCopies {
-		n.ready = true
-		klog.InfoS("Tallies are available", "entries", n.state.Entries(), "reachable", n.reachableNodes(), "members", len(n.peers)+1)
 	}
+	n.updateReadiness()
 	if n.reachableNodes() >= n.requiredCopies {
 		n.degraded.end()
 	}
 }
 
+// updateReadiness lets this node take calls once it holds what each known node does, or has given up
+// waiting for it. n.mu must be held.
+func (n *Node) updateReadiness() {
+	if n.ready || n.ended || len(n.peers)+1 < n.requiredCopies {
+		return
+	}
+	for _, p := range n.peers {
+		if !p.settled {
+			return
+		}
+	}
+	n.ready = true
+	klog.InfoS("Tallies are available", "entries", n.state.Entries(), "reachable", n.reachableNodes(), "members", len(n.peers)+1)
+}
+
 // await returns the result of a change.
 func (n *Node) await(ctx context.Context, c *change) (changeResult, error) {
 	select {
--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -191,6 +191,24 @@
 	})
 }
 
+// Callers must not wait for a node that has returned until its turn comes.
+func TestNodesThatStartTogetherAreSoonReady(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		c.add(0, "t", "m", 1)
+		disks := make([]*testDisk, 5)
+		for i := range disks {
+			disks[i] = c.node(i).disk
+		}
+		c.stopAll()
+		for i, disk := range disks {
+			time.Sleep(70 * time.Millisecond)
+			c.start(i, disk)
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.assertTotals("t", 1)
+	})
+}
+
 // A node that starts on the cut-off side has to serve its callers in the end.
 func TestStartedNodeBehindACutAnswersInTheEnd(t *testing.T) {
 	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
