Refuse adds to tallies while a write stalls

Cause: with a disk that does not respond every caller of the node waited 800 ms for its 504, and runs that others pushed piled up in the queue. Change: a write that takes longer than 250 ms, also because the disk is full, makes the node refuse further adds with 503, which nothing was written for, and further runs. Measured: the new scenario in virtual time (a disk that stalls for 5 s per write) refuses at once, the other nodes acknowledge within 10 ms, the refused add is on no disk, and all totals agree afterwards; the other scenarios pass.

--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -7,7 +7,6 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
-	"oakseam/internal/controlplane/store"
 	"oakseam/internal/controlplane/tallies"
 )
 
@@ -28,7 +27,7 @@
 func (n *Node) enqueueReady(c *change) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.ready || n.diskFull {
+	if !n.ready || n.diskStalled() {
 		return ErrNotReady
 	}
 	n.enqueue(c)
@@ -47,11 +46,11 @@
 	return err
 }
 
-// enqueueReceived queues runs unless the disk is full: the queue must not grow meanwhile.
+// enqueueReceived queues runs unless the disk stalls: the queue must not grow meanwhile.
 func (n *Node) enqueueReceived(c *change) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.diskFull {
+	if n.diskStalled() {
 		return ErrNotReady
 	}
 	n.enqueue(c)
@@ -223,5 +222,3 @@
 	}
 	return nil
 }
-
-func isFull(err error) bool { return errors.Is(err, store.ErrFull) }
--- a/internal/controlplane/tallysync/cluster_test.go
+++ b/internal/controlplane/tallysync/cluster_test.go
@@ -33,6 +33,7 @@
 	origin tallies.Origin
 	runs   []tallies.Run
 	full   bool
+	stall  time.Duration // added to each write
 }
 
 func (d *testDisk) Origin() tallies.Origin { return d.origin }
@@ -47,7 +48,10 @@
 }
 
 func (d *testDisk) Append(runs []tallies.Run) error {
-	time.Sleep(testSync)
+	d.mu.Lock()
+	stall := d.stall
+	d.mu.Unlock()
+	time.Sleep(testSync + stall)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.full {
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"oakseam/internal/controlplane/store"
 	"oakseam/internal/controlplane/tallies"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/wait"
@@ -42,11 +43,15 @@
 	maxMessageBytes = 64 << 10
 	// fullDiskRetryInterval is the time between two attempts to write to a full disk.
 	fullDiskRetryInterval = 200 * time.Millisecond
+	// stalledAfter is how long a write may take until the node refuses further ones: a caller that is
+	// refused at once still has the time to ask another node.
+	stalledAfter = 250 * time.Millisecond
 )
 
 // Errors of Add and Total. After any other error than ErrUncertain nothing was written.
 var (
-	// ErrNotReady: the node has not heard from enough other nodes since its start, or its disk is full.
+	// ErrNotReady: the node has not heard from enough other nodes since its start, or its disk is full
+	// or does not respond.
 	ErrNotReady = errors.New("tallies are not available on this node now")
 	// ErrConflict: the id came before with another amount.
 	ErrConflict = errors.New("the memberId was counted with another amount")
@@ -98,7 +103,7 @@
 	pulling  *peer // the peer from which entries are being fetched
 	ready    bool
 	ended    bool
-	diskFull bool
+	writing  time.Time     // when the write in progress began; zero: none
 	waiting  int           // adds that wait for copies
 	progress chan struct{} // closed when a waiting add is to be checked again
 	degraded degradedPeriod
@@ -308,25 +313,30 @@
 // appendRuns makes runs durable. While the disk is full, it repeats the same write: the store allows
 // no other one before.
 func (n *Node) appendRuns(ctx context.Context, runs []tallies.Run) error {
-	for {
+	n.setWriting(time.Now())
+	defer n.setWriting(time.Time{})
+	for reported := false; ; reported = true {
 		err := n.store.Append(runs)
-		full := isFull(err)
-		n.setDiskFull(full)
-		if !full {
+		if !errors.Is(err, store.ErrFull) {
 			return err
 		}
+		if !reported {
+			klog.ErrorS(err, "The disk is full; no adds to tallies are accepted until there is space")
+		}
 		if !wait.For(ctx, fullDiskRetryInterval) {
 			return err
 		}
 	}
 }
 
-// setDiskFull records whether the disk is full. While it is, no add is accepted.
-func (n *Node) setDiskFull(full bool) {
+func (n *Node) setWriting(since time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if full != n.diskFull {
-		klog.InfoS("The disk of the tallies became full or has space again", "full", full)
-	}
-	n.diskFull = full
+	n.writing = since
+}
+
+// diskStalled reports whether a write takes too long, because the disk is full or does not respond.
+// n.mu must be held.
+func (n *Node) diskStalled() bool {
+	return !n.writing.IsZero() && time.Since(n.writing) > stalledAfter
 }
--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -297,6 +297,28 @@
 	})
 }
 
+// A disk that does not respond must not hold every caller up, and a refused add must not be written.
+func TestStalledDiskRefusesAddsAndDoesNotHoldUpOtherNodes(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		n := c.node(0)
+		n.disk.mu.Lock()
+		n.disk.stall = 5 * time.Second
+		n.disk.mu.Unlock()
+		assert.ErrorIs(t, n.Add(t.Context(), "t", "m", 1), ErrUncertain)
+		started := time.Now()
+		assert.ErrorIs(t, n.Add(t.Context(), "t", "refused", 1), ErrNotReady)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.NilError(t, c.node(1).Add(t.Context(), "t", "other", 1))
+		assert.Assert(t, time.Since(started) < 10*time.Millisecond)
+		n.disk.mu.Lock()
+		n.disk.stall = 0
+		n.disk.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		c.assertTotals("t", 2)
+		assert.Equal(t, c.copiesOf("t", "refused"), 0)
+	})
+}
+
 // A total that does not fit into the answer must be refused, not wrapped around.
 func TestTotalDoesNotOverflow(t *testing.T) {
 	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
