--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -191,6 +191,24 @@
 	})
 }
 
+// Callers must not wait for a node that has returned until its turn comes.
+func TestNodesThatStartTogetherAreSoonReady(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		c.add(0, "t", "m", 1)
+		disks := make([]*testDisk, 5)
+		for i := range disks {
+			disks[i] = c.node(i).disk
+		}
+		c.stopAll()
+		for i, disk := range disks {
+			time.Sleep(70 * time.Millisecond)
+			c.start(i, disk)
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.assertTotals("t", 1)
+	})
+}
+
 // A node that starts on the cut-off side has to serve its callers in the end.
 func TestStartedNodeBehindACutAnswersInTheEnd(t *testing.T) {
 	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
@@ -279,6 +297,28 @@
 	})
 }
 
+// A disk that does not respond must not hold every caller up, and a refused add must not be written.
+func TestStalledDiskRefusesAddsAndDoesNotHoldUpOtherNodes(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		n := c.node(0)
+		n.disk.mu.Lock()
+		n.disk.stall = 5 * time.Second
+		n.disk.mu.Unlock()
+		assert.ErrorIs(t, n.Add(t.Context(), "t", "m", 1), ErrUncertain)
+		started := time.Now()
+		assert.ErrorIs(t, n.Add(t.Context(), "t", "refused", 1), ErrNotReady)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.NilError(t, c.node(1).Add(t.Context(), "t", "other", 1))
+		assert.Assert(t, time.Since(started) < 10*time.Millisecond)
+		n.disk.mu.Lock()
+		n.disk.stall = 0
+		n.disk.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		c.assertTotals("t", 2)
+		assert.Equal(t, c.copiesOf("t", "refused"), 0)
+	})
+}
+
 // A total that does not fit into the answer must be refused, not wrapped around.
 func TestTotalDoesNotOverflow(t *testing.T) {
 	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
