Read the cold times of pools and the limits of what cold servers receive

Change: routing.Pool has Warmup (bounded by MaxWarmup, one hour) and WarmupPerS, negative values become 0 as for the other durations; settings.Warmup holds overrun and slack, at least 0, and 0 if not stated, so that a file without them allows the least. Result: the tests of both packages pass, with new ones for the values, their bounds and wrong types; nothing uses the values yet.

--- a/internal/tier/routing/configuration.go
+++ b/internal/tier/routing/configuration.go
@@ -28,6 +28,9 @@
 	DefaultIdleTimeout    = 15 * time.Second
 )
 
+// MaxWarmup bounds Pool.Warmup.
+const MaxWarmup = time.Hour
+
 // Configuration is one revision of the operators' configuration. It is immutable after
 // parsing, so it may be shared.
 type Configuration struct {
@@ -68,7 +71,9 @@
 	MaxConnections int    // limit for all its servers together, 0: not stated
 	Protocol       string // such as h1
 	TLS            bool
-	Engine         *Engine // nil: not stated
+	Warmup         time.Duration // how long a server stays cold after its start, 0: not at all; at most MaxWarmup
+	WarmupPerS     float64       // requests per second that a cold server can handle, at least 0
+	Engine         *Engine       // nil: not stated
 }
 
 // Engine describes the servers of a pool. Values that are not stated or have an unknown
--- a/internal/tier/routing/parse.go
+++ b/internal/tier/routing/parse.go
@@ -180,6 +180,14 @@
 		case "tlsProfile":
 			text := string(r.rawValue())
 			target.TLS = text != "false" && text != `""`
+		case "warmupS":
+			err := r.duration(&target.Warmup, time.Second)
+			target.Warmup = min(target.Warmup, MaxWarmup)
+			return err
+		case "warmupPerS":
+			err := r.number(&target.WarmupPerS)
+			target.WarmupPerS = max(target.WarmupPerS, 0)
+			return err
 		case "engine":
 			target.Engine = readEngine(r.rawValue())
 		default:
--- a/internal/tier/routing/parse_test.go
+++ b/internal/tier/routing/parse_test.go
@@ -211,3 +211,25 @@
 		}
 	})
 }
+
+func TestParseReadsColdTimesOfPools(t *testing.T) {
+	for _, c := range []struct {
+		keys       string
+		warmup     time.Duration
+		warmupPerS float64
+	}{
+		{`"name":"p"`, 0, 0},
+		{`"name":"p","warmupS":3.0,"warmupPerS":17.5`, 3 * time.Second, 17.5},
+		{`"name":"p","warmupS":-3,"warmupPerS":-1`, 0, 0},
+		{`"name":"p","warmupS":1e300,"warmupPerS":0`, MaxWarmup, 0},
+	} {
+		got, err := Parse(fmt.Appendf(nil, `{"configRevision":1,"pools":[{%s}]}`, c.keys))
+		assert.NilError(t, err)
+		assert.Equal(t, got.Pools[0].Warmup, c.warmup, c.keys)
+		assert.Equal(t, got.Pools[0].WarmupPerS, c.warmupPerS, c.keys)
+	}
+	for _, key := range []string{"warmupS", "warmupPerS"} {
+		_, err := Parse(fmt.Appendf(nil, `{"configRevision":1,"pools":[{"name":"p",%q:"3"}]}`, key))
+		assert.ErrorContains(t, err, "pools[0]."+key)
+	}
+}
--- a/internal/tier/settings/check.go
+++ b/internal/tier/settings/check.go
@@ -139,6 +139,8 @@
 	c.field("faultTolerance.zones", s.FaultTolerance.Zones, countRules...)
 	c.field("faultTolerance.regionLosses", s.FaultTolerance.RegionLosses, countRules...)
 	c.field("cloudApi.ratePerS", s.CloudAPI.RatePerS, numberRules...)
+	c.field("timingBounds.warmupOverrun", s.Warmup.Overrun, numberRules...)
+	c.field("timingBounds.warmupSlack", s.Warmup.Slack, numberRules...)
 }
 
 // Errors of this package's own rules.
--- a/internal/tier/settings/parse.go
+++ b/internal/tier/settings/parse.go
@@ -99,6 +99,7 @@
 	for _, bound := range s.Bounds.list() {
 		*bound.field = bounds.duration(bound.key, bound.unit, bound.fallback)
 	}
+	s.Warmup = bounds.warmup()
 	return s
 }
 
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -59,6 +59,7 @@
 	Limits            Limits
 	FaultTolerance    FaultTolerance
 	Bounds            Bounds
+	Warmup            Warmup
 	CloudAPI          CloudAPI
 }
 
