Number the warm-ups of servers and name the edges that may send to cold ones

Cause: the lister ignored the remaining warm-up time after a server's first listing, so nobody learned of a server that becomes cold again, and an entry said for good that its server is cold. And no edge could know which share of a cold server's rate is its own. Change: the lister publishes a warm-up once when it begins, when its time grows or cannot be compared (another node took the task over, a publication failed), and when it ends. The servers' state machine keeps the holders while a warm-up lasts, whatever a lister with a late replica publishes.

--- a/internal/controlplane/coordinator/calls.go
+++ b/internal/controlplane/coordinator/calls.go
@@ -20,6 +20,9 @@
 // returns when this node can no longer vouch that there is nothing newer.
 func (s *controlService) Watch(args *protocol.WatchArgs, reply *protocol.WatchReply) error {
 	received := time.Now()
+	if !args.DirectoryOnly {
+		s.coordinator.edges.record(args.Node, received)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
 	defer cancel()
 	if args.Confirmed {
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -47,6 +47,7 @@
 	// staleAfter is the staleness from which this node no longer vouches for its state.
 	staleAfter   time.Duration
 	listInterval time.Duration // time between two listings while the lister's task is held
+	edges        edgeRegistry
 
 	mu                    sync.Mutex
 	planners              map[replica.GroupID]*repair.Planner
--- a/internal/controlplane/coordinator/lister_task.go
+++ b/internal/controlplane/coordinator/lister_task.go
@@ -53,6 +53,9 @@
 	return err
 }
 
+// Edges implements lister.Task.
+func (t *listerTask) Edges() []string { return t.coordinator.edges.names(time.Now()) }
+
 // GiveUp implements lister.Task.
 func (t *listerTask) GiveUp() {
 	status, err := t.coordinator.node.Host.Status(protocol.ListerTask)
--- a/internal/controlplane/lister/lister.go
+++ b/internal/controlplane/lister/lister.go
@@ -40,6 +40,8 @@
 	Lists(partition int) []protocol.ServerList
 	// Publish sends a publication to the leader of a partition.
 	Publish(ctx context.Context, partition int, p *servers.Publication) error
+	// Edges returns the names of the edges that follow this node now.
+	Edges() []string
 	// GiveUp hands the task to another node.
 	GiveUp()
 }
@@ -56,6 +58,8 @@
 	task     Task
 	sequence uint64
 	failures int
+	// remaining holds the warm-up time of each cold server in the last listing of this node, by id.
+	remaining map[string]time.Duration
 }
 
 // New returns a Lister with the given time between two listings.
@@ -81,7 +85,7 @@
 func (l *Lister) ListOnce(ctx context.Context) {
 	epoch, held := l.task.Held()
 	if !held {
-		l.failures = 0
+		l.failures, l.remaining = 0, nil
 		return
 	}
 	lists, err := l.platform.List(ctx)
@@ -90,8 +94,11 @@
 		return
 	}
 	l.failures = 0
+	previous := l.remaining
+	l.remaining = remainingWarmups(lists)
 	for partition := range protocol.ServicePartitions {
-		changed := changedServices(partition, l.task.Lists(partition), lists)
+		held := l.task.Lists(partition)
+		changed := changedServices(partition, held, withWarmupPeriods(partition, held, lists, previous, l.task.Edges()))
 		if len(changed) == 0 {
 			continue
 		}
@@ -99,6 +106,7 @@
 		p := &servers.Publication{Epoch: epoch, Sequence: l.sequence, Services: changed}
 		if err := l.task.Publish(ctx, partition, p); err != nil {
 			klog.ErrorS(err, "Publishing changed servers failed; will retry", "partition", partition)
+			l.forgetWarmups(changed)
 		}
 	}
 }
@@ -118,7 +126,7 @@
 func changedServices(partition int, held []protocol.ServerList, seen map[string][]protocol.Server) []servers.Service {
 	var changed []servers.Service
 	for _, h := range held {
-		if !sameServers(h.Servers, seen[h.Service]) {
+		if !slices.Equal(h.Servers, seen[h.Service]) {
 			changed = append(changed, servers.Service{Name: h.Service, Servers: seen[h.Service]})
 		}
 	}
@@ -131,12 +139,3 @@
 	slices.SortFunc(changed, func(a, b servers.Service) int { return cmp.Compare(a.Name, b.Name) })
 	return changed
 }
-
-// sameServers reports whether two lists are equal. The remaining warm-up time is ignored,
-// since it passes by itself.
-func sameServers(a, b []protocol.Server) bool {
-	return slices.EqualFunc(a, b, func(x, y protocol.Server) bool {
-		x.Warmup, y.Warmup = 0, 0
-		return x == y
-	})
-}
--- a/internal/controlplane/lister/lister_test.go
+++ b/internal/controlplane/lister/lister_test.go
@@ -26,6 +26,7 @@
 	failPublish map[int]bool
 	published   []published
 	giveUps     int
+	edges       []string
 }
 
 type published struct {
@@ -64,6 +65,8 @@
 	return nil
 }
 
+func (s *fakeEnvironment) Edges() []string { return s.edges }
+
 func (s *fakeEnvironment) GiveUp() { s.giveUps++ }
 
 // serviceNames returns count service names of a partition.
--- a/internal/controlplane/servers/servers.go
+++ b/internal/controlplane/servers/servers.go
@@ -84,7 +84,6 @@
 // setServers replaces the list of a service. An empty list removes the service.
 func (m *Machine) setServers(s Service) {
 	m.state.Version++
-	list := protocol.ServerList{Service: s.Name, Version: m.state.Version, Servers: s.Servers}
 	var before protocol.ServerList
 	// Callers hold references to the lists, so they are copied before a change.
 	lists := slices.Clone(m.state.Lists)
@@ -94,6 +93,8 @@
 	if found {
 		before = lists[at]
 	}
+	keepWarmupHolders(before.Servers, s.Servers)
+	list := protocol.ServerList{Service: s.Name, Version: m.state.Version, Servers: s.Servers}
 	m.recent.add(diff.Servers(before, list))
 	switch {
 	case found && len(s.Servers) == 0:
@@ -106,6 +107,22 @@
 	m.state.Lists = lists
 }
 
+// keepWarmupHolders copies the holders of warm-ups that last from the old servers to the new ones. A lister
+// that does not know of the latest publication must not let further edges send to a cold server.
+func keepWarmupHolders(before, after []protocol.Server) {
+	holders := map[string]protocol.NodeNames{}
+	for _, s := range before {
+		if s.Warmup > 0 && s.WarmupHolders != "" {
+			holders[s.ID] = s.WarmupHolders
+		}
+	}
+	for i, s := range after {
+		if held, ok := holders[s.ID]; ok && s.Warmup > 0 {
+			after[i].WarmupHolders = held
+		}
+	}
+}
+
 // Lists returns the lists of all services of the partition, sorted by name, and the
 // partition's version. The lists must not be modified.
 func (m *Machine) Lists() ([]protocol.ServerList, uint64) { return m.state.Lists, m.state.Version }
--- a/internal/controlplane/servers/servers_test.go
+++ b/internal/controlplane/servers/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -113,3 +114,21 @@
 	_, ok := r.since(1)
 	assert.Assert(t, !ok)
 }
+
+// A lister whose replica lags behind does not see that edges already may send to a cold server. Its own choice
+// must not come on top.
+func TestHoldersStayWhileWarmupLasts(t *testing.T) {
+	m := New(nil)
+	apply := func(sequence uint64, warmup time.Duration, holders protocol.NodeNames) protocol.NodeNames {
+		entry := protocol.Server{ID: "a", Warmup: warmup, WarmupPeriod: sequence, WarmupHolders: holders}
+		text, err := (&Publication{Epoch: 1, Sequence: sequence, Services: []Service{{Name: "s", Servers: []protocol.Server{entry}}}}).Encode()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, m.Apply(text), Applied)
+		lists, _ := m.Lists()
+		return lists[0].Servers[0].WarmupHolders
+	}
+	assert.Equal(t, apply(1, time.Second, "edge-1 edge-2"), protocol.NodeNames("edge-1 edge-2"))
+	assert.Equal(t, apply(2, time.Second, "edge-3"), protocol.NodeNames("edge-1 edge-2"))
+	assert.Equal(t, apply(3, 0, ""), protocol.NodeNames(""))
+	assert.Equal(t, apply(4, time.Second, "edge-3"), protocol.NodeNames("edge-3"))
+}
--- a/internal/controlplane/simulation/lister_test.go
+++ b/internal/controlplane/simulation/lister_test.go
@@ -238,6 +238,9 @@
 	return text
 }
 
+// Edges implements lister.Task. The simulated servers are never cold.
+func (d *fakeTask) Edges() []string { return nil }
+
 // GiveUp implements lister.Task.
 func (d *fakeTask) GiveUp() {
 	m := d.node.member(protocol.ListerTask)
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -70,9 +70,24 @@
 	Zone     string
 	Capacity int
 	Draining bool
-	Warmup   time.Duration // remaining warm-up time when the server was first listed
+	Warmup   time.Duration // remaining warm-up time when this warm-up was first listed; 0: the server is warm
+	// WarmupPeriod numbers the warm-ups of the server from 1, so that two of the same length can be told
+	// apart. It is 0 in the platform's lists.
+	WarmupPeriod uint64 `cbor:",omitempty"`
+	// WarmupHolders names the edges that may send to the server during this warm-up.
+	WarmupHolders NodeNames `cbor:",omitempty"`
 }
 
+// NodeNames is a list of names of nodes, separated by spaces, which names do not contain. Unlike a slice
+// it leaves the types that hold it comparable.
+type NodeNames string
+
+// JoinNames returns the list of the names.
+func JoinNames(names []string) NodeNames { return NodeNames(strings.Join(names, " ")) }
+
+// Split returns the names.
+func (n NodeNames) Split() []string { return strings.Fields(string(n)) }
+
 // ServerList holds the servers of a service.
 type ServerList struct {
 	Service string
