Send to cold servers only what their budget allows, and nothing while warm ones are left

Change: an edge takes a server for cold until the listed time has passed since it received the entry, plus 0.1 s; a repeated entry starts no new time and a list without the warm-up does not end it. Cold servers are handed to the decision module as draining, and again as serving by a timer when they are warm. Where fewer than a quarter of the accepting servers are warm, or half of the warm ones of this node's subset are avoided, an edge that holds a grant also uses its cold servers, at its share of the rate and one request at a time. The transport of each service checks every attempt, so that retries, second copies, resumed streams and decisions made before the news cannot bypass it; a granted attempt must begin within 0.2 s, also after a freeze.

--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"oakseam/internal/message"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/routing"
+	"oakseam/internal/tier/settings"
 	"oakseam/internal/upstream"
 	"oakseam/logic"
 )
@@ -46,13 +47,15 @@
 	Budget   *message.Budget
 	Counters *counters.Set
 	Log      *slog.Logger
+	Warmup   settings.Warmup // limits of what all edges send to a cold server
 }
 
 // Dispatcher sends requests to servers and keeps the list of servers of each service.
 type Dispatcher struct {
-	opt  Options
-	pool *upstream.Pool
-	quit chan struct{}
+	opt     Options
+	pool    *upstream.Pool
+	warmups *warmupTable
+	quit    chan struct{}
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -62,6 +65,7 @@
 
 // service is the event loop and the servers of one service.
 type service struct {
+	name       string
 	loop       *core.EventLoop
 	allServers []protocol.Server
 	wanted     int           // subset size before servers that the module avoids are replaced
@@ -71,12 +75,14 @@
 	hadServer  bool          // hasServers is closed
 	demand     demand
 	avoided    atomic.Int64 // servers of the subset that currently get no requests, including draining ones
-	draining   int          // number of draining servers
+	draining   int          // number of servers that get no requests because they drain or are cold
+	cold       coldState
 }
 
 // New returns a Dispatcher without services.
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{opt: o, quit: make(chan struct{}), services: map[string]*service{}, classes: map[string][]logic.Class{}, lists: map[string][]protocol.Server{}}
+	d.warmups = newWarmupTable(o.Name, o.Warmup)
 	d.pool = upstream.New(codec{}, upstream.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: connIdleTimeout, LearnIdleLimits: true, MaxConns: o.MaxConns, TCPUserTimeout: tcpUserTimeout, Budget: o.Budget,
 	}, o.Counters, o.Log)
@@ -92,6 +98,7 @@
 	close(d.quit)
 	for _, s := range d.services {
 		s.loop.Stop()
+		d.scheduleRecheck(s, time.Time{})
 	}
 	d.services = map[string]*service{}
 }
@@ -101,9 +108,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.classes = classesByService(c)
+	warmupsChanged := d.warmups.configure(c)
 	for name, classes := range d.classes {
 		if s := d.services[name]; s != nil {
 			s.loop.Reconfigure(classes)
+			if warmupsChanged {
+				d.updateBackends(s, s.allServers)
+			}
 			continue
 		}
 		d.openService(name, classes)
@@ -122,10 +133,10 @@
 		klog.ErrorS(err, "Cannot start the event loop of a service", "service", name)
 		return
 	}
-	s := &service{loop: loop, hasServers: make(chan struct{})}
+	s := &service{name: name, loop: loop, hasServers: make(chan struct{})}
 	d.services[name] = s
 	loop.ObserveBackendCounts(func(_, avoided int) { s.avoided.Store(int64(avoided)) })
-	go loop.Run(d.pool, nil)
+	go loop.Run(warmupGuard{Transport: d.pool, table: d.warmups, service: name, taken: func() { go d.refresh(s) }}, nil)
 	d.updateBackends(s, d.lists[name])
 }
 
@@ -153,6 +164,7 @@
 	} else {
 		d.lists[name] = servers
 	}
+	d.warmups.observe(name, servers, time.Now())
 	if s := d.services[name]; s != nil {
 		d.updateBackends(s, servers)
 	}
@@ -189,7 +201,7 @@
 		}
 		d.mu.Lock()
 		for _, s := range d.services {
-			if _, size := s.subsetSizes(); size != s.size {
+			if _, size := s.subsetSizes(); size != s.size || s.needsCold() != s.cold.used {
 				d.updateBackends(s, s.allServers)
 			}
 		}
@@ -208,23 +220,42 @@
 // updateBackends hands this node's subset of a service's servers to the service's event loop. The
 // caller holds d.mu.
 func (d *Dispatcher) updateBackends(s *service, servers []protocol.Server) {
+	now := time.Now()
+	cold, recheck := d.warmups.cold(s.name, now)
+	before := s.draining
 	s.allServers, s.draining = servers, 0
+	servers = s.markCold(servers, cold)
 	for _, x := range servers {
 		if x.Draining {
 			s.draining++
 		}
 	}
+	// The module reports the number only after it has the new list. Until then it must not look as if servers
+	// that have become warm had to be replaced.
+	s.avoided.Add(int64(s.draining - before))
 	s.wanted, s.size = s.subsetSizes()
 	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, d.opt.Zone)
-	if len(s.servers) > 0 && !s.hadServer {
+	s.cold.warm = len(s.servers)
+	s.cold.used = s.needsCold()
+	var granted map[string]bool
+	if s.cold.used {
+		var nextSend time.Time
+		granted, nextSend = d.warmups.granted(s.name, now)
+		recheck = earliest(recheck, nextSend)
+	}
+	d.scheduleRecheck(s, recheck)
+	if s.accepts() && !s.hadServer {
 		s.hadServer = true
 		defer close(s.hasServers) // only after the event loop has received the list
 	}
 	backends := make([]core.Backend, 0, len(servers))
 	for _, x := range servers {
 		state := logic.Serving
-		if x.Draining {
+		switch {
+		case x.Draining && granted[x.ID] && cold[x.ID]:
+			s.draining--
+		case x.Draining:
 			state = logic.Draining
 		}
 		backends = append(backends, core.Backend{
@@ -235,12 +266,15 @@
 	s.loop.UpdateBackends(logic.ListFull, backends)
 }
 
+// accepts reports whether the service has a server that accepts requests, now or when it has become warm.
+func (s *service) accepts() bool { return len(s.servers)+s.cold.count > 0 }
+
 // Ready reports whether any service has a server that accepts requests.
 func (d *Dispatcher) Ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.services {
-		if len(s.servers) > 0 {
+		if s.accepts() {
 			return true
 		}
 	}
