Publish a warm-up again when it ends later, not only when its time has grown

Cause: the lister compared remaining times of two listings. A server that becomes cold again while it is cold may show less time than before and still be cold for longer than published, so edges would have taken it for warm too early. Change: the lister remembers when each published warm-up ends on its own steady clock and publishes it again when it ends more than 0.3 s later, as the platform's list is not always equally old. The edges' margin goes from 0.1 to 0.4 s to cover that.

--- a/internal/controlplane/lister/lister.go
+++ b/internal/controlplane/lister/lister.go
@@ -58,8 +58,8 @@
 	task     Task
 	sequence uint64
 	failures int
-	// remaining holds the warm-up time of each cold server in the last listing of this node, by id.
-	remaining map[string]time.Duration
+	// coldUntil is when the published warm-up of each cold server ends, by id.
+	coldUntil map[string]time.Time
 }
 
 // New returns a Lister with the given time between two listings.
@@ -85,7 +85,7 @@
 func (l *Lister) ListOnce(ctx context.Context) {
 	epoch, held := l.task.Held()
 	if !held {
-		l.failures, l.remaining = 0, nil
+		l.failures, l.coldUntil = 0, nil
 		return
 	}
 	lists, err := l.platform.List(ctx)
@@ -94,11 +94,11 @@
 		return
 	}
 	l.failures = 0
-	previous := l.remaining
-	l.remaining = remainingWarmups(lists)
+	now, edges := time.Now(), l.task.Edges()
+	l.forgetWarm(lists)
 	for partition := range protocol.ServicePartitions {
 		held := l.task.Lists(partition)
-		changed := changedServices(partition, held, withWarmupPeriods(partition, held, lists, previous, l.task.Edges()))
+		changed := changedServices(partition, held, l.withWarmupPeriods(partition, held, lists, now, edges))
 		if len(changed) == 0 {
 			continue
 		}
@@ -106,7 +106,7 @@
 		p := &servers.Publication{Epoch: epoch, Sequence: l.sequence, Services: changed}
 		if err := l.task.Publish(ctx, partition, p); err != nil {
 			klog.ErrorS(err, "Publishing changed servers failed; will retry", "partition", partition)
-			l.forgetWarmups(changed)
+			l.forgetUnpublished(changed)
 		}
 	}
 }
--- a/internal/controlplane/lister/warmup.go
+++ b/internal/controlplane/lister/warmup.go
@@ -1,6 +1,7 @@
 package lister
 
 import (
+	"maps"
 	"time"
 
 	"oakseam/internal/controlplane/servers"
@@ -8,36 +9,38 @@
 	"oakseam/internal/tier/protocol"
 )
 
-// maxWarmupHolders is how many edges may send to one cold server. They share its rate, and each may also
-// send one request at once, so few holders leave a larger part of the limit for the rate.
-const maxWarmupHolders = 4
+const (
+	// maxWarmupHolders is how many edges may send to one cold server. They share its rate, and each may also
+	// send one request at once, so few holders leave a larger part of the limit for the rate.
+	maxWarmupHolders = 4
+	// warmupTolerance is how much later than published a warm-up may end before it is published again. The
+	// edges' margin is larger.
+	warmupTolerance = 300 * time.Millisecond
+)
 
-// remainingWarmups returns the remaining warm-up times of all cold servers of the lists, by id.
-func remainingWarmups(lists map[string][]protocol.Server) map[string]time.Duration {
-	remaining := map[string]time.Duration{}
+// forgetWarm forgets the warm-ups of servers that are not listed as cold any more.
+func (l *Lister) forgetWarm(lists map[string][]protocol.Server) {
+	cold := map[string]bool{}
 	for _, list := range lists {
 		for _, s := range list {
-			if s.Warmup > 0 {
-				remaining[s.ID] = s.Warmup
-			}
+			cold[s.ID] = s.Warmup > 0
 		}
 	}
-	return remaining
+	maps.DeleteFunc(l.coldUntil, func(id string, _ time.Time) bool { return !cold[id] })
 }
 
-// forgetWarmups forgets what was listed of the servers of a failed publication. Their warm-ups are published
-// again even though nothing has changed since.
-func (l *Lister) forgetWarmups(unpublished []servers.Service) {
+// forgetUnpublished forgets the warm-ups of a failed publication, so that they are published again even though
+// nothing has changed since.
+func (l *Lister) forgetUnpublished(unpublished []servers.Service) {
 	for _, service := range unpublished {
 		for _, s := range service.Servers {
-			delete(l.remaining, s.ID)
+			delete(l.coldUntil, s.ID)
 		}
 	}
 }
 
-// withWarmupPeriods returns the listed services of a partition as they are to be published. Of a warm-up that
-// goes on, the entry stays as it is held: it would otherwise change with each listing, as the time passes.
-func withWarmupPeriods(partition int, held []protocol.ServerList, listed map[string][]protocol.Server, previous map[string]time.Duration, edges []string) map[string][]protocol.Server {
+// withWarmupPeriods returns the listed services of a partition as they are to be published.
+func (l *Lister) withWarmupPeriods(partition int, held []protocol.ServerList, listed map[string][]protocol.Server, now time.Time, edges []string) map[string][]protocol.Server {
 	heldByID := map[string]protocol.Server{}
 	for _, list := range held {
 		for _, s := range list.Servers {
@@ -50,26 +53,34 @@
 			continue
 		}
 		for _, s := range list {
-			entries[name] = append(entries[name], withWarmupPeriod(heldByID[s.ID], s, previous[s.ID], edges))
+			entries[name] = append(entries[name], l.withWarmupPeriod(heldByID[s.ID], s, now, edges))
 		}
 	}
 	return entries
 }
 
-// withWarmupPeriod returns a listed server as it is to be published. Its entry held so far is zero if there is
-// none; previous is the remaining warm-up time in this node's listing before, 0 if there is none. A time that
-// has grown, or that this node cannot compare, is published as a warm-up that begins now.
-func withWarmupPeriod(held, listed protocol.Server, previous time.Duration, edges []string) protocol.Server {
-	switch {
-	case listed.Warmup <= 0:
+// withWarmupPeriod returns a listed server as it is to be published, given its entry held so far, zero if there
+// is none. Of a warm-up that goes on, the entry stays as it is held: it would otherwise change with each listing,
+// as the time passes. A warm-up is published anew if it ends later than published, or if this node has not
+// published it: the held time may be that of an earlier warm-up.
+func (l *Lister) withWarmupPeriod(held, listed protocol.Server, now time.Time, edges []string) protocol.Server {
+	if listed.Warmup <= 0 {
 		listed.Warmup, listed.WarmupPeriod = 0, held.WarmupPeriod
-	case held.Warmup > 0 && listed.Warmup <= previous:
+		return listed
+	}
+	published, known := l.coldUntil[listed.ID]
+	if held.Warmup > 0 && known && !now.Add(listed.Warmup).After(published.Add(warmupTolerance)) {
 		listed.Warmup, listed.WarmupPeriod, listed.WarmupHolders = held.Warmup, held.WarmupPeriod, held.WarmupHolders
-	case held.Warmup > 0 && held.WarmupHolders != "":
-		listed.WarmupPeriod, listed.WarmupHolders = held.WarmupPeriod+1, held.WarmupHolders
-	default:
-		listed.WarmupPeriod, listed.WarmupHolders = held.WarmupPeriod+1, chooseHolders(listed.ID, edges)
+		return listed
+	}
+	listed.WarmupPeriod = held.WarmupPeriod + 1
+	if listed.WarmupHolders = held.WarmupHolders; held.Warmup <= 0 || held.WarmupHolders == "" {
+		listed.WarmupHolders = chooseHolders(listed.ID, edges)
+	}
+	if l.coldUntil == nil {
+		l.coldUntil = map[string]time.Time{}
 	}
+	l.coldUntil[listed.ID] = now.Add(listed.Warmup)
 	return listed
 }
 
--- a/internal/controlplane/lister/warmup_test.go
+++ b/internal/controlplane/lister/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -50,14 +51,28 @@
 }
 
 func TestServerThatIsColdAgainGetsAnotherNumber(t *testing.T) {
-	w := newWarmupTest(t)
-	assert.Equal(t, w.list(time.Second).WarmupPeriod, uint64(1))
-	w.list(0)
-	assert.Equal(t, w.list(time.Second).WarmupPeriod, uint64(2))
-	w.list(500 * time.Millisecond)
-	again := w.list(time.Second) // before the second warm-up was over
-	assert.Equal(t, again.WarmupPeriod, uint64(3))
-	assert.Equal(t, again.Warmup, time.Second)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWarmupTest(t)
+		assert.Equal(t, w.list(time.Second).WarmupPeriod, uint64(1))
+		time.Sleep(2 * time.Second)
+		w.list(0)
+		assert.Equal(t, w.list(3*time.Second).WarmupPeriod, uint64(2))
+	})
+}
+
+// Its remaining time may be shorter than in the listing before and still end later.
+func TestServerThatIsColdAgainBeforeItIsWarmIsPublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWarmupTest(t)
+		w.list(3 * time.Second)
+		time.Sleep(time.Second)
+		w.list(2*time.Second + warmupTolerance/2) // the platform's list is not always equally old
+		assert.Equal(t, len(w.published), 1)
+		time.Sleep(500 * time.Millisecond)
+		again := w.list(2500 * time.Millisecond)
+		assert.Equal(t, again.WarmupPeriod, uint64(2))
+		assert.Equal(t, again.Warmup, 2500*time.Millisecond)
+	})
 }
 
 func TestHoldersAreFewAndChosenByServer(t *testing.T) {
--- a/internal/dataplane/dispatch/warmup.go
+++ b/internal/dataplane/dispatch/warmup.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// warmupMargin is added to the time that a server is listed to stay cold, for the grain of both clocks.
-	warmupMargin = 100 * time.Millisecond
+	// warmupMargin is added to the time that a server is listed to stay cold. The lister does not publish a
+	// warm-up again that ends up to 0.3 s later.
+	warmupMargin = 400 * time.Millisecond
 	// minWarmShare and minUsableShare are the shares of warm servers below which cold ones are needed: of the
 	// servers that accept requests, and of the warm servers of the subset that the module does not avoid.
 	minWarmShare   = 0.25
