--- a/internal/controlplane/coordinator/edges_test.go
+++ b/internal/controlplane/coordinator/edges_test.go
@@ -1,12 +1,14 @@
 package coordinator
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"oakseam/internal/tier/protocol"
+	"oakseam/internal/tier/rpc"
 )
 
 // A grant to an edge that is gone would be lost for the whole warm-up.
@@ -35,3 +37,20 @@
 	assert.Equal(t, len(r.all(late)), 2)
 	assert.Equal(t, len(r.all(late.Add(time.Second))), 0)
 }
+
+// The node that lists must also know the edges that follow other core nodes, and take no storage node for one.
+func TestEdgesOfAnotherCoreNodeAreCollected(t *testing.T) {
+	lists, other := newSingleNode(t, false), newSingleNode(t, false)
+	for _, args := range []protocol.WatchArgs{{Node: "edge-1", Zone: "z1"}, {Node: "storage-1", DirectoryOnly: true}} {
+		args.Wait = time.Millisecond
+		watch(t, other, args)
+	}
+	server, err := rpc.NewServer(map[string]any{"Control": &controlService{other}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, server.Close()) })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go server.Serve(listener)
+	lists.collectEdgesFrom(t.Context(), listener.Addr().String())
+	assert.DeepEqual(t, (&listerTask{lists}).Edges(), []protocol.EdgeNode{{Name: "edge-1", Zone: "z1"}})
+}
