--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -48,6 +48,7 @@
 	// staleAfter is the staleness from which this node no longer vouches for its state.
 	staleAfter   time.Duration
 	listInterval time.Duration // time between two listings while the lister's task is held
+	edges        edgeRegistry
 
 	mu                    sync.Mutex
 	planners              map[replica.GroupID]*repair.Planner
@@ -155,6 +156,7 @@
 	go c.maintainGroups(ctx)
 	go c.learnDirectory(ctx)
 	go c.removeGoneNodes(ctx)
+	go c.collectEdges(ctx)
 	go lister.New(platform, &listerTask{c}, c.listInterval).Run(ctx)
 	err := c.node.Serve(ctx, l, services)
 	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -80,10 +80,10 @@
 	descriptors := float64(max(s.Limits.FileDescriptors-spareDescriptors, 128))
 	budget := message.NewBudget(int64(bodyShare * float64(max(s.Limits.MemoryMB, 64)) * (1 << 20)))
 	pool := rpc.NewPool(rpc.Options{})
-	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Name: s.NodeName, MaxConns: int(serverShare * descriptors), Budget: budget, Counters: n.counters, Log: log})
+	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Name: s.NodeName, MaxConns: int(serverShare * descriptors), Budget: budget, Counters: n.counters, Log: log, Warmup: s.Warmup})
 	n.turns = turnclient.New(pool)
 	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Counters: n.counters, MaxOpenRequests: maxOpenRequests, Current: n.current})
-	n.follower = watch.New(watch.Options{Name: s.NodeName, Seeds: seeds, ConcurrentCalls: s.FaultTolerance.MachineLosses + 1, Pool: pool, OnUpdate: n.handleUpdate})
+	n.follower = watch.New(watch.Options{Name: s.NodeName, Zone: s.Zone, Seeds: seeds, ConcurrentCalls: s.FaultTolerance.MachineLosses + 1, Pool: pool, OnUpdate: n.handleUpdate})
 	n.server = ingress.New(ingress.Options{
 		Handler: n.gateway.Handle, RejectAmbiguous: rejectAmbiguous,
 		MaxSessions: int(clientShare * descriptors), Overflow: overflow,
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -70,9 +70,24 @@
 	Zone     string
 	Capacity int
 	Draining bool
-	Warmup   time.Duration // remaining warm-up time when the server was first listed
+	Warmup   time.Duration // remaining warm-up time when this warm-up was first listed; 0: the server is warm
+	// WarmupPeriod numbers the warm-ups of the server from 1, so that two of the same length can be told
+	// apart. It is 0 in the platform's lists.
+	WarmupPeriod uint64 `cbor:",omitempty"`
+	// WarmupHolders names the edges that may send to the server during this warm-up.
+	WarmupHolders NodeNames `cbor:",omitempty"`
 }
 
+// NodeNames is a list of names of nodes, separated by spaces, which names do not contain. Unlike a slice
+// it leaves the types that hold it comparable.
+type NodeNames string
+
+// JoinNames returns the list of the names.
+func JoinNames(names []string) NodeNames { return NodeNames(strings.Join(names, " ")) }
+
+// Split returns the names.
+func (n NodeNames) Split() []string { return strings.Fields(string(n)) }
+
 // ServerList holds the servers of a service.
 type ServerList struct {
 	Service string
@@ -227,6 +242,7 @@
 // comes at once if there is something newer, otherwise when there is, or empty after Wait.
 type WatchArgs struct {
 	Node      string
+	Zone      string                    // of an edge; empty from builds before it existed
 	Revision  uint64                    // of the configuration in force at the caller, 0: none
 	Directory uint64                    // version of the caller's directory
 	Services  [ServicePartitions]uint64 // versions of the caller's server lists
@@ -242,6 +258,15 @@
 	Wait    time.Duration // how long the call may stay open
 }
 
+// EdgeNode is an edge that follows the control plane.
+type EdgeNode struct {
+	Name string
+	Zone string // empty if unknown
+}
+
+// EdgesReply lists the edges that follow a core node. The call has no arguments.
+type EdgesReply struct{ Edges []EdgeNode }
+
 // ConfigurationStep changes the configuration at revision Base to the one at Revision. Patch
 // is a patch of package delta. Base 0 means that the patch holds the whole configuration.
 type ConfigurationStep struct {
