Send the clients of a zone that is cut off to other zones

Clients of a zone that is cut off lost half of their programs: its edges stayed ready, held each turn for 2 s because the leader of its partition is on the other side, answered 503 and attracted the next turn. An edge now probes the storage nodes once no other zone has answered for 500 ms; if only its own zone answers, it is not ready, and the balancer uses the nearest zones. If nobody answers it stays ready, as no other zone is better off.

--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -59,6 +59,7 @@
 	settings   *settings.Settings
 	dispatcher *dispatch.Dispatcher
 	turns      *turnclient.Client
+	isolation  *turnclient.Isolation
 	gateway    *gateway.Gateway
 	follower   *watch.Follower
 	platform   *platform.Client
@@ -81,7 +82,8 @@
 	budget := message.NewBudget(int64(bodyShare * float64(max(s.Limits.MemoryMB, 64)) * (1 << 20)))
 	pool := rpc.NewPool(rpc.Options{})
 	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Name: s.NodeName, MaxConns: int(serverShare * descriptors), Budget: budget, Counters: n.counters, Log: log})
-	n.turns = turnclient.New(pool)
+	n.isolation = turnclient.NewIsolation(pool, s.Zone)
+	n.turns = turnclient.New(pool, n.isolation)
 	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Counters: n.counters, MaxOpenRequests: maxOpenRequests, Current: n.current})
 	n.follower = watch.New(watch.Options{Name: s.NodeName, Seeds: seeds, ConcurrentCalls: s.FaultTolerance.MachineLosses + 1, Pool: pool, OnUpdate: n.handleUpdate})
 	n.server = ingress.New(ingress.Options{
@@ -110,6 +112,7 @@
 	go n.serveReadiness(ready)
 	go n.follower.Run(background)
 	go n.pollPlatform(background)
+	go n.isolation.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- n.server.Serve() }()
 	klog.InfoS("Serving clients", "address", n.settings.BindAddresses.Front)
@@ -137,6 +140,7 @@
 		n.configure(update.Configuration)
 	case update.Directory != nil:
 		n.turns.SetDirectory(*update.Directory)
+		n.isolation.SetDirectory(*update.Directory)
 	default:
 		n.dispatcher.UpdateServers(update.Partition, update.Lists)
 	}
@@ -170,10 +174,12 @@
 	}
 }
 
+// ready reports whether clients should come to this node. Those of a zone that is cut off are better
+// served in other zones: most turns wait there for a leader that cannot be reached.
 func (n *Node) ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.shuttingDown && n.gateway.Configured() && n.dispatcher.Ready() && n.turns.Ready()
+	return !n.shuttingDown && n.gateway.Configured() && n.dispatcher.Ready() && n.turns.Ready() && !n.isolation.Isolated()
 }
 
 // current reports whether the configuration is recent enough to say that a route does not exist.
--- a/internal/dataplane/gateway/capacity_test.go
+++ b/internal/dataplane/gateway/capacity_test.go
@@ -145,7 +145,7 @@
 	b.Cleanup(func() { server.Close() })
 	pool := rpc.NewPool(rpc.Options{})
 	b.Cleanup(pool.Close)
-	client := turnclient.New(pool)
+	client := turnclient.New(pool, turnclient.NewIsolation(pool, ""))
 	const id = replica.NodeID(1)
 	client.SetDirectory(protocol.Directory{
 		Version: 1, Nodes: []protocol.Node{{ID: id, Name: "s", Class: protocol.Storage, Address: l.Addr().String()}},
--- a/internal/dataplane/turnclient/turnclient.go
+++ b/internal/dataplane/turnclient/turnclient.go
@@ -33,7 +33,8 @@
 
 // Client calls storage nodes.
 type Client struct {
-	pool *rpc.Pool
+	pool      *rpc.Pool
+	isolation *Isolation
 
 	mu                sync.Mutex
 	directory         protocol.Directory
@@ -41,9 +42,9 @@
 	unresponsiveSince map[replica.NodeID]time.Time // when a node last failed to answer
 }
 
-// New returns a Client without a directory.
-func New(pool *rpc.Pool) *Client {
-	return &Client{pool: pool, leaders: map[int]replica.NodeID{}, unresponsiveSince: map[replica.NodeID]time.Time{}}
+// New returns a Client without a directory. Answers of storage nodes are reported to isolation.
+func New(pool *rpc.Pool, isolation *Isolation) *Client {
+	return &Client{pool: pool, isolation: isolation, leaders: map[int]replica.NodeID{}, unresponsiveSince: map[replica.NodeID]time.Time{}}
 }
 
 // SetDirectory replaces the directory of nodes and partitions.
@@ -110,6 +111,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		outcome, leader := call(callCtx, partition, address)
 		cancel()
+		if outcome != protocol.TurnUnknown {
+			c.isolation.heard(node)
+		}
 		switch outcome {
 		case protocol.TurnGranted, protocol.TurnBudgetExhausted, protocol.TurnNotFound, protocol.TurnClosed:
 			c.setLeader(partition, node)
--- a/internal/dataplane/turnclient/turnclient_test.go
+++ b/internal/dataplane/turnclient/turnclient_test.go
@@ -78,7 +78,7 @@
 		t.Cleanup(func() { server.Close() })
 		nodes = append(nodes, s)
 	}
-	c := New(pool)
+	c := New(pool, NewIsolation(pool, ""))
 	c.SetDirectory(directoryOf(nodes, 2))
 	return c, nodes
 }
@@ -117,7 +117,7 @@
 func TestCallsFailWithoutDirectory(t *testing.T) {
 	pool := rpc.NewPool(rpc.Options{})
 	defer pool.Close()
-	c := New(pool)
+	c := New(pool, NewIsolation(pool, ""))
 	assert.Assert(t, !c.Ready())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
