Pass an edge's call about a turn on to a leader that the edge can't reach

With the links between two zones cut, programs of both zones failed: the leader of a partition goes on leading, as voters of third zones hear it, but an edge of the other zone was pointed to it by every voter and couldn't call it, so each turn waited 2 s and got 503. Builds before ignore the field and point to the leader as they did; a passed-on call is a call of the edge that took longer, and calls were repeated before too.

--- a/internal/controlplane/storage/calls.go
+++ b/internal/controlplane/storage/calls.go
@@ -25,7 +25,12 @@
 		Budget: args.Budget, MaxTokens: args.Most, Retention: args.Keep, Token: args.Token,
 	}
 	result, err := s.storage.propose(ctx, group, &turns.Command{Admit: admission})
-	if reply.Outcome, reply.Owner = outcomeOf(result, err); reply.Outcome != protocol.TurnGranted {
+	reply.Outcome, reply.Owner = outcomeOf(result, err)
+	if reply.Outcome == protocol.TurnNotOwner && args.Relay {
+		s.relayAdmit(args, reply)
+		return nil
+	}
+	if reply.Outcome != protocol.TurnGranted {
 		return nil
 	}
 	if args.Previous == "" || args.Imported || args.Known {
@@ -50,6 +55,9 @@
 	}
 	result, err := s.storage.propose(ctx, group, &turns.Command{Finish: completion})
 	reply.Outcome, reply.Owner = outcomeOf(result, err)
+	if reply.Outcome == protocol.TurnNotOwner && args.Relay {
+		s.relayFinish(args, reply)
+	}
 	return nil
 }
 
--- a/internal/dataplane/turnclient/turnclient.go
+++ b/internal/dataplane/turnclient/turnclient.go
@@ -65,10 +65,10 @@
 func (c *Client) Admit(ctx context.Context, args protocol.AdmitArgs) (protocol.AdmitReply, error) {
 	var last protocol.AdmitReply
 	args.Within = callTimeout
-	err := c.callLeader(ctx, args.Program, func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID) {
-		args.Partition = partition
+	err := c.callLeader(ctx, args.Program, func(ctx context.Context, at target) (protocol.TurnOutcome, replica.NodeID) {
+		args.Partition, args.Relay = at.partition, at.relay
 		var reply protocol.AdmitReply
-		if err := c.pool.Call(ctx, address, "Turns.Admit", &args, &reply); err != nil {
+		if err := c.pool.Call(ctx, at.node.Address, "Turns.Admit", &args, &reply); err != nil {
 			return protocol.TurnUnknown, 0
 		}
 		last = reply
@@ -81,10 +81,10 @@
 func (c *Client) Finish(ctx context.Context, args protocol.FinishArgs) (protocol.TurnOutcome, error) {
 	var last protocol.TurnOutcome
 	args.Within = callTimeout
-	err := c.callLeader(ctx, args.Program, func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID) {
-		args.Partition = partition
+	err := c.callLeader(ctx, args.Program, func(ctx context.Context, at target) (protocol.TurnOutcome, replica.NodeID) {
+		args.Partition, args.Relay = at.partition, at.relay
 		var reply protocol.FinishReply
-		if err := c.pool.Call(ctx, address, "Turns.Finish", &args, &reply); err != nil {
+		if err := c.pool.Call(ctx, at.node.Address, "Turns.Finish", &args, &reply); err != nil {
 			return protocol.TurnUnknown, 0
 		}
 		last = reply.Outcome
@@ -93,15 +93,21 @@
 	return last, err
 }
 
-// partitionCall makes one call about a partition to an address. It returns the outcome and the leader
-// that the node names.
-type partitionCall func(ctx context.Context, partition int, address string) (protocol.TurnOutcome, replica.NodeID)
+// target is where a call about a program goes to.
+type target struct {
+	partition int
+	node      protocol.Node
+	relay     bool // the leader is known but does not answer; the node is to pass the call on to it
+}
+
+// partitionCall makes one call. It returns the outcome and the leader that the node names.
+type partitionCall func(ctx context.Context, at target) (protocol.TurnOutcome, replica.NodeID)
 
 // callLeader calls the leader of the program's partition until the leader answers or ctx ends. Nodes
-// that are not the leader point to it.
+// that are not the leader point to it, or pass the call on if it does not answer here.
 func (c *Client) callLeader(ctx context.Context, program string, call partitionCall) error {
 	for round := 0; ; round++ {
-		partition, node, address, ok := c.target(program, round)
+		at, ok := c.target(program, round)
 		if !ok {
 			if !wait.For(ctx, retryPause) {
 				return ErrUnavailable
@@ -109,21 +115,25 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		outcome, leader := call(callCtx, partition, address)
+		outcome, leader := call(callCtx, at)
 		cancel()
 		if outcome != protocol.TurnUnknown {
-			c.isolation.heard(node)
+			c.isolation.heard(at.node.ID)
 		}
 		switch outcome {
 		case protocol.TurnGranted, protocol.TurnBudgetExhausted, protocol.TurnNotFound, protocol.TurnClosed:
-			c.setLeader(partition, node)
+			if !at.relay {
+				c.setLeader(at.partition, at.node.ID)
+			}
 			return nil
 		}
 		if outcome == protocol.TurnUnknown {
-			c.markUnresponsive(node)
+			c.markUnresponsive(at.node.ID)
+		}
+		if !at.relay || leader != 0 {
+			c.setLeader(at.partition, leader)
 		}
-		c.setLeader(partition, leader)
-		if leader != 0 && leader != node && ctx.Err() == nil && !c.isUnresponsive(leader) {
+		if leader != 0 && leader != at.node.ID && ctx.Err() == nil && (!c.isUnresponsive(leader) || !at.relay) {
 			continue
 		}
 		if !wait.For(ctx, retryPause) {
@@ -134,22 +144,24 @@
 
 // target returns the last known leader of the program's partition, or else one of its voters in
 // rotation. Unresponsive nodes come last.
-func (c *Client) target(program string, round int) (partition int, node replica.NodeID, address string, ok bool) {
+func (c *Client) target(program string, round int) (at target, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if partition = c.directory.TurnPartition(program); partition < 0 {
-		return partition, 0, "", false
+	if at.partition = c.directory.TurnPartition(program); at.partition < 0 {
+		return at, false
 	}
-	order := append([]replica.NodeID{c.leaders[partition]}, rotate(c.directory.Partitions[partition].Voters, round)...)
+	leader := c.leaders[at.partition]
+	order := append([]replica.NodeID{leader}, rotate(c.directory.Partitions[at.partition].Voters, round)...)
 	for _, allowUnresponsive := range []bool{false, true} {
 		for _, id := range order {
 			n, known := watch.FindNode(&c.directory, id)
 			if known && (allowUnresponsive || time.Since(c.unresponsiveSince[id]) >= unresponsiveFor) {
-				return partition, n.ID, n.Address, true
+				at.node, at.relay = n, leader != 0 && id != leader
+				return at, true
 			}
 		}
 	}
-	return partition, 0, "", false
+	return at, false
 }
 
 // rotate returns the nodes rotated left by round.
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -301,6 +301,7 @@
 	Keep      time.Duration // how long the turn is stored
 	Token     uint64        // random id of this admission, tells it from another node's admission of the same turn
 	Within    time.Duration // timeout of the call
+	Relay     bool          // a node that is not the leader passes the call on to it; earlier builds do not
 }
 
 // AdmitReply returns the conversation history before the new input.
@@ -324,6 +325,7 @@
 	Token     uint64        // AdmitArgs.Token
 	Keep      time.Duration // how long the turn is stored
 	Within    time.Duration // timeout of the call
+	Relay     bool          // as in AdmitArgs
 }
 
 // FinishReply reports whether the end of the turn is durable.
