Close the connections of clients whose zone is cut off, and refuse their turns soon

An open connection stays with its node, so clients of a zone that is cut off went on sending turns to edges that reach no leader, and each waited 2 s. While its zone is cut off an edge closes each connection with its answer, and a turn whose leader doesn't answer within 200 ms gets 503 with Retry-After; a leader within the zone, if there is one, answers sooner than that. Calls of tools go on to servers of the zone.

--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -84,7 +84,7 @@
 	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Name: s.NodeName, MaxConns: int(serverShare * descriptors), Budget: budget, Counters: n.counters, Log: log})
 	n.isolation = turnclient.NewIsolation(pool, s.Zone)
 	n.turns = turnclient.New(pool, n.isolation)
-	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Counters: n.counters, MaxOpenRequests: maxOpenRequests, Current: n.current})
+	n.gateway = gateway.New(gateway.Options{Dispatcher: n.dispatcher, Turns: n.turns, Budget: budget, Counters: n.counters, MaxOpenRequests: maxOpenRequests, Current: n.current, Isolated: n.isolation.Isolated})
 	n.follower = watch.New(watch.Options{Name: s.NodeName, Seeds: seeds, ConcurrentCalls: s.FaultTolerance.MachineLosses + 1, Pool: pool, OnUpdate: n.handleUpdate})
 	n.server = ingress.New(ingress.Options{
 		Handler: n.gateway.Handle, RejectAmbiguous: rejectAmbiguous,
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// Current reports whether the configuration is surely recent. Nil means that it always is. A route
 	// that an outdated configuration lacks may already be in force.
 	Current func() bool
+	// Isolated reports whether the zone of this node is cut off from all others. Nil means that it never
+	// is. Clients are then sent to other zones.
+	Isolated func() bool
 }
 
 // Gateway answers the requests of clients.
@@ -129,6 +132,9 @@
 		return
 	}
 	defer end()
+	if g.isolated() {
+		w.Header().Set("Connection", "close") // a new connection leads to a zone that is not cut off
+	}
 	t := g.awaitConfiguration(r)
 	if t == nil {
 		g.reject(w, startupRetryAfter, "answer.starting")
@@ -156,6 +162,9 @@
 	x.serve()
 }
 
+// isolated reports whether the zone of this node is cut off from all others.
+func (g *Gateway) isolated() bool { return g.opt.Isolated != nil && g.opt.Isolated() }
+
 // awaitConfiguration returns the configuration. A process that has just started waits a while for
 // its first one: it arrives soon, and rejecting would use up one of the client's few attempts.
 func (g *Gateway) awaitConfiguration(r *http.Request) *activeConfiguration {
--- a/internal/dataplane/gateway/turn.go
+++ b/internal/dataplane/gateway/turn.go
@@ -22,6 +22,9 @@
 	// admitTimeout is how long a turn waits for its partition. It is longer than the election of a
 	// new leader takes.
 	admitTimeout = 2 * time.Second
+	// isolatedAdmitTimeout replaces it while the zone is cut off: a leader in the zone answers sooner, and
+	// for any other leader the client should come back through another zone.
+	isolatedAdmitTimeout = 200 * time.Millisecond
 	// persistTimeout is how long the end of a stream waits until its turn is stored.
 	persistTimeout = 3 * time.Second
 	// settleTimeout bounds reporting an attempt without a complete answer to its partition.
@@ -87,7 +90,11 @@
 // admit reserves the turn's tokens and returns the text of the earlier turns. If it returns false
 // the request has already been answered.
 func (t *turn) admit() ([]byte, bool) {
-	ctx, cancel := context.WithTimeout(t.request.Context(), min(admitTimeout, time.Until(t.deadline)))
+	timeout := admitTimeout
+	if t.gateway.isolated() {
+		timeout = isolatedAdmitTimeout
+	}
+	ctx, cancel := context.WithTimeout(t.request.Context(), min(timeout, time.Until(t.deadline)))
 	defer cancel()
 	args := protocol.AdmitArgs{
 		Program: t.program, Attempt: t.attempt, Previous: t.previous, Most: t.maxTokens, Budget: t.budget(), Keep: t.retention(), Token: t.token,
