Read evacuateMs from the settings, 5 s by default

Cause: operators will bound how soon an evacuated zone must get nothing more, and the settings had no field for it. Change: the table timingBounds has evacuateMs, checked like the other bounds. The file of an earlier build does not have the key, so its compatibility test now expects the default there.

--- a/internal/tier/settings/bounds.go
+++ b/internal/tier/settings/bounds.go
@@ -17,6 +17,7 @@
 	ConfigApply    time.Duration // configApplyMs, 2000 ms
 	DowngradeSlack time.Duration // downgradeSlackMs, 250 ms
 	SkewMax        time.Duration // skewMaxMs, 5000 ms
+	Evacuate       time.Duration // evacuateMs, 5000 ms
 	Recovery       time.Duration // recoveryS, 12 s
 	Pass           time.Duration // pass_ms, 120 ms
 	Again          time.Duration // again_s, 0 s
@@ -56,6 +57,7 @@
 		{"configApplyMs", ms, 2000 * ms, &b.ConfigApply},
 		{"downgradeSlackMs", ms, 250 * ms, &b.DowngradeSlack},
 		{"skewMaxMs", ms, 5000 * ms, &b.SkewMax},
+		{"evacuateMs", ms, 5000 * ms, &b.Evacuate},
 		{"recoveryS", s, 12 * s, &b.Recovery},
 		{"pass_ms", ms, 120 * ms, &b.Pass},
 		{"again_s", s, 0, &b.Again},
--- a/internal/tier/settings/compat_test.go
+++ b/internal/tier/settings/compat_test.go
@@ -37,6 +37,7 @@
 			SyncTime: 4200 * ms, Drain: 3002 * ms, Grace: 9 * s, LossSlack: 201 * ms, ConfigApply: 2001 * ms,
 			DowngradeSlack: 251 * ms, SkewMax: 5001 * ms, Recovery: 13 * s, Pass: 121 * ms, Again: 6 * s,
 			Finish: 11 * s, Settle: 1001 * ms,
+			Evacuate: 5 * s, // that build did not know the key, so this is the default
 		},
 		CloudAPI: settings.CloudAPI{
 			Address: "10.200.0.100:8142", RatePerS: 40.5, Duties: []string{"move", "list"}, MaxLag: 801 * ms},
--- a/internal/tier/settings/settings_test.go
+++ b/internal/tier/settings/settings_test.go
@@ -61,6 +61,7 @@
 configApplyMs = 2001
 downgradeSlackMs = 251
 skewMaxMs = 5001
+evacuateMs = 5002
 recoveryS = 13
 pass_ms = 121
 again_s = 1
@@ -104,7 +105,7 @@
 		Bounds: settings.Bounds{
 			SeedLag: 3500 * ms, AddressReuse: s, Contact: 3001 * ms, Acknowledge: 4001500 * time.Microsecond,
 			SyncTime: 4200 * ms, Drain: 3001 * ms, Grace: 9 * s, LossSlack: 201 * ms,
-			ConfigApply: 2001 * ms, DowngradeSlack: 251 * ms, SkewMax: 5001 * ms, Recovery: 13 * s,
+			ConfigApply: 2001 * ms, DowngradeSlack: 251 * ms, SkewMax: 5001 * ms, Evacuate: 5002 * ms, Recovery: 13 * s,
 			Pass: 121 * ms, Again: s, Finish: 11 * s, Settle: 1001 * ms,
 		},
 		CloudAPI: settings.CloudAPI{Address: "10.200.0.100:8142", RatePerS: 40,
@@ -131,7 +132,7 @@
 	assert.Equal(t, got.Bounds, settings.Bounds{
 		SeedLag: 3 * s, AddressReuse: 2 * s, Contact: 3 * s, Acknowledge: 4 * s, SyncTime: 4100 * ms,
 		Drain: 3 * s, Grace: 8 * s, LossSlack: 200 * ms, ConfigApply: 2 * s, DowngradeSlack: 250 * ms,
-		SkewMax: 5 * s, Recovery: 12 * s, Pass: 120 * ms, Again: 0, Finish: 10 * s, Settle: s,
+		SkewMax: 5 * s, Evacuate: 5 * s, Recovery: 12 * s, Pass: 120 * ms, Again: 0, Finish: 10 * s, Settle: s,
 	})
 	assert.Equal(t, got.Heartbeat, settings.DefaultHeartbeat)
 	assert.Equal(t, got.CloudAPI.MaxLag, settings.DefaultMaxLag)
