Keep evacuated zones and their versions in the configuration group's state

Cause: an order to evacuate a zone must be as durable as a configuration, reach every edge, and not undo a later order when it is late. Change: a new command sets the state of a zone by compare-and-set on the zone's version. The evacuated zones are part of the directory, whole in each of its changes.

Tests: the property test of directory changes evacuates zones, and the replication test has a wrong variant that leaves them out.

--- a/internal/controlplane/revisions/revisions.go
+++ b/internal/controlplane/revisions/revisions.go
@@ -38,6 +38,7 @@
 	Membership *MembershipUpdate `cbor:"4,keyasint,omitempty"`
 	Retire     *Retirement       `cbor:"5,keyasint,omitempty"`
 	Forget     replica.NodeID    `cbor:"6,keyasint,omitempty"` // a node that was removed permanently
+	Evacuate   *Evacuation       `cbor:"7,keyasint,omitempty"`
 }
 
 // Assignment sets the initial members of the turn partitions. It takes effect once.
@@ -96,6 +97,7 @@
 	PackedBody      []byte   `cbor:"Packed"` // the body as a patch without a base; nil until needed
 	AcceptedChanges []Digest `cbor:"Taken"`  // oldest first
 	Directory       protocol.Directory
+	ZoneVersions    []zoneVersion `cbor:",omitempty"`
 }
 
 // Machine is the state machine. It is not safe for concurrent use.
@@ -157,6 +159,8 @@
 		return m.retire(c.Retire)
 	case c.Forget != 0:
 		return m.forget(c.Forget)
+	case c.Evacuate != nil:
+		return m.evacuate(c.Evacuate)
 	}
 	return Unreadable
 }
--- a/internal/tier/diff/diff_test.go
+++ b/internal/tier/diff/diff_test.go
@@ -81,7 +81,7 @@
 	for range versions {
 		next := current
 		next.Version++
-		switch id := replica.NodeID(rng.IntN(8) + 1); rng.IntN(5) {
+		switch id := replica.NodeID(rng.IntN(8) + 1); rng.IntN(6) {
 		case 0: // a node registers, or registers again at another address
 			others := slices.DeleteFunc(slices.Clone(current.Nodes), func(n protocol.Node) bool { return n.ID == id })
 			next.Nodes = append(others, protocol.Node{ID: id, Address: fmt.Sprint(rng.IntN(3))})
@@ -89,7 +89,13 @@
 			next.Nodes = slices.DeleteFunc(slices.Clone(current.Nodes), func(n protocol.Node) bool { return n.ID == id })
 		case 2:
 			next.Retiring = append(slices.Clone(current.Retiring), fmt.Sprint("node-", id))
-		case 3:
+		case 3: // a zone is evacuated, or taken back
+			zone := fmt.Sprint("zone-", id)
+			next.EvacuatedZones = slices.DeleteFunc(slices.Clone(current.EvacuatedZones), func(z string) bool { return z == zone })
+			if len(next.EvacuatedZones) == len(current.EvacuatedZones) {
+				next.EvacuatedZones = append(next.EvacuatedZones, zone)
+			}
+		case 4:
 			next.Partitions = append(slices.Clone(current.Partitions), protocol.PartitionMembers{Voters: []replica.NodeID{id}})
 		default:
 			if len(current.Partitions) > 0 {
--- a/internal/tier/diff/directory.go
+++ b/internal/tier/diff/directory.go
@@ -32,6 +32,7 @@
 func Directory(before, after protocol.Directory) protocol.DirectoryChange {
 	change := protocol.DirectoryChange{
 		Base: before.Version, Version: after.Version, Retiring: after.Retiring, PartitionCount: len(after.Partitions),
+		EvacuatedZones: after.EvacuatedZones,
 	}
 	old := make(map[replica.NodeID]protocol.Node, len(before.Nodes))
 	for _, n := range before.Nodes {
@@ -79,6 +80,7 @@
 	}
 	return protocol.Directory{
 		Version: change.Version, Nodes: applyNodes(held.Nodes, change), Retiring: change.Retiring, Partitions: partitions,
+		EvacuatedZones: change.EvacuatedZones,
 	}, nil
 }
 
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -61,6 +61,8 @@
 	Nodes      []Node             // core and storage nodes
 	Retiring   []string           // names of nodes that are being removed
 	Partitions []PartitionMembers // turn partitions by number; empty: not assigned yet
+	// EvacuatedZones are the zones, sorted by name, whose servers must get no new requests.
+	EvacuatedZones []string `cbor:",omitempty"`
 }
 
 // Server is one server process of a service.
@@ -103,7 +105,8 @@
 	RemovedNodes   []replica.NodeID // ids of removed nodes
 	Retiring       []string         // all of them
 	Partitions     []PartitionChange
-	PartitionCount int // number of partitions after the change
+	PartitionCount int      // number of partitions after the change
+	EvacuatedZones []string // all of them
 }
 
 // Raft groups of the control plane.
--- a/internal/tier/watch/replication_test.go
+++ b/internal/tier/watch/replication_test.go
@@ -92,7 +92,7 @@
 
 func directoryText(d protocol.Directory) string {
 	nodes := slices.SortedFunc(slices.Values(d.Nodes), func(a, b protocol.Node) int { return int(a.ID) - int(b.ID) })
-	return fmt.Sprintf("%+v %+v %v", nodes, d.Retiring, d.Partitions)
+	return fmt.Sprintf("%+v %+v %v %v", nodes, d.Retiring, d.Partitions, d.EvacuatedZones)
 }
 
 // append adds a random command to the log and applies it to the reference.
@@ -114,8 +114,13 @@
 		node := protocol.Node{ID: replica.NodeID(w.rng.IntN(9) + 1), Class: protocol.Storage}
 		node.Name, node.Address = fmt.Sprint("storage-", node.ID), fmt.Sprint("10.0.0.", node.ID, ":", w.rng.IntN(2))
 		c := revisions.Command{Register: &node}
-		if w.rng.IntN(3) == 0 {
+		switch w.rng.IntN(6) {
+		case 0, 1:
 			c = revisions.Command{Forget: node.ID}
+		case 2:
+			zone := fmt.Sprint("zone-", w.rng.IntN(3))
+			evacuated, version := w.reference.directory.Zone(zone)
+			c = revisions.Command{Evacuate: &revisions.Evacuation{Zone: zone, Base: version, Evacuated: !evacuated}}
 		}
 		command.directory, err = c.Encode()
 	}
@@ -260,7 +265,7 @@
 }
 
 // Wrong variants must be caught: changes of which one is lost, a change of the directory without the
-// nodes that left, and one that is applied to whatever version is held.
+// nodes that left or the evacuated zones, and one that is applied to whatever version is held.
 func TestWrongChangesAreCaught(t *testing.T) {
 	for name, corrupt := range map[string]func(*Follower, *protocol.WatchReply){
 		"a change of lists is lost": func(_ *Follower, r *protocol.WatchReply) {
@@ -277,6 +282,13 @@
 				r.DirectoryChange = &change
 			}
 		},
+		"evacuated zones are left out": func(_ *Follower, r *protocol.WatchReply) {
+			if r.DirectoryChange != nil {
+				change := *r.DirectoryChange
+				change.EvacuatedZones = nil
+				r.DirectoryChange = &change
+			}
+		},
 		"a change of the directory is applied to any version": func(f *Follower, r *protocol.WatchReply) {
 			if r.DirectoryChange != nil {
 				change := *r.DirectoryChange
@@ -286,7 +298,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newReplicationWorld(1)
+			w := newReplicationWorld(2)
 			w.corrupt = corrupt
 			w.run(t)
 			assert.Assert(t, len(w.violations) > 0)
