Take the operators' orders Evacuate.Begin and Evacuate.Finish

Cause: both calls were answered 404, so nothing could be evacuated. Change: every core node takes them. An unknown zone is 404. Unlike Configuration.Replace, an order ends when the caller closes even half of its connection. A core node's staleness bound also covers evacuateMs.

--- a/cmd/oakseam-control/main.go
+++ b/cmd/oakseam-control/main.go
@@ -57,8 +57,9 @@
 	}
 	defer n.Close()
 	core, err := coordinator.New(coordinator.Options{
-		Node: n, ToleratedLosses: s.FaultTolerance.MachineLosses, Bootstrap: options.Bootstrap, Seeds: options.Seeds,
-		ConfigApply: s.Bounds.ConfigApply, DrainBound: s.Bounds.Drain,
+		Node: n, ToleratedLosses: s.FaultTolerance.MachineLosses, Zones: zoneNames(s), Bootstrap: options.Bootstrap, Seeds: options.Seeds,
+		// Configurations and evacuations reach other processes in the same replies.
+		ConfigApply: min(s.Bounds.ConfigApply, s.Bounds.Evacuate), DrainBound: s.Bounds.Drain,
 	})
 	if err != nil {
 		return err
@@ -78,6 +79,15 @@
 	return ignoreShutdown(ctx, core.Run(ctx, l, platform.New(s.CloudAPI.Address)))
 }
 
+// zoneNames returns the zones that the settings name.
+func zoneNames(s *settings.Settings) []string {
+	names := []string{s.Zone}
+	for _, zone := range s.Zones {
+		names = append(names, zone.Name)
+	}
+	return names
+}
+
 type keepCommand struct {
 	LogLevel slog.Level `default:"info" help:"Minimum level of log lines: debug, info, warn or error."`
 }
--- a/internal/controlplane/adminapi/authority.go
+++ b/internal/controlplane/adminapi/authority.go
@@ -1,11 +1,13 @@
 // Package adminapi is the HTTP API through which operators replace and show the
-// configuration and retire nodes. It reads and bounds calls, rejects invalid ones, and passes
+// configuration, retire nodes and evacuate zones. It reads and bounds calls, rejects invalid ones, and passes
 // the rest to an Authority.
 //
 //	POST /api/Configuration.Replace    200 accepted, 400 invalid, 412 conflict, 413, 503
 //	GET  /api/Configuration.Show       200 with the bytes as they were sent, 404 none yet, 503
 //	POST /api/Retire.Begin/{node}      200 accepted, 400, 404 unknown node, 409 too few nodes, 413, 503
 //	GET  /api/Retire.Show/{node}       200, 404 unknown node, 503
+//	POST /api/Evacuate.Begin/{zone}    200 accepted, 404 unknown zone, 413, 503
+//	POST /api/Evacuate.Finish/{zone}   200 accepted, 404 unknown zone, 413, 503
 //
 // Status 503 means that the outcome is unknown or that the call cannot be decided now: the
 // same call may be repeated. Any other error is final.
@@ -38,6 +40,9 @@
 	RetireBegin(ctx context.Context, node string, deadline time.Duration) RetireOutcome
 	// RetireShow returns the state of a node's retirement, or ErrUnknownNode or ErrUnavailable.
 	RetireShow(ctx context.Context, node string) (RetireState, error)
+	// Evacuate makes a zone's state as ordered. The context also ends when the caller is gone; an order
+	// that was not proposed by then must never take effect.
+	Evacuate(ctx context.Context, order EvacuationOrder) EvacuateOutcome
 }
 
 // ReplaceResult is the result of a call to Replace.
--- a/internal/controlplane/adminapi/body.go
+++ b/internal/controlplane/adminapi/body.go
@@ -89,8 +89,13 @@
 // deadline is extended to cover it. The context does not end when the operator closes its half
 // of the connection.
 func (s *Server) decisionContext(response http.ResponseWriter, request *http.Request) (context.Context, context.CancelFunc) {
+	s.extendReadDeadline(response)
+	return context.WithTimeout(context.WithoutCancel(request.Context()), s.options.DecisionTimeout)
+}
+
+// extendReadDeadline extends the connection's read deadline to cover a decision and its response.
+func (s *Server) extendReadDeadline(response http.ResponseWriter) {
 	until := time.Now().Add(s.options.DecisionTimeout + s.options.ResponseTimeout)
 	// A connection that does not support deadlines, as in tests, needs none.
 	_ = http.NewResponseController(response).SetReadDeadline(until)
-	return context.WithTimeout(context.WithoutCancel(request.Context()), s.options.DecisionTimeout)
 }
--- a/internal/controlplane/adminapi/calls.go
+++ b/internal/controlplane/adminapi/calls.go
@@ -52,6 +52,8 @@
 	add(http.MethodGet, pathShow, s.show)
 	add(http.MethodPost, pathRetireBegin, s.retireBegin)
 	add(http.MethodGet, pathRetireShow, s.retireShow)
+	add(http.MethodPost, pathEvacuateBegin, s.evacuateBegin)
+	add(http.MethodPost, pathEvacuateFinish, s.evacuateFinish)
 	return tree
 }
 
--- a/internal/controlplane/adminapi/fake_authority_test.go
+++ b/internal/controlplane/adminapi/fake_authority_test.go
@@ -29,6 +29,7 @@
 	state     RetireState
 	stateErr  error
 	onReplace func(context.Context) // called within Replace
+	evacuate  func(context.Context, EvacuationOrder) EvacuateOutcome
 
 	lock     sync.Mutex
 	replaces int
@@ -65,6 +66,10 @@
 	return s.state, s.stateErr
 }
 
+func (s *fakeAuthority) Evacuate(ctx context.Context, order EvacuationOrder) EvacuateOutcome {
+	return s.evacuate(ctx, order)
+}
+
 // replaceCalls returns how often Replace was called.
 func (s *fakeAuthority) replaceCalls() int {
 	s.lock.Lock()
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -42,7 +42,8 @@
 // Coordinator is a core node.
 type Coordinator struct {
 	node            *node.Node
-	toleratedLosses int // number of machines that may be lost at once
+	toleratedLosses int      // number of machines that may be lost at once
+	zones           []string // of the settings
 	updates         *notifier
 	// staleAfter is the staleness from which this node no longer vouches for its state.
 	staleAfter   time.Duration
@@ -59,6 +60,7 @@
 type Options struct {
 	Node            *node.Node
 	ToleratedLosses int
+	Zones           []string // of the tier; those of nodes and servers are known as well
 	Platform        lister.Platform
 	Bootstrap       bool // the whole system starts for the first time
 	Seeds           []string
@@ -93,7 +95,7 @@
 
 // New restores or creates the groups of a core node.
 func New(options Options) (*Coordinator, error) {
-	c := &Coordinator{node: options.Node, toleratedLosses: options.ToleratedLosses, updates: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, startedAt: time.Now(), staleAfter: StaleAfter(options.ConfigApply), listInterval: lister.Interval(options.DrainBound)}
+	c := &Coordinator{node: options.Node, toleratedLosses: options.ToleratedLosses, zones: options.Zones, updates: newNotifier(), planners: map[replica.GroupID]*repair.Planner{}, startedAt: time.Now(), staleAfter: StaleAfter(options.ConfigApply), listInterval: lister.Interval(options.DrainBound)}
 	var first replica.Members
 	if options.Bootstrap {
 		for _, s := range options.Seeds {
