Deliver the directory before the first configuration that belongs to it

Cause: a process that starts serves with its first configuration, but received the directory after it, and left a change of the directory that did not start from the version it held, although the configuration of the same reply was taken. It could have sent requests to a zone whose evacuation it was about to learn. Change: of one reply the directory is delivered first, and a reply whose change of the directory does not apply confirms nothing: the next call asks again.

TestOlderStateFromLaggingNodeIsIgnored expected the configuration before the directory; it now expects the new order, with the same checks. Result: two new tests cover both cases, and the tests of the package pass.

--- a/internal/tier/watch/merge.go
+++ b/internal/tier/watch/merge.go
@@ -32,6 +32,12 @@
 	return true
 }
 
+// hasDirectoryOf reports whether the held directory is at least as new as the one in a reply. It is not
+// if the reply has a change that starts from another version than the held one.
+func (f *Follower) hasDirectoryOf(reply *protocol.WatchReply) bool {
+	return reply.DirectoryChange == nil || reply.DirectoryChange.Version <= f.directory.Version
+}
+
 // mergeLists takes over the newer server lists.
 func (f *Follower) mergeLists(reply *protocol.WatchReply) (updates []Update) {
 	if f.listsOutdated && !reply.Vouched {
--- a/internal/tier/watch/merge_test.go
+++ b/internal/tier/watch/merge_test.go
@@ -108,3 +108,36 @@
 	assert.Equal(t, len(f.merge(&protocol.WatchReply{Directory: &whole})), 1)
 	assert.Equal(t, f.watchArgs(false).Directory, uint64(4))
 }
+
+// confirmedReply returns a linearizable reply with a configuration.
+func confirmedReply(directory *protocol.Directory, change *protocol.DirectoryChange) *protocol.WatchReply {
+	return &protocol.WatchReply{Confirmed: true, Vouched: true, Revision: 7, Steps: wholeStep(7), Directory: directory, DirectoryChange: change}
+}
+
+// With its first configuration a process begins to serve: it must know the evacuated zones by then.
+func TestFirstConfigurationDoesNotComeBeforeTheEvacuatedZones(t *testing.T) {
+	f := newFollower()
+	updates := f.merge(confirmedReply(&protocol.Directory{Version: 3, EvacuatedZones: []string{"z"}}, nil))
+	assert.Equal(t, len(updates), 2)
+	assert.DeepEqual(t, updates[0].Directory.EvacuatedZones, []string{"z"})
+	assert.Equal(t, updates[1].Revision, uint64(7))
+}
+
+// A change of the directory that does not apply may carry an evacuation: the configuration that came
+// with it must not be served before the next reply has brought the directory.
+func TestFirstConfigurationWaitsForADirectoryChangeThatDoesNotApply(t *testing.T) {
+	f := newFollower()
+	held := directoryAt(4) // from a node that confirmed nothing, while another one handled a call
+	f.merge(&protocol.WatchReply{Directory: &held})
+	before, after := directoryAt(3), directoryAt(5)
+	after.EvacuatedZones = []string{"z"}
+	change := diff.Directory(before, after)
+	assert.Equal(t, len(f.merge(confirmedReply(nil, &change))), 0)
+	assert.Equal(t, f.watchArgs(false).Confirmed, true)
+	change = diff.Directory(held, after)
+	updates := f.merge(confirmedReply(nil, &change))
+	assert.Equal(t, len(updates), 2)
+	assert.DeepEqual(t, updates[0].Directory.EvacuatedZones, []string{"z"})
+	assert.Equal(t, updates[1].Revision, uint64(7))
+	assert.Equal(t, f.watchArgs(false).Confirmed, false)
+}
--- a/internal/tier/watch/watch.go
+++ b/internal/tier/watch/watch.go
@@ -225,17 +225,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var updates []Update
-	if !f.confirmed && reply.Confirmed {
+	// The directory comes first: with the first configuration the process begins to serve, and it must
+	// know the evacuated zones by then.
+	if f.mergeDirectory(reply) {
+		directory := f.directory
+		updates = append(updates, Update{Directory: &directory})
+	}
+	if !f.confirmed && reply.Confirmed && f.hasDirectoryOf(reply) {
 		f.confirmed = true
 		klog.InfoS("Control plane reached", "revision", reply.Revision)
 	}
 	if f.confirmed && reply.Revision > f.revision && f.applySteps(reply) {
 		updates = append(updates, Update{Revision: f.revision, Configuration: f.configuration})
 	}
-	if f.mergeDirectory(reply) {
-		directory := f.directory
-		updates = append(updates, Update{Directory: &directory})
-	}
 	return append(updates, f.mergeLists(reply)...)
 }
 
--- a/internal/tier/watch/watch_test.go
+++ b/internal/tier/watch/watch_test.go
@@ -159,8 +159,8 @@
 		return reply
 	})
 	f, updates := startFollower(t, 1, core.address)
-	assert.Equal(t, nextUpdate(t, updates).Revision, uint64(5))
 	assert.Equal(t, nextUpdate(t, updates).Directory.Version, uint64(5))
+	assert.Equal(t, nextUpdate(t, updates).Revision, uint64(5))
 	assert.Equal(t, nextUpdate(t, updates).Partition, 1)
 	assert.Equal(t, nextUpdate(t, updates).Revision, uint64(6))
 	assert.Equal(t, f.Directory().Version, uint64(5))
