Send no new requests to the servers of evacuated zones

Cause: edges did not know of evacuations. Change: an edge takes the evacuated zones from the directory and hands the servers there to the decision module as draining, whichever list they come from: the subset, the preferred servers, retries, second copies and resumed streams leave them out, and running requests go on. If all servers of a service are evacuated, its requests are answered at once instead of waiting for a server.

--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -54,10 +54,11 @@
 	pool *upstream.Pool
 	quit chan struct{}
 
-	mu       sync.Mutex
-	services map[string]*service
-	classes  map[string][]logic.Class
-	lists    map[string][]protocol.Server
+	mu          sync.Mutex
+	services    map[string]*service
+	classes     map[string][]logic.Class
+	lists       map[string][]protocol.Server
+	evacuations evacuations
 }
 
 // service is the event loop and the servers of one service.
@@ -67,7 +68,7 @@
 	wanted     int           // subset size before servers that the module avoids are replaced
 	size       int           // subset size including replacements for avoided servers
 	servers    []candidate   // of the subset, without draining ones
-	hasServers chan struct{} // closed once the service has had a server that accepts requests
+	hasServers chan struct{} // closed once the service has had a server that accepts requests, or only ones in evacuated zones
 	hadServer  bool          // hasServers is closed
 	demand     demand
 	avoided    atomic.Int64 // servers of the subset that currently get no requests, including draining ones
@@ -209,6 +210,8 @@
 // caller holds d.mu.
 func (d *Dispatcher) updateBackends(s *service, servers []protocol.Server) {
 	s.allServers, s.draining = servers, 0
+	allEvacuated := d.evacuations.removesLast(servers)
+	servers = d.evacuations.drain(servers)
 	for _, x := range servers {
 		if x.Draining {
 			s.draining++
@@ -217,7 +220,7 @@
 	s.wanted, s.size = s.subsetSizes()
 	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, d.opt.Zone)
-	if len(s.servers) > 0 && !s.hadServer {
+	if (len(s.servers) > 0 || allEvacuated) && !s.hadServer {
 		s.hadServer = true
 		defer close(s.hasServers) // only after the event loop has received the list
 	}
@@ -248,8 +251,8 @@
 }
 
 // EventLoop returns the event loop that requests of a service are submitted to, or nil for an
-// unknown service. It waits until the service has had a server or ctx ends, because after a start
-// the server list arrives slightly later than the configuration.
+// unknown service. It waits until hasServers is closed or ctx ends, because after a start the
+// server list arrives slightly later than the configuration.
 func (d *Dispatcher) EventLoop(ctx context.Context, name string) *core.EventLoop {
 	d.mu.Lock()
 	s := d.services[name]
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -136,6 +136,7 @@
 	case update.Configuration != nil:
 		n.configure(update.Configuration)
 	case update.Directory != nil:
+		n.dispatcher.SetEvacuatedZones(update.Directory.EvacuatedZones)
 		n.turns.SetDirectory(*update.Directory)
 	default:
 		n.dispatcher.UpdateServers(update.Partition, update.Lists)
