Keep the subset's size when a zone is taken back

Cause: replacements are counted as the avoided servers that the event loop reported less the draining ones. When a zone was taken back the report still held its servers, so for up to a second the subset was larger by all of them, and connections were opened for nothing; the same after a drained server was gone. TestEvacuatedZoneIsReplacedByOthers failed so in one of 5 repetitions. Change: the count of avoided servers follows the list at once. Result: the new test failed before (15 servers of the zone in place of 8); all tests of the package pass 20 times with the race detector.

--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -209,14 +209,18 @@
 // updateBackends hands this node's subset of a service's servers to the service's event loop. The
 // caller holds d.mu.
 func (d *Dispatcher) updateBackends(s *service, servers []protocol.Server) {
-	s.allServers, s.draining = servers, 0
+	s.allServers = servers
 	allEvacuated := d.evacuations.removesLast(servers)
 	servers = d.evacuations.drain(servers)
+	draining := 0
 	for _, x := range servers {
 		if x.Draining {
-			s.draining++
+			draining++
 		}
 	}
+	// The event loop avoids draining servers and reports so only after it has received the list.
+	s.avoided.Add(int64(draining - s.draining))
+	s.draining = draining
 	s.wanted, s.size = s.subsetSizes()
 	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, d.opt.Zone)
--- a/internal/dataplane/dispatch/evacuation_test.go
+++ b/internal/dataplane/dispatch/evacuation_test.go
@@ -84,6 +84,17 @@
 	assert.Assert(t, !at.Before(began) && !at.After(time.Now()))
 }
 
+// The servers that were avoided only because their zone was evacuated need no replacements once it is
+// taken back: a larger subset would open connections for nothing.
+func TestSubsetDoesNotGrowWhenAZoneIsTakenBack(t *testing.T) {
+	d, servers := newEvacuationDispatcher(t), serversInThreeZones(15)
+	d.list(servers)
+	d.SetEvacuatedZones([]string{"z0"})
+	d.services[evacuationService].avoided.Store(15) // as the event loop reports
+	d.SetEvacuatedZones(nil)
+	assert.DeepEqual(t, acceptingZones(t, d, servers), map[string]int{"z0": minSubsetSize})
+}
+
 // A process that restarts learns of the evacuation before the configuration and the lists.
 func TestZoneEvacuatedBeforeTheFirstListGetsNothing(t *testing.T) {
 	d, servers := newEvacuationDispatcher(t), serversInThreeZones(3)
