--- a/internal/controlplane/adminapi/authority.go
+++ b/internal/controlplane/adminapi/authority.go
@@ -1,11 +1,13 @@
 // Package adminapi is the HTTP API through which operators replace and show the
-// configuration and retire nodes. It reads and bounds calls, rejects invalid ones, and passes
+// configuration, retire nodes and evacuate zones. It reads and bounds calls, rejects invalid ones, and passes
 // the rest to an Authority.
 //
 //	POST /api/Configuration.Replace    200 accepted, 400 invalid, 412 conflict, 413, 503
 //	GET  /api/Configuration.Show       200 with the bytes as they were sent, 404 none yet, 503
 //	POST /api/Retire.Begin/{node}      200 accepted, 400, 404 unknown node, 409 too few nodes, 413, 503
 //	GET  /api/Retire.Show/{node}       200, 404 unknown node, 503
+//	POST /api/Evacuate.Begin/{zone}    200 accepted, 404 unknown zone, 413, 503
+//	POST /api/Evacuate.Finish/{zone}   200 accepted, 404 unknown zone, 413, 503
 //	POST /api/Tallies.Modify/{tally}   200 counted, 400, 409 counted with another amount, 413, 500, 503, 504
 //	GET  /api/Tallies.Show/{tally}     200, 400, 503
 //
@@ -41,6 +43,9 @@
 	RetireBegin(ctx context.Context, node string, deadline time.Duration) RetireOutcome
 	// RetireShow returns the state of a node's retirement, or ErrUnknownNode or ErrUnavailable.
 	RetireShow(ctx context.Context, node string) (RetireState, error)
+	// Evacuate makes a zone's state as ordered. The context also ends when the caller is gone; an order
+	// that was not proposed by then must never take effect.
+	Evacuate(ctx context.Context, order EvacuationOrder) EvacuateOutcome
 }
 
 // ReplaceResult is the result of a call to Replace.
--- a/internal/controlplane/cluster/cluster_test.go
+++ b/internal/controlplane/cluster/cluster_test.go
@@ -161,7 +161,7 @@
 	})
 	assert.NilError(c, err)
 	core, err := coordinator.New(coordinator.Options{
-		Tallies: tallies, Node: n, ToleratedLosses: c.toleratedLosses, Bootstrap: bootstrap, Seeds: c.seeds, ConfigApply: configApply, DrainBound: drainBound,
+		Tallies: tallies, Node: n, ToleratedLosses: c.toleratedLosses, Zones: zoneNames, Bootstrap: bootstrap, Seeds: c.seeds, ConfigApply: configApply, DrainBound: drainBound,
 	})
 	assert.NilError(c, err)
 	api, err := net.Listen("tcp", machine.api)
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -57,10 +57,11 @@
 	warmups *warmupTable
 	quit    chan struct{}
 
-	mu       sync.Mutex
-	services map[string]*service
-	classes  map[string][]logic.Class
-	lists    map[string][]protocol.Server
+	mu          sync.Mutex
+	services    map[string]*service
+	classes     map[string][]logic.Class
+	lists       map[string][]protocol.Server
+	evacuations evacuations
 }
 
 // service is the event loop and the servers of one service.
@@ -71,7 +72,7 @@
 	wanted     int           // subset size before servers that the module avoids are replaced
 	size       int           // subset size including replacements for avoided servers
 	servers    []candidate   // of the subset, without draining ones
-	hasServers chan struct{} // closed once the service has had a server that accepts requests
+	hasServers chan struct{} // closed once the service has had a server that accepts requests, or only ones in evacuated zones
 	hadServer  bool          // hasServers is closed
 	demand     demand
 	avoided    atomic.Int64 // servers of the subset that currently get no requests, including draining ones
@@ -224,7 +225,8 @@
 	cold, recheck := d.warmups.cold(s.name, now)
 	before := s.draining
 	s.allServers, s.draining = servers, 0
-	servers = s.markCold(servers, cold)
+	allEvacuated := d.evacuations.removesLast(servers)
+	servers = s.markCold(d.evacuations.drain(servers), cold)
 	granted, nextSend := d.warmups.granted(s.name, cold, now)
 	d.scheduleRecheck(s, earliest(recheck, nextSend))
 	for _, x := range servers {
@@ -238,7 +240,7 @@
 	s.wanted, s.size = s.subsetSizes()
 	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, granted, d.opt.Zone)
-	if s.accepts() && !s.hadServer {
+	if (s.accepts() || allEvacuated) && !s.hadServer {
 		s.hadServer = true
 		defer close(s.hasServers) // only after the event loop has received the list
 	}
@@ -272,8 +274,8 @@
 }
 
 // EventLoop returns the event loop that requests of a service are submitted to, or nil for an
-// unknown service. It waits until the service has had a server or ctx ends, because after a start
-// the server list arrives slightly later than the configuration.
+// unknown service. It waits until hasServers is closed or ctx ends, because after a start the
+// server list arrives slightly later than the configuration.
 func (d *Dispatcher) EventLoop(ctx context.Context, name string) *core.EventLoop {
 	d.mu.Lock()
 	s := d.services[name]
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -139,6 +139,7 @@
 	case update.Configuration != nil:
 		n.configure(update.Configuration)
 	case update.Directory != nil:
+		n.dispatcher.SetEvacuatedZones(update.Directory.EvacuatedZones)
 		n.turns.SetDirectory(*update.Directory)
 		n.isolation.SetDirectory(*update.Directory)
 	default:
