Judge tallies with links of different length and on slow disks

Cause: TestAddsAreNotLostOverConnectionsAndDisks failed 3 times in about 200 runs on a busy machine: an append to the real disk took 200 to 470 ms there (traced), so the add rightly got 504 or 503. The check asked for more than the contract, which lets a caller repeat such an add; it now repeats as callers do, accepts no other error, and still asks for the exact totals. In the scenarios all copies came at the same instant, which could hide an answer after one of them: links now differ by 1 ms a node, so the bound on a fast add, which counts links and syncs, is 20 ms in place of 10. A new scenario checks that a written add is never refused as undone.

--- a/internal/controlplane/tallysync/cluster_test.go
+++ b/internal/controlplane/tallysync/cluster_test.go
@@ -178,9 +178,10 @@
 	c.setCut(func(from, to string) bool { return left(from) != left(to) })
 }
 
-// deliver returns the node at an address once a packet has arrived there.
+// deliver returns the node at an address once a packet has arrived there. Each node is further away
+// than the one before, so that copies come one after another.
 func (c *cluster) deliver(ctx context.Context, from, to string) (*testNode, error) {
-	time.Sleep(testLatency)
+	time.Sleep(testLatency * time.Duration(1+slices.IndexFunc(c.known, func(n protocol.Node) bool { return n.Address == to })))
 	c.mu.Lock()
 	target, lost := c.nodes[to], c.cut(from, to)
 	c.mu.Unlock()
--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -1,6 +1,7 @@
 package tallysync
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -21,7 +22,7 @@
 			started := time.Now()
 			assert.NilError(t, c.node(i%5).Add(t.Context(), "t", member, 3))
 			assert.Assert(t, c.copiesOf("t", member) >= 3)
-			assert.Assert(t, time.Since(started) < 10*time.Millisecond, "%v", time.Since(started))
+			assert.Assert(t, time.Since(started) < 20*time.Millisecond, "%v", time.Since(started))
 		}
 		time.Sleep(testMerge)
 		c.assertTotals("t", 30)
@@ -39,6 +40,17 @@
 	})
 }
 
+// An add that is written must not be refused as one of which nothing was done.
+func TestWrittenAddWithoutCopiesIsNotRefused(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		c.split(1)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		assert.ErrorIs(t, c.node(0).Add(ctx, "t", "m", 1), ErrUncertain)
+		assert.Equal(t, c.copiesOf("t", "m"), 1)
+	})
+}
+
 // With several nodes to a zone, the loss of one zone must leave a copy.
 func TestAddIsNotAcknowledgedWithAllCopiesInOneZone(t *testing.T) {
 	runCluster(t, 1, []string{"a", "a", "b"}, func(t *testing.T, c *cluster) {
@@ -309,7 +321,7 @@
 		assert.ErrorIs(t, n.Add(t.Context(), "t", "refused", 1), ErrNotReady)
 		assert.Equal(t, time.Since(started), time.Duration(0))
 		assert.NilError(t, c.node(1).Add(t.Context(), "t", "other", 1))
-		assert.Assert(t, time.Since(started) < 10*time.Millisecond)
+		assert.Assert(t, time.Since(started) < 20*time.Millisecond)
 		n.disk.mu.Lock()
 		n.disk.stall = 0
 		n.disk.mu.Unlock()
--- a/internal/controlplane/tallysync/pool_test.go
+++ b/internal/controlplane/tallysync/pool_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"oakseam/internal/controlplane/replica"
@@ -114,6 +115,20 @@
 	}
 }
 
+// addRepeatedly adds as a caller does, who repeats an add while the disks are slow.
+func addRepeatedly(t *testing.T, n *Node, tally, member string, amount int64) {
+	t.Helper()
+	for deadline := time.Now().Add(pollTimeout); ; {
+		err := n.Add(t.Context(), tally, member, amount)
+		if err == nil {
+			return
+		}
+		assert.Assert(t, errors.Is(err, ErrUncertain) || errors.Is(err, ErrNotReady), "%v", err)
+		assert.Assert(t, time.Now().Before(deadline), "%v", err)
+		time.Sleep(pollInterval)
+	}
+}
+
 // What the exchange says must pass through the real connections and disks.
 func TestAddsAreNotLostOverConnectionsAndDisks(t *testing.T) {
 	r := &realNodes{t: t}
@@ -123,7 +138,7 @@
 	r.run(nodes...)
 	awaitEntries(t, 5000, nodes...)
 	for i, n := range nodes {
-		assert.NilError(t, n.Add(t.Context(), "t0", fmt.Sprint("new", i), 10))
+		addRepeatedly(t, n, "t0", fmt.Sprint("new", i), 10)
 		total, err := n.Total("t0")
 		assert.NilError(t, err)
 		assert.Assert(t, total >= 313+10, "%d", total)
