--- a/internal/dataplane/dispatch/warmup.go
+++ b/internal/dataplane/dispatch/warmup.go
@@ -48,7 +48,8 @@
 	period    uint64        // protocol.Server.WarmupPeriod of that entry
 	coldUntil time.Time
 	holders   int       // edges that may send to the server if this node is one of them, otherwise 0
-	emptyAt   time.Time // when this node's earlier requests no longer count, if it is a holder
+	heldSince time.Time // when this node became a holder
+	fullAt    time.Time // when the bucket is full again; zero if nothing was sent
 	takenAt   time.Time // when it last sent one
 }
 
@@ -83,7 +84,7 @@
 		if s.Warmup > 0 && (w == nil || w.listed != s.Warmup || w.period != s.WarmupPeriod) {
 			w = w.extended(now.Add(min(s.Warmup, routing.MaxWarmup) + warmupMargin))
 			w.listed, w.period = s.Warmup, s.WarmupPeriod
-			w.holders = holderCount(s.WarmupHolders, t.node)
+			w.hold(holderCount(s.WarmupHolders, t.node), now)
 		}
 		if w != nil {
 			next[s.ID] = w
@@ -104,6 +105,14 @@
 	return next
 }
 
+// hold sets the number of holders if this node is one of them, otherwise 0.
+func (w *warmup) hold(holders int, now time.Time) {
+	if w.holders == 0 {
+		w.heldSince = now
+	}
+	w.holders = holders
+}
+
 // holderCount returns the number of holders if the node is one of them, otherwise 0.
 func holderCount(holders protocol.NodeNames, node string) int {
 	if names := holders.Split(); slices.Contains(names, node) {
@@ -129,7 +138,7 @@
 		if s.Zone == zone {
 			w := servers[s.ID].extended(from.Add(pool.duration + warmupMargin))
 			if old := servers[s.ID]; old == nil || !from.Before(old.coldUntil) {
-				w.holders = 0 // the grants of an earlier warm-up have ended
+				w.hold(0, from) // the grants of an earlier warm-up have ended
 			}
 			servers[s.ID], any = w, true
 		}
@@ -199,10 +208,7 @@
 	if g.burst == 0 || now.Before(g.mayAt(w)) {
 		return permission{cold: true}
 	}
-	if w.emptyAt.Before(now) {
-		w.emptyAt = now
-	}
-	w.emptyAt, w.takenAt = w.emptyAt.Add(g.interval), now
+	w.fullAt, w.takenAt = latest(g.fullAt(w), now).Add(g.interval), now
 	return permission{allowed: true, cold: true, last: now.Before(g.mayAt(w))}
 }
 
@@ -241,9 +247,23 @@
 	return grant{burst: int(burst), interval: time.Duration(float64(time.Second) / perS)}
 }
 
+// fullAt returns the time at which the holder may send the whole burst. A new holder starts with nothing: it may
+// have restarted after it had sent its burst.
+func (g grant) fullAt(w *warmup) time.Time {
+	return latest(w.fullAt, w.heldSince.Add(time.Duration(g.burst)*g.interval))
+}
+
 // mayAt returns the time from which the holder may send the next request.
 func (g grant) mayAt(w *warmup) time.Time {
-	return w.emptyAt.Add(-time.Duration(g.burst-1) * g.interval)
+	return g.fullAt(w).Add(-time.Duration(g.burst-1) * g.interval)
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
 }
 
 // earliest returns the earlier of two times. The zero time counts as no time.
