Keep an edge ready that starts before the storage nodes of other zones

After a loss of all power the storage nodes of an edge's own zone may answer before those of other zones start; the edge then took its zone for cut off and was not ready. A zone now counts as cut off only for a process that has heard another zone before. The test of the cut waits for that contact first, which is its precondition and not less strict: an edge that never had contact has no configuration either.

--- a/internal/dataplane/turnclient/isolation.go
+++ b/internal/dataplane/turnclient/isolation.go
@@ -134,9 +134,11 @@
 	return true
 }
 
-// setIsolated stores and logs whether the zone is isolated.
+// setIsolated stores and logs whether the zone is isolated. A process that has heard no other zone yet
+// cannot tell a cut from nodes that have not started.
 func (i *Isolation) setIsolated(isolated bool) {
 	i.mu.Lock()
+	isolated = isolated && !i.lastHeard.IsZero()
 	changed := i.isolated != isolated
 	i.isolated = isolated
 	i.mu.Unlock()
--- a/internal/dataplane/turnclient/isolation_test.go
+++ b/internal/dataplane/turnclient/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -23,6 +24,7 @@
 	}
 	isolation := NewIsolation(c.pool, "a")
 	isolation.SetDirectory(directory)
+	isolation.lastHeard = time.Now().Add(-quietPeriod)
 	return isolation
 }
 
@@ -57,3 +59,11 @@
 	isolation.check(longContext(t))
 	assert.Assert(t, !isolation.Isolated())
 }
+
+// After a loss of all power the nodes of the own zone may start first.
+func TestZoneThatHasHeardNoOtherIsNotIsolated(t *testing.T) {
+	isolation := startIsolation(t, []string{"a", "b"}, map[string]bool{"b": true})
+	isolation.lastHeard = time.Time{}
+	isolation.check(longContext(t))
+	assert.Assert(t, !isolation.Isolated())
+}
