Play evacuation orders in the simulation of the configuration's group

Cause: nothing showed that an acknowledged evacuation survives losses, or that a late order cannot undo a later one. Change: an operator sends orders, closes the connection after a second without an answer and turns to another node; nodes freeze, lose power, links and disks. No order may take effect that is neither the last acknowledged one nor the one in progress, and one that is acknowledged must be in force.

--- a/internal/controlplane/simulation/simulation_test.go
+++ b/internal/controlplane/simulation/simulation_test.go
@@ -96,6 +96,17 @@
 	c.checkFaults(t, seeds)
 }
 
+// An acknowledged evacuation order must stay in force until the operator sends another one, under
+// random faults.
+func TestAcknowledgedEvacuationsAreKeptUnderFaults(t *testing.T) {
+	seeds := seedCount(t, 2000)
+	simulations, c, failure := simulateSeeds(seeds, simulateEvacuation, bugs{})
+	assert.NilError(t, failure)
+	t.Logf("%d seeds: %+v", simulations, c)
+	assert.Assert(t, c.acknowledged > 3*seeds && c.unknownOutcomes > seeds && c.abandonedOrders > seeds/10, "orders: %+v", c)
+	c.checkFaults(t, seeds)
+}
+
 // checkFaults verifies that the simulations contained enough faults.
 func (c *counts) checkFaults(test *testing.T, seeds uint64) {
 	test.Helper()
@@ -124,6 +135,8 @@
 		{"the leader of a singleton task acts without a lease", simulateLister, bugs{listWithoutLease: true}},
 		{"a change on a base that is not committed yet is proposed", simulateConfiguration, bugs{uncommittedBase: true}},
 		{"a singleton task is always transferred to the first of the others", simulateLister, bugs{fixedSuccessor: true}},
+		{"a late evacuation order is proposed", simulateEvacuation, bugs{lateEvacuation: true}},
+		{"an evacuation order is acknowledged from a node's own state", simulateEvacuation, bugs{staleEvacuation: true}},
 		{"publications carry the epoch of their partition", simulateLister, bugs{epochFromPartition: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/controlplane/simulation/world_test.go
+++ b/internal/controlplane/simulation/world_test.go
@@ -39,6 +39,8 @@
 	trustOneNode         bool // a process trusts a single core node some time after its start
 	compareRevisionOnly  bool // changes are identified by their revision alone
 	rejectRepeatedChange bool // a change that was accepted and superseded is rejected when it is sent again
+	lateEvacuation       bool // an evacuation order is proposed although its caller is gone and it is old
+	staleEvacuation      bool // an evacuation order is acknowledged from a node's own state, without a read index
 }
 
 // violatesSafety reports whether the bugs show in a wrong result. The others show in a run that
@@ -112,6 +114,7 @@
 	outdated            uint64 // publications that had no effect
 	leadershipTransfers uint64
 	retirements         uint64
+	abandonedOrders     uint64 // evacuation orders that were not proposed because their caller was gone or they were old
 }
 
 func newWorld(seed uint64, class protocol.Class, injected bugs) *world {
@@ -216,6 +219,7 @@
 		{&c.completedTurns, o.completedTurns}, {&c.missing, o.missing}, {&c.imports, o.imports}, {&c.overBudget, o.overBudget},
 		{&c.edgeCrashes, o.edgeCrashes}, {&c.forgotten, o.forgotten}, {&c.listings, o.listings},
 		{&c.publications, o.publications}, {&c.outdated, o.outdated}, {&c.leadershipTransfers, o.leadershipTransfers}, {&c.retirements, o.retirements},
+		{&c.abandonedOrders, o.abandonedOrders},
 	} {
 		*pair.to += pair.from
 	}
