--- a/internal/controlplane/adminapi/evacuation.go
+++ b/internal/controlplane/adminapi/evacuation.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(request.Context(), s.options.DecisionTimeout)
 	defer cancel()
 	outcome := s.options.Authority.Evacuate(ctx, order)
-	klog.InfoS("Operator's call to evacuate a zone", "zone", order.Zone, "evacuated", order.Evacuated, "outcome", outcome, "took", time.Since(order.Received))
+	klog.InfoS("Operator's call to evacuate a zone", "zone", order.Zone, "evacuated", order.Evacuated, "outcome", outcome.String(), "took", time.Since(order.Received).String())
 	writeEvacuateOutcome(response, outcome)
 }
 
