Give the nodes of the cluster tests addresses that nobody else can take

A node listens, and listens again after a restart, at an address that was free a moment before. On 127.0.0.1 an outgoing connection could take its port in between: one trial of about 60 failed with address already in use. Each address now has a host of its own in 127.0.0.0/8, told by process id and count.

--- a/internal/controlplane/cluster/cluster_test.go
+++ b/internal/controlplane/cluster/cluster_test.go
@@ -10,9 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,10 +135,17 @@
 	return ""
 }
 
-// freeAddress returns an address of loopback that nobody listens on.
+// addressCount is how many addresses freeAddress has returned.
+var addressCount atomic.Uint32
+
+// freeAddress returns an address that stays free until it is listened on, also between two starts of a
+// node. Its host is told by this process's id and a count, so that outgoing connections, which have
+// 127.0.0.1, and the tests of other packages don't take its port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	id, count := os.Getpid(), addressCount.Add(1)
+	host := netip.AddrFrom4([4]byte{127, byte(64 + id>>8&63), byte(id), byte(1 + count%250)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
