Check that repeats in one transaction wait for the copies

Cause: of 18 wrong variants tried by hand on a scratch copy (an add acknowledged after one sync or with all copies in one zone, a vector told before the sync, a read before the first exchange, time in place of ticks, a merge by sum, an id's last amount, entries of own logs only, 503 after the write, an origin reused, and others) one was not caught: repeats that are written together and answered without waiting. Change: the scenario of repeats now puts them into one transaction behind a cut and asks that none is acknowledged before it ends.

--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -306,18 +306,25 @@
 	})
 }
 
-// Repeats that come together must make one entry.
+// Repeats that are written together must make one entry, and wait for its copies.
 func TestRepeatsInOneTransactionDoNotCountTwice(t *testing.T) {
 	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		c.setCut(func(from, to string) bool { return from == name(0) || to == name(0) })
 		done := make(chan error, 10)
-		for range cap(done) {
+		go func() { done <- c.node(0).Add(t.Context(), "t", "before", 1) }()
+		time.Sleep(testSync / 2) // the others queue while this one is written
+		for range cap(done) - 1 {
 			go func() { done <- c.node(0).Add(t.Context(), "t", "m", 2) }()
 		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(done), 0, "acknowledged without copies")
+		c.heal()
 		for range cap(done) {
 			assert.NilError(t, <-done)
 		}
-		c.assertTotal(0, "t", 2)
-		assert.Equal(t, c.node(0).Status().Entries, 1)
+		c.assertTotal(0, "t", 3)
+		assert.Equal(t, c.node(0).Status().Entries, 2)
+		assert.Assert(t, c.copiesOf("t", "m") >= 3)
 	})
 }
 
