Compute and apply changes of lists in one place

Change: diff.WithList, diff.ListOf and one generic function serve both; results and their order are as before. Measured: the property tests of diff and the tests of servers, watch, lister and revisions pass unchanged.

--- a/internal/controlplane/servers/servers.go
+++ b/internal/controlplane/servers/servers.go
@@ -3,9 +3,6 @@
 package servers
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
@@ -84,27 +81,12 @@
 // setServers replaces the list of a service. An empty list removes the service.
 func (m *Machine) setServers(s Service) {
 	m.state.Version++
-	var before protocol.ServerList
-	// Callers hold references to the lists, so they are copied before a change.
-	lists := slices.Clone(m.state.Lists)
-	at, found := slices.BinarySearchFunc(lists, s.Name, func(l protocol.ServerList, name string) int {
-		return cmp.Compare(l.Service, name)
-	})
-	if found {
-		before = lists[at]
-	}
+	before := diff.ListOf(m.state.Lists, s.Name)
 	keepWarmupHolders(before.Servers, s.Servers)
 	list := protocol.ServerList{Service: s.Name, Version: m.state.Version, Servers: s.Servers}
 	m.recent.add(diff.Servers(before, list))
-	switch {
-	case found && len(s.Servers) == 0:
-		lists = slices.Delete(lists, at, at+1)
-	case found:
-		lists[at] = list
-	case len(s.Servers) > 0:
-		lists = slices.Insert(lists, at, list)
-	}
-	m.state.Lists = lists
+	// Callers hold references to the lists, so they are replaced by copies.
+	m.state.Lists = diff.WithList(m.state.Lists, list)
 }
 
 // keepWarmupHolders copies the holders of warm-ups that last from the old servers to the new ones. A lister
--- a/internal/tier/diff/directory.go
+++ b/internal/tier/diff/directory.go
@@ -34,21 +34,7 @@
 		Base: before.Version, Version: after.Version, Retiring: after.Retiring, PartitionCount: len(after.Partitions),
 		EvacuatedZones: after.EvacuatedZones,
 	}
-	old := make(map[replica.NodeID]protocol.Node, len(before.Nodes))
-	for _, n := range before.Nodes {
-		old[n.ID] = n
-	}
-	for _, n := range after.Nodes {
-		if held, ok := old[n.ID]; !ok || held != n {
-			change.Nodes = append(change.Nodes, n)
-		}
-		delete(old, n.ID)
-	}
-	for _, n := range before.Nodes {
-		if _, gone := old[n.ID]; gone {
-			change.RemovedNodes = append(change.RemovedNodes, n.ID)
-		}
-	}
+	change.Nodes, change.RemovedNodes = entries(before.Nodes, after.Nodes, func(n protocol.Node) replica.NodeID { return n.ID })
 	for number, members := range after.Partitions {
 		if number >= len(before.Partitions) || !sameMembers(before.Partitions[number], members) {
 			change.Partitions = append(change.Partitions, protocol.PartitionChange{Number: number, Members: members})
