Don't take core nodes whose disk doesn't write for ones behind a cut

A node that could not store pushed entries answered with an error, as a full or stalled disk makes it, and the caller counted it as unreachable after four ticks. With three of five disks in trouble and no cut, adds to tallies were acknowledged with two copies though two losses are tolerated. The same error kept the copies of a disk counted that had come back empty at the same address, since the answer with its vector never came.

A node now answers such a push with what it holds and that it stalled. It counts as reachable, so its copy is waited for unless a cut leaves fewer nodes than required copies.

--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
@@ -37,9 +38,10 @@
 	return nil
 }
 
-// receive stores runs that another node sent, and returns once they are durable.
-func (n *Node) receive(ctx context.Context, runs []tallies.Run) error {
-	ctx, cancel := context.WithTimeout(ctx, n.exchangeTimeout())
+// receive stores runs that another node sent, and returns once they are durable. After the timeout it
+// returns ErrUncertain.
+func (n *Node) receive(ctx context.Context, runs []tallies.Run, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := &change{runs: runs}
 	if err := n.enqueueReceived(c); err != nil {
--- a/internal/controlplane/tallysync/copies.go
+++ b/internal/controlplane/tallysync/copies.go
@@ -41,14 +41,15 @@
 }
 
 // copied reports whether an entry that this node holds is synced on enough nodes to be acknowledged:
-// on as many as must survive the tolerated losses, or on all that can be reached if these are fewer;
-// and not only in one zone, if another one can be reached. n.mu must be held.
+// on as many as must survive the tolerated losses, or on all that can be waited for if these are fewer;
+// and not only in one zone, if a node of another one is waited for. n.mu must be held.
 func (n *Node) copied(position tallies.Position) bool {
 	copies, otherZoneHolds := n.copies(position)
-	if copies < min(n.requiredCopies, n.reachableNodes()) {
+	awaited, inOtherZone := n.awaitedNodes()
+	if copies < min(n.requiredCopies, awaited) {
 		return false
 	}
-	return otherZoneHolds || n.requiredCopies == 1 || !n.otherZoneReachable()
+	return otherZoneHolds || n.requiredCopies == 1 || !inOtherZone
 }
 
 // copies returns the number of nodes, including this one, that have synced an entry, and whether one
@@ -75,14 +76,21 @@
 	return reachable
 }
 
-// otherZoneReachable reports whether a node in another zone can be reached. n.mu must be held.
-func (n *Node) otherZoneReachable() bool {
+// awaitedNodes returns the number of nodes, including this one, whose copies an add may wait for, and
+// whether one of them is in another zone. These are the reachable ones. Behind a cut that leaves fewer
+// than the required copies, an add does not also wait for a disk that is full or does not respond.
+// n.mu must be held.
+func (n *Node) awaitedNodes() (awaited int, inOtherZone bool) {
+	cutOff := n.reachableNodes() < n.requiredCopies
+	awaited = 1
 	for _, p := range n.peers {
-		if p.reachable && p.zone != n.self.Zone {
-			return true
+		if !p.reachable || cutOff && p.stalled {
+			continue
 		}
+		awaited++
+		inOtherZone = inOtherZone || p.zone != n.self.Zone
 	}
-	return false
+	return awaited, inOtherZone
 }
 
 // recordAnswer records that a node answered a call of this node. n.mu must be held.
--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"oakseam/internal/controlplane/tallies"
 	"oakseam/internal/tier/rpc"
 )
@@ -20,12 +22,13 @@
 }
 
 // ExchangeReply tells what the called node holds on its disk. It is sent after the call's runs are
-// synced.
+// synced, or with Stalled if they could not be synced in time.
 type ExchangeReply struct {
 	Same     bool           // the called node holds what the caller's digest stands for
 	Vector   tallies.Vector // otherwise
 	Runs     []tallies.Run  // some entries that the caller lacks, if it asked
 	Complete bool           // the called node's disk holds what it held when others counted on it
+	Stalled  bool           // the called node did not store the caller's runs: its disk is full or does not respond
 }
 
 // Service serves the calls of other nodes.
@@ -40,17 +43,20 @@
 	exchangeMethod = ServiceName + ".Exchange"
 )
 
-// Exchange stores the caller's entries and tells what this node holds.
+// Exchange stores the caller's entries and tells what this node holds. It answers as well if it cannot
+// store them: the caller must not take this node for one behind a cut, and learns what it lacks.
 func (s *Service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	n := s.node
 	n.heardFrom(args.Address)
 	if len(args.Runs) > 0 {
-		if err := n.receive(context.Background(), args.Runs); err != nil {
-			return err
-		}
+		err := n.receive(context.Background(), args.Runs, n.pushTimeout())
+		reply.Stalled = errors.Is(err, ErrNotReady) || errors.Is(err, ErrUncertain)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.ended {
+		return ErrNotReady
+	}
 	reply.Complete = n.complete
 	if n.state.Digest() == args.Digest {
 		reply.Same = true
@@ -74,6 +80,9 @@
 
 func (n *Node) exchangeTimeout() time.Duration { return exchangeIntervals * n.interval }
 
+// pushTimeout is how long this node tries to store what a caller pushes. It leaves time for the reply.
+func (n *Node) pushTimeout() time.Duration { return n.exchangeTimeout() - n.interval/2 }
+
 // peer is another core node.
 type peer struct {
 	address string
@@ -85,6 +94,7 @@
 	vector      tallies.Vector // what the node said it holds on its disk; nil if it has not answered yet
 	reachable   bool
 	missedTicks int  // since its last answer
+	stalled     bool // it answers, but did not store what this node pushed last
 	settled     bool // this node held what the other one did, or gave up waiting for its first answer
 	complete    bool // as it said last
 }
@@ -151,7 +161,7 @@
 		return false
 	}
 	if len(reply.Runs) > 0 {
-		if err := n.receive(ctx, reply.Runs); err != nil {
+		if err := n.receive(ctx, reply.Runs, n.exchangeTimeout()); err != nil {
 			reply.Runs = nil // fetched again by a later exchange
 		}
 	}
@@ -200,7 +210,7 @@
 	first := !p.settled || !p.reachable
 	n.recordAnswer(p)
 	lacks := n.state.Vector().Lacks(p.vector)
-	p.settled, p.complete = p.settled || !lacks, reply.Complete
+	p.settled, p.complete, p.stalled = p.settled || !lacks, reply.Complete, reply.Stalled
 	n.updateReadiness()
 	if lacks && (len(reply.Runs) > 0 || first && args.Vector == nil && n.pulling == nil) {
 		return true
