Refuse adds to tallies while a new disk's first write stalls

The write that records that a disk is complete was not seen as a write in progress. On a disk that did not respond, adds were accepted and written after their callers had left, with no refusal that sends callers to another node at once, and entries that other nodes pushed queued without the bound that holds during any other write. It is now marked as any other write.

Measured: the new test failed before (the add got "not on enough nodes yet" where a refusal is due) and passes now, with the other tests of the package. The test's disk now stalls this write as it stalls the others.

--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -117,6 +117,8 @@
 // recordComplete records that the disk is complete. On a full disk it does not: then the next start
 // waits for more nodes than it had to.
 func (n *Node) recordComplete() error {
+	n.setWriting(time.Now())
+	defer n.setWriting(time.Time{})
 	if err := n.store.SetComplete(); err != nil && !errors.Is(err, store.ErrFull) {
 		return errors.Wrap(err, "record that the tallies are complete")
 	}
--- a/internal/controlplane/tallysync/cluster_test.go
+++ b/internal/controlplane/tallysync/cluster_test.go
@@ -47,7 +47,10 @@
 }
 
 func (d *testDisk) SetComplete() error {
-	time.Sleep(testSync)
+	d.mu.Lock()
+	stall := d.stall
+	d.mu.Unlock()
+	time.Sleep(testSync + stall)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.complete = true
--- a/internal/controlplane/tallysync/trouble_test.go
+++ b/internal/controlplane/tallysync/trouble_test.go
@@ -102,3 +102,28 @@
 	defer d.mu.Unlock()
 	d.stall = stall
 }
+
+// The first write of a node with a new disk records that the disk is complete. If it does not end, adds
+// must be refused as with any other write, and pushed entries must not pile up.
+func TestDiskThatStallsAtItsFirstWriteRefusesAdds(t *testing.T) {
+	runCluster(t, 2, fiveZones, func(t *testing.T, c *cluster) {
+		c.stop(c.node(4))
+		emptied := &testDisk{origin: 200}
+		emptied.setStall(5 * time.Second)
+		n := c.start(4, emptied)
+		time.Sleep(time.Second)
+		assert.Assert(t, n.Status().Ready)
+		assert.ErrorIs(t, n.Add(t.Context(), "t", "refused", 1), ErrNotReady)
+		for i := range 40 {
+			c.add(0, "t", fmt.Sprint("m", i), 1)
+			time.Sleep(50 * time.Millisecond)
+		}
+		n.mu.Lock()
+		queued := len(n.changes)
+		n.mu.Unlock()
+		assert.Assert(t, queued <= len(c.known), "%d changes wait for the disk", queued)
+		emptied.setStall(0)
+		time.Sleep(10 * time.Second)
+		c.assertTotals("t", 40)
+	})
+}
