--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
@@ -37,9 +38,10 @@
 	return nil
 }
 
-// receive stores runs that another node sent, and returns once they are durable.
-func (n *Node) receive(ctx context.Context, runs []tallies.Run) error {
-	ctx, cancel := context.WithTimeout(ctx, n.exchangeTimeout())
+// receive stores runs that another node sent, and returns once they are durable. After the timeout it
+// returns ErrUncertain.
+func (n *Node) receive(ctx context.Context, runs []tallies.Run, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := &change{runs: runs}
 	if err := n.enqueueReceived(c); err != nil {
@@ -115,6 +117,8 @@
 // recordComplete records that the disk is complete. On a full disk it does not: then the next start
 // waits for more nodes than it had to.
 func (n *Node) recordComplete() error {
+	n.setWriting(time.Now())
+	defer n.setWriting(time.Time{})
 	if err := n.store.SetComplete(); err != nil && !errors.Is(err, store.ErrFull) {
 		return errors.Wrap(err, "record that the tallies are complete")
 	}
