Don't take the loss of the only other zone for a cut

Found by the review: with storage nodes in two zones, the loss of one of them made every edge of the other one not ready, so nobody took clients. Two other zones at least must be silent now.

--- a/internal/dataplane/turnclient/isolation.go
+++ b/internal/dataplane/turnclient/isolation.go
@@ -18,13 +18,17 @@
 	quietPeriod = 500 * time.Millisecond
 	// isolationInterval is the pause between two checks of whether the zone is isolated.
 	isolationInterval = 250 * time.Millisecond
+	// minOtherZones is how many other zones must be silent: the loss of a single one cannot be told from a
+	// cut, and its clients have nowhere else to go.
+	minOtherZones = 2
 	// probeWithin bounds the work of a storage node on a probe.
 	probeWithin = 100 * time.Millisecond
 )
 
 // Isolation detects that the storage nodes of this node's own zone answer while those of all other
 // zones are silent: then the zone is cut off and its nodes reach hardly any leader. If all storage
-// nodes are silent, no other zone is better off, so the zone does not count as isolated.
+// nodes are silent, no other zone is better off, so the zone does not count as isolated. The same holds
+// where only one other zone has storage nodes.
 type Isolation struct {
 	pool *rpc.Pool
 	zone string
@@ -86,7 +90,7 @@
 func (i *Isolation) check(ctx context.Context) {
 	own, others, quiet := i.nodesToProbe()
 	isolated := false
-	if quiet && len(own) > 0 && len(others) > 0 {
+	if quiet && len(own) > 0 && zonesOf(others) >= minOtherZones {
 		ownAnswers := i.probe(ctx, own)
 		othersAnswer := <-i.probe(ctx, others)
 		isolated = !othersAnswer && <-ownAnswers
@@ -94,6 +98,15 @@
 	i.setIsolated(isolated)
 }
 
+// zonesOf returns the number of zones that nodes are in.
+func zonesOf(nodes []protocol.Node) int {
+	zones := map[string]struct{}{}
+	for _, node := range nodes {
+		zones[node.Zone] = struct{}{}
+	}
+	return len(zones)
+}
+
 // nodesToProbe returns the storage nodes of this zone and of the others, and whether the others have
 // been quiet for quietPeriod.
 func (i *Isolation) nodesToProbe() (own, others []protocol.Node, quiet bool) {
