--- a/internal/dataplane/dispatch/evacuation.go
+++ b/internal/dataplane/dispatch/evacuation.go
@@ -87,7 +87,7 @@
 		return
 	}
 	for _, zone := range takenBack {
-		d.zoneReturned(zone, now)
+		d.evacuationEnded(zone, now)
 	}
 	for _, s := range d.services {
 		d.updateBackends(s, s.allServers)
--- a/internal/dataplane/dispatch/warmup.go
+++ b/internal/dataplane/dispatch/warmup.go
@@ -121,9 +121,9 @@
 	return 0
 }
 
-// chill makes the servers of a zone cold that a service has in it, from a time on for the pool's warm-up time.
+// markZoneCold makes the servers of a zone cold that a service has in it, from a time on for the pool's warm-up time.
 // It reports whether the service has such servers and cold times.
-func (t *warmupTable) chill(service string, list []protocol.Server, zone string, from time.Time) (any bool) {
+func (t *warmupTable) markZoneCold(service string, list []protocol.Server, zone string, from time.Time) (any bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	pool, ok := t.pools[service]
@@ -355,12 +355,12 @@
 	}
 }
 
-// zoneReturned makes all servers of a zone cold whose services have cold times: the zone's evacuation has
+// evacuationEnded makes all servers of a zone cold whose services have cold times: the zone's evacuation has
 // been taken back, and its servers may have become cold before any list says so. It must be called before
 // the zone's servers are handed to the event loops again. The caller holds d.mu.
-func (d *Dispatcher) zoneReturned(zone string, at time.Time) {
+func (d *Dispatcher) evacuationEnded(zone string, at time.Time) {
 	for name, list := range d.lists {
-		if s := d.services[name]; d.warmups.chill(name, list, zone, at) && s != nil {
+		if s := d.services[name]; d.warmups.markZoneCold(name, list, zone, at) && s != nil {
 			d.updateBackends(s, list)
 		}
 	}
--- a/internal/dataplane/dispatch/warmup_test.go
+++ b/internal/dataplane/dispatch/warmup_test.go
@@ -221,7 +221,7 @@
 		other.Zone = "z1"
 		setList(d, warmServer("a"), other)
 		d.mu.Lock()
-		d.zoneReturned("z0", time.Now())
+		d.evacuationEnded("z0", time.Now())
 		d.mu.Unlock()
 		assert.DeepEqual(t, serving(t, d), []string{"b"})
 		time.Sleep(testWarmup + 2*warmupMargin)
