--- a/internal/controlplane/cluster/cluster_test.go
+++ b/internal/controlplane/cluster/cluster_test.go
@@ -195,8 +195,13 @@
 
 // killAll ends all processes at the same time.
 func (c *cluster) killAll() {
+	c.kill(c.nodes...)
+}
+
+// kill ends the processes of some nodes at the same time.
+func (c *cluster) kill(nodes ...*coreNode) {
 	var ending sync.WaitGroup
-	for _, n := range c.nodes {
+	for _, n := range nodes {
 		if n.process != nil {
 			ending.Go(n.kill)
 			n.process = nil
