Wait for the first attempt's end before its id is sent again in the test

TestIncompleteRequestBlamesNoBackend waited for two canceled attempts and failed once on a busy machine after its whole 20 s. It sends the same id twice, the second time as soon as the session of the first has ended; the first attempt's end reaches the engine a little later. A request that arrives in between is rejected as a duplicate without an attempt, which is the stated answer, so the second cancellation never came: a fault of the test's order, not of the bound or the program. The test now first waits for the first attempt's cancellation, which it counted anyway; it still wants both, and everything else is as before.

--- a/cmd/oakseam/streaming_test.go
+++ b/cmd/oakseam/streaming_test.go
@@ -116,6 +116,9 @@
 	n, _ := serve(t, b.Addr)
 	half := strings.Replace(postRequest, ": 0", ": 200000", 1) + strings.Repeat("x", 100000)
 	assert.NotContains(t, n.raw(half), " 200 ", "a stalled request must not be served")
+	// Its session ends before its attempt does, and until then its id is taken: another request with
+	// the id would be rejected as a duplicate, without an attempt.
+	n.waitCounter("outcome.canceled", "1")
 	c, err := net.Dial("tcp", n.addr)
 	require.NoError(t, err)
 	io.WriteString(c, half)
