Begin a soak's next series only when the nodes that run are the voters

The soak itself was at fault: between series it only counted voters, and a node that had lost its disk still counted under its old id, so that the next series took more disks than are tolerated before the first ones were replaced (which takes up to 2 s when nothing else happens). The check is now stricter: the voters of each group must be exactly the nodes that run, within the same bound.

--- a/internal/controlplane/cluster/soak_test.go
+++ b/internal/controlplane/cluster/soak_test.go
@@ -19,6 +19,7 @@
 
 	"oakseam/internal/controlplane/adminapi"
 	"oakseam/internal/controlplane/coordinator"
+	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/wait"
 )
 
@@ -96,10 +97,40 @@
 	s.awaitOwed(healed, healed.Add(mergeBound))
 	s.awaitCallers(&callers)
 	s.awaitOwed(time.Now(), time.Now().Add(mergeBound))
+	s.awaitRepaired()
+	s.expired.Store(false)
+}
+
+// awaitRepaired waits until the voters of each group are the nodes that run now. A node that lost its
+// disk has a new id; until that one replaces the old one among the voters, the node counts as lost.
+func (s *soak) awaitRepaired() {
+	s.cluster.Helper()
 	for _, group := range coordinator.Groups() {
-		s.cluster.awaitVoters(group)
+		for deadline := time.Now().Add(recoveryBound); !s.repaired(group); wait.For(s.cluster.Context(), pollInterval) {
+			assert.Assert(s.cluster, time.Now().Before(deadline), "group %s has other voters than the running nodes after %v", group, recoveryBound)
+		}
 	}
-	s.expired.Store(false)
+}
+
+// repaired reports whether a leader of a group has exactly the running nodes as voters.
+func (s *soak) repaired(group replica.GroupID) bool {
+	for _, n := range s.cluster.nodes {
+		status, err := n.process.Host.Status(group)
+		if err == nil && status.LeaderReady {
+			return s.allVote(status.Members.Voters)
+		}
+	}
+	return false
+}
+
+// allVote reports whether these voters are exactly the running nodes.
+func (s *soak) allVote(voters []replica.NodeID) bool {
+	for _, n := range s.cluster.nodes {
+		if !slices.Contains(voters, n.process.Self.ID) {
+			return false
+		}
+	}
+	return len(voters) == len(s.cluster.nodes)
 }
 
 // awaitCallers waits until all that was begun is acknowledged.
