--- a/cmd/oaklab/tier_test.go
+++ b/cmd/oaklab/tier_test.go
@@ -31,7 +31,7 @@
 func TestTierKeepsRulesUnderFaults(t *testing.T) {
 	dir := t.TempDir()
 	opt := buildTier(t, dir)
-	opt.Seconds, opt.Agents = 8, 12
+	opt.Seconds, opt.Agents = 16, 12
 	r, err := tierlab.Run(t.Context(), opt)
 	if err != nil || !r.Clean() {
 		logs, _ := filepath.Glob(dir + "/*.log")
