Greet all nodes in turn, so that none is left out by chance

Cause: each round of Hello calls drew its four nodes anew, so nothing bounded the time until a node was called; with 100 nodes and 200 rounds one is left out with a chance of some 2 in 100, computed. The test was right to ask that every node is greeted in the end.

The nodes are now called in turn in random order: all of n within n / 4 rounds, rounded up.

--- a/internal/controlplane/node/hello.go
+++ b/internal/controlplane/node/hello.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,8 +18,8 @@
 	// by itself.
 	helloRetryInterval = 100 * time.Millisecond
 	helloInterval      = 10 * time.Second
-	// helloFanout is how many randomly chosen nodes beside the core nodes a round calls once a node has
-	// responded. The directory tells the rest.
+	// helloFanout is how many nodes beside the core nodes a round calls once a node has responded. The
+	// directory tells the rest.
 	helloFanout = 4
 )
 
@@ -41,9 +40,14 @@
 // until a node has responded, and from then on to some of them.
 func (n *Node) introduce(ctx context.Context) {
 	responded := false
+	var rotation helloRotation
 	for {
 		interval := helloRetryInterval
-		for _, address := range n.peerAddresses(responded) {
+		core, others := n.peerAddresses()
+		if responded {
+			others = rotation.next(others)
+		}
+		for _, address := range append(core, others...) {
 			if n.hello(ctx, address) {
 				interval = helloInterval
 			}
@@ -55,11 +59,10 @@
 	}
 }
 
-// peerAddresses returns the addresses of the seeds and the known nodes, except this node's; if sampled
-// only those of the seeds, the core nodes and helloFanout others.
-func (n *Node) peerAddresses(sampled bool) []string {
+// peerAddresses returns the addresses of the seeds and the known core nodes, and those of the other
+// known nodes, each without this node's.
+func (n *Node) peerAddresses() (core, others []string) {
 	seen := map[string]bool{n.Self.Address: true}
-	var addresses, others []string
 	add := func(list *[]string, address string) {
 		if !seen[address] {
 			seen[address] = true
@@ -67,20 +70,16 @@
 		}
 	}
 	for _, s := range n.seeds {
-		add(&addresses, s)
+		add(&core, s)
 	}
 	for _, o := range n.Addresses.All() {
 		if o.Class == protocol.Core {
-			add(&addresses, o.Address)
+			add(&core, o.Address)
 		} else {
 			add(&others, o.Address)
 		}
 	}
-	if sampled && len(others) > helloFanout {
-		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-		others = others[:helloFanout]
-	}
-	return append(addresses, others...)
+	return core, others
 }
 
 // hello exchanges identities with the process at an address, and reports whether it responded.
--- a/internal/controlplane/node/node_test.go
+++ b/internal/controlplane/node/node_test.go
@@ -152,15 +152,45 @@
 	for i := range 100 {
 		addresses.Learn(protocol.Node{ID: replica.NodeID(100 + i), Name: fmt.Sprint("s-", i), Class: protocol.Storage, Address: fmt.Sprint("s:", i)})
 	}
-	assert.Equal(t, len(n.peerAddresses(false)), 103)
-	reached := map[string]bool{}
-	for range 200 {
-		sampled := n.peerAddresses(true)
-		assert.Equal(t, len(sampled), 3+helloFanout)
-		assert.DeepEqual(t, sampled[:3], []string{"h:2", "h:3", "h:4"})
-		for _, address := range sampled {
-			reached[address] = true
+	core, others := n.peerAddresses()
+	assert.DeepEqual(t, core, []string{"h:2", "h:3", "h:4"})
+	assert.Equal(t, len(others), 100)
+	var rotation helloRotation
+	const roundsForAll = 100 / helloFanout
+	for range 8 {
+		reached := map[string]bool{}
+		for range roundsForAll {
+			_, others := n.peerAddresses()
+			round := rotation.next(others)
+			assert.Equal(t, len(round), helloFanout)
+			for _, address := range round {
+				reached[address] = true
+			}
 		}
+		assert.Equal(t, len(reached), 100, "every node is greeted once in so many rounds")
+	}
+}
+
+// A node that becomes known while the others are greeted in turn is not left for the next turn, and
+// one that is forgotten does not hold the turn up.
+func TestGreetingsReachNodesThatBecomeKnown(t *testing.T) {
+	var rotation helloRotation
+	addresses := func(first, last int) (list []string) {
+		for i := first; i <= last; i++ {
+			list = append(list, fmt.Sprint("s:", i))
+		}
+		return list
+	}
+	for range 50 {
+		reached := map[string]bool{}
+		for _, known := range [][]string{addresses(1, 9), addresses(1, 9), addresses(3, 11), addresses(3, 11)} {
+			for _, address := range rotation.next(known) {
+				reached[address] = true
+			}
+		}
+		for _, address := range addresses(3, 11) {
+			assert.Assert(t, reached[address], "%s is not greeted", address)
+		}
+		rotation = helloRotation{}
 	}
-	assert.Equal(t, len(reached), 103, "every node is greeted in the end")
 }
