Split the auditor's report, operations and backends off, and name events plainly

Change: report.go, operation.go and backends.go, no behaviour changes; the texts of events and violations say request, received and overloaded. The names in the JSON report stay.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -20,73 +20,6 @@
 	"oakseam/logic"
 )
 
-// Rules holds the limits of the rules.
-type Rules struct {
-	Classes          []logic.Class
-	AnswerSlack      time.Duration // how much later than the client's timeout a final answer may come
-	DrainGrace       time.Duration // how long after it was told of a drain a node may still send to the backend
-	OverloadMultiple float64       // a cold backend fails if it is sent more than this multiple of its capacity
-	OverloadWindow   time.Duration // within a window of this length,
-	OverloadSlack    float64       // plus this much work, in seconds on one standard core, as an allowance for chance
-}
-
-// Rule names a rule in reports.
-type Rule string
-
-// The rules that can be broken.
-const (
-	Unanswered        Rule = "unanswered"
-	DuplicateEffect   Rule = "double_effect"
-	LateDrain         Rule = "late_drain_send"
-	BackendOverloaded Rule = "felled_backend"
-)
-
-// Answer is the kind of final answer that a client sees.
-type Answer uint8
-
-// The kinds of answer. NoAnswer means that the node closed the connection without an answer.
-const (
-	Served Answer = iota
-	Rejected
-	Failed
-	NoAnswer
-)
-
-// answerNames holds the texts of answers in the events of a violation.
-var answerNames = [...]string{"served", "refused", "failed", "no answer"}
-
-// Violation is one case of a broken rule, with the events that led to it.
-type Violation struct {
-	Rule    Rule          `json:"rule"`
-	At      time.Duration `json:"at_ns"`
-	Request string        `json:"req,omitempty"` // the request's id; empty if the violation concerns a backend
-	Node    int           `json:"node"`
-	Server  string        `json:"backend,omitempty"`
-	Why     string        `json:"why"`
-	Events  []string      `json:"events"` // the events that concern it, oldest first
-}
-
-// Report counts the violations.
-type Report struct {
-	Unanswered         int         `json:"unanswered"`
-	DuplicateEffects   int         `json:"double_effects"`
-	LateDrainSends     int         `json:"late_drain_sends"`
-	OverloadedBackends int         `json:"felled_backends"`
-	Overshoot          float64     `json:"overshoot"` // largest amount of work that a cold backend was sent within a window, as a multiple of its capacity
-	Requests           int         `json:"-"`         // number of requests that nodes received
-	Violations         []Violation `json:"-"`         // the first maxViolationsPerRule of each rule
-}
-
-// Clean reports whether no rule was broken.
-func (r *Report) Clean() bool {
-	return r.Unanswered+r.DuplicateEffects+r.LateDrainSends+r.OverloadedBackends == 0
-}
-
-const (
-	maxViolationsPerRule  = 5  // violations of one rule that are kept with their events
-	maxEventsPerOperation = 64 // events kept of one operation
-)
-
 // Auditor tracks requests, nodes and backends and checks the rules. It is not safe for concurrent use.
 type Auditor struct {
 	rules            Rules
@@ -108,70 +41,6 @@
 	server string
 }
 
-// request is one request that a node received.
-type request struct {
-	id                string
-	node              int
-	operation         *operation
-	deadline          time.Duration // when the client's timeout expires
-	attempts          []attempt
-	answered          bool
-	duplicateReported bool // at most one DuplicateEffect is reported for each request
-	lateDrainReported bool // at most one LateDrain is reported for each request
-}
-
-// attempt is one send of a request to a backend.
-type attempt struct {
-	server   string
-	zone     string
-	cell     int
-	at       time.Duration
-	neverRan bool // proven not to have run
-	ended    bool
-}
-
-// operation is what a client wants done, with all its requests: the first and the client's retries.
-type operation struct {
-	id                uint64
-	class             *logic.Class
-	began             time.Duration
-	requests          []*request
-	effects           []effect
-	events            []event
-	duplicateReported bool
-}
-
-// effect is an execution that the backend did not drop as a repeat.
-type effect struct {
-	zone string
-	cell int
-	at   time.Duration
-}
-
-// event is something that concerns a request. It is formatted only if a violation reports it.
-type event struct {
-	at        time.Duration
-	what      string
-	requestID string
-	server    string
-	node      int
-}
-
-// String formats the event for a report.
-func (e event) String() string {
-	s := fmt.Sprintf("%.6fs %s", e.at.Seconds(), e.what)
-	if e.requestID != "" {
-		s += " req " + e.requestID
-	}
-	if e.node >= 0 {
-		s += fmt.Sprintf(" node %d", e.node)
-	}
-	if e.server != "" {
-		s += " backend " + e.server
-	}
-	return s
-}
-
 // New returns an Auditor that has not been told of any event.
 func New(r Rules) *Auditor {
 	a := &Auditor{rules: r, classes: map[string]*logic.Class{}, requests: map[string]*request{}, operations: map[uint64]*operation{},
@@ -227,13 +96,6 @@
 	a.report.Violations = append(a.report.Violations, v)
 }
 
-// addEvent appends an event while there is space for it.
-func (o *operation) addEvent(at time.Duration, what, requestID string, node int, server string) {
-	if len(o.events) < maxEventsPerOperation {
-		o.events = append(o.events, event{at, what, requestID, server, node})
-	}
-}
-
 // RequestReceived records that a node has received a whole request. All requests with which a client
 // wants the same thing done have the same operation id. The client waits for the timeout.
 func (a *Auditor) RequestReceived(at time.Duration, node int, id string, operationID uint64, class string, timeout time.Duration) {
@@ -248,7 +110,7 @@
 	o.requests = append(o.requests, r)
 	a.requests[id] = r
 	a.report.Requests++
-	o.addEvent(at, "taken", id, node, "")
+	o.addEvent(at, "received", id, node, "")
 }
 
 // AttemptSent records that a node began to send a request to a backend.
@@ -280,28 +142,6 @@
 	r.attempts = append(r.attempts, attempt{server: server, zone: zone, cell: cell, at: at})
 }
 
-// duplicateRisk returns why a further attempt could have a second effect, or "" if it can't.
-func (r *request) duplicateRisk(zone string, cell int, at time.Duration) string {
-	c := r.operation.class
-	if c == nil {
-		return ""
-	}
-	for _, earlier := range r.attempts {
-		if earlier.neverRan {
-			continue
-		}
-		switch {
-		case c.Effect == logic.Unsafe:
-			return "an unsafe req was sent again while an earlier attempt may have run"
-		case c.Effect == logic.Keyed && at-earlier.at >= c.Window:
-			return "a keyed req was sent again after its window"
-		case c.Effect == logic.Keyed && (c.Group == logic.DedupZone && earlier.zone != zone || c.Group == logic.DedupCell && earlier.cell != cell):
-			return "a keyed req was sent again outside the group that drops repeats"
-		}
-	}
-	return ""
-}
-
 // AttemptEnded records how an attempt ended, as far as the node can know. If neverRan is true, it is
 // proven that the backend did not run the request. Attempts can end in any order.
 func (a *Auditor) AttemptEnded(at time.Duration, id, server string, neverRan bool, how string) {
@@ -361,7 +201,7 @@
 		r.answered = true
 		why := "the node ended the connection without an answer"
 		if kind != NoAnswer {
-			why = fmt.Sprintf("the answer came %.3f s after the client's patience", (at - r.deadline).Seconds())
+			why = fmt.Sprintf("the answer came %.3f s after the client's timeout", (at - r.deadline).Seconds())
 		}
 		a.recordViolation(Unanswered, at, r.node, id, "", why, r.operation.events)
 		return
@@ -406,47 +246,6 @@
 	}
 }
 
-// BackendListed records that a node was told whether a backend serves. A backend that drains or is
-// gone doesn't. For the grace period the first time counts.
-func (a *Auditor) BackendListed(at time.Duration, node int, server string, serving bool) {
-	a.advance(at)
-	k := nodeBackend{node, server}
-	if serving {
-		delete(a.withdrawn, k)
-	} else if _, known := a.withdrawn[k]; !known {
-		a.withdrawn[k] = at
-	}
-}
-
-// WorkArrived records that work reached a cold backend, whether the backend rejected it or not. The
-// work is in seconds on one standard core, and capacity is what the backend can do now, in such
-// seconds per second. It returns whether the backend is overloaded so much that it fails.
-func (a *Auditor) WorkArrived(at time.Duration, server string, work, capacity float64) bool {
-	a.advance(at)
-	window := a.coldWork[server]
-	if window == nil {
-		window = &WorkWindow{}
-		a.coldWork[server] = window
-	}
-	if window.overloaded {
-		return true
-	}
-	overloaded := window.Add(at, work, capacity, a.rules)
-	if seconds := a.rules.OverloadWindow.Seconds(); seconds > 0 && capacity > 0 {
-		a.report.Overshoot = max(a.report.Overshoot, window.sum/(capacity*seconds))
-	}
-	if overloaded {
-		window.overloaded = true
-		a.recordViolation(BackendOverloaded, at, -1, "", server, fmt.Sprintf("%.2f s of work within %.1f s at a capacity of %.2f a second",
-			window.sum, a.rules.OverloadWindow.Seconds(), capacity), []event{{at, "felled", "", server, -1}})
-	}
-	return window.overloaded
-}
-
-// BackendStarted records that a backend restarted and is cold again. The work it was sent before no
-// longer counts.
-func (a *Auditor) BackendStarted(server string) { delete(a.coldWork, server) }
-
 // checkOverdue records a violation if a request's time is over and it has no answer.
 func (a *Auditor) checkOverdue(r *request) {
 	if !r.answered && a.now > r.deadline+a.rules.AnswerSlack {
@@ -467,24 +266,3 @@
 	slices.SortStableFunc(a.report.Violations, func(x, y Violation) int { return int(x.At - y.At) })
 	return &a.report
 }
-
-// WorkWindow adds up the work that a cold backend was sent within a sliding window.
-type WorkWindow struct {
-	at         []time.Duration
-	work       []float64
-	sum        float64
-	overloaded bool
-}
-
-// Add adds work and reports whether the window now holds more than the rules allow for a backend of
-// the given present capacity. A window is a budget: a window that has just begun may be spent at once.
-func (w *WorkWindow) Add(at time.Duration, work, capacity float64, rules Rules) bool {
-	n := 0
-	for n < len(w.at) && at-w.at[n] >= rules.OverloadWindow {
-		w.sum -= w.work[n]
-		n++
-	}
-	w.at, w.work = append(w.at[n:], at), append(w.work[n:], work)
-	w.sum += work
-	return rules.OverloadMultiple > 0 && w.sum > rules.OverloadMultiple*capacity*rules.OverloadWindow.Seconds()+rules.OverloadSlack
-}
