--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -167,7 +167,7 @@
 		{"omits failure answers", "troubles: [{kind: hang, at_s: 2, for_s: 6, part: 0.4}]",
 			func(_ time.Duration, _ logic.Event, out []logic.Action) []logic.Action {
 				return without(out, func(a logic.Action) bool { _, fail := a.(logic.Fail); return fail })
-			}, audit.Unanswered, "taken"},
+			}, audit.Unanswered, "received"},
 		{"rejects requests that may have run", "troubles: [{kind: hang, at_s: 2, for_s: 6, part: 0.4}]",
 			func(_ time.Duration, _ logic.Event, out []logic.Action) []logic.Action {
 				for i, a := range out {
@@ -186,7 +186,7 @@
 			return out
 		}, audit.DuplicateEffect, "sent"},
 		{"ignores draining", "troubles: [{kind: replace, at_s: 1, for_s: 4, part: 0.5}]", nil, audit.LateDrain, "told"},
-		{"overloads cold backends", "troubles: [{kind: vanish, at_s: 1, for_s: 2, part: 0.25}]", nil, audit.BackendOverloaded, "felled"},
+		{"overloads cold backends", "troubles: [{kind: vanish, at_s: 1, for_s: 2, part: 0.25}]", nil, audit.BackendOverloaded, "overloaded"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
