Wait for the lock of an experiment's process that has ended

Seen: TestKilledRunsResume failed with "results.db: timeout", once in a run beside load and then in 25 of 60 runs at load 27 to 42. Trace: the lock table named a holder whose process was gone, with no open file and no mapping of that file in any process, while kernel work (khugepaged in flush_work) was held up: files of a killed process may be closed seconds after it was reaped. Open gave up after 1 s.

Open now records its process beside the database. It still refuses after 1 s while that process runs; if it has ended, Open waits for the lock, a minute at most.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -8,8 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -158,6 +160,22 @@
 	assert.Error(t, err)
 }
 
+// TestStoreOfEndedProcessIsAwaited guards against a store that can't be opened after a kill because the
+// kernel still holds the lock of the process that has ended.
+func TestStoreOfEndedProcessIsAwaited(t *testing.T) {
+	dir := t.TempDir()
+	ended := exec.Command(os.Args[0], "-test.run=^$")
+	require.NoError(t, ended.Run())
+	held, err := Open(dir, "one")
+	require.NoError(t, err)
+	owner := strconv.Itoa(ended.Process.Pid)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "results.db.pid"), []byte(owner), 0o644))
+	time.AfterFunc(lockTimeout+lockTimeout/2, func() { held.Close() })
+	s, err := Open(dir, "one")
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+}
+
 // TestInvalidPlansAreRejected guards against an invalid plan that is accepted, and against an error that
 // doesn't name the key.
 func TestInvalidPlansAreRejected(t *testing.T) {
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"time"
 
 	"go.etcd.io/bbolt"
 
@@ -47,7 +46,7 @@
 	if _, err := os.Stat(path); err != nil && fingerprint == "" {
 		return nil, err
 	}
-	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: time.Second})
+	db, err := openDatabase(path)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
