--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -31,7 +31,7 @@
 func (n *Node) enqueueReady(c *change) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.ready || n.diskStalled() {
+	if !n.ready || !n.takesAdds() || n.diskStalled() {
 		return ErrNotReady
 	}
 	n.enqueue(c)
--- a/internal/controlplane/tallysync/cluster_test.go
+++ b/internal/controlplane/tallysync/cluster_test.go
@@ -18,6 +18,7 @@
 	"oakseam/internal/controlplane/store"
 	"oakseam/internal/controlplane/tallies"
 	"oakseam/internal/tier/protocol"
+	"oakseam/internal/tier/rpc"
 )
 
 // Times of the emulated machines, in virtual time.
@@ -102,6 +103,9 @@
 	known []protocol.Node
 	cut   func(from, to string) bool // whether packets from one address to another are lost
 	stall map[string]chan struct{}   // nodes whose process stands still
+	// knownTo is how many members a node knows if not all, and earlier tells nodes of a build without tallies.
+	knownTo map[string]int
+	earlier map[string]bool
 }
 
 // testNode is one process with its disk.
@@ -118,7 +122,7 @@
 func runCluster(t *testing.T, losses int, zones []string, test func(*testing.T, *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, losses: losses, nodes: map[string]*testNode{}, stall: map[string]chan struct{}{}, cut: func(string, string) bool { return false }}
+		c := &cluster{t: t, losses: losses, nodes: map[string]*testNode{}, stall: map[string]chan struct{}{}, knownTo: map[string]int{}, earlier: map[string]bool{}, cut: func(string, string) bool { return false }}
 		for i, zone := range zones {
 			c.known = append(c.known, protocol.Node{ID: replica.NodeID(i + 1), Name: name(i), Class: protocol.Core, Address: name(i), Zone: zone})
 		}
@@ -175,10 +179,14 @@
 func (n *testNode) members() []protocol.Node {
 	n.cluster.mu.Lock()
 	stall := n.cluster.stall[n.self.Address]
+	count, limited := n.cluster.knownTo[n.self.Address]
 	n.cluster.mu.Unlock()
 	if stall != nil {
 		<-stall
 	}
+	if limited {
+		return n.cluster.known[:count]
+	}
 	return n.cluster.known
 }
 
@@ -202,12 +210,15 @@
 func (c *cluster) deliver(ctx context.Context, from, to string) (*testNode, error) {
 	time.Sleep(testLatency * time.Duration(1+slices.IndexFunc(c.known, func(n protocol.Node) bool { return n.Address == to })))
 	c.mu.Lock()
-	target, lost := c.nodes[to], c.cut(from, to)
+	target, lost, earlier := c.nodes[to], c.cut(from, to), c.earlier[to]
 	c.mu.Unlock()
 	if lost {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if earlier {
+		return nil, &rpc.RemoteError{Address: to, Method: exchangeMethod, Text: "no such service"}
+	}
 	if target == nil {
 		return nil, errors.New("connection refused")
 	}
--- a/internal/controlplane/tallysync/copies.go
+++ b/internal/controlplane/tallysync/copies.go
@@ -76,6 +76,46 @@
 	return reachable
 }
 
+// updateJoined records that this process has reached the required number of nodes. n.mu must be held.
+func (n *Node) updateJoined() {
+	if n.joined || n.answeringNodes() < n.requiredCopies {
+		return
+	}
+	n.joined = true
+	klog.InfoS("Enough core nodes were reached for adds to tallies", "reachable", n.reachableNodes(), "members", len(n.peers)+1)
+}
+
+// countAlone counts a tick in which this process has not joined. n.mu must be held.
+func (n *Node) countAlone() {
+	if n.joined {
+		return
+	}
+	n.aloneTicks++
+	if n.aloneTicks == n.patienceTicks {
+		klog.InfoS("Too few core nodes were reached for tallies since the start", "reachable", n.reachableNodes(), "members", len(n.peers)+1, "takenForCut", n.takesAdds())
+	}
+}
+
+// answeringNodes returns the number of nodes, including this one, that are reachable and have told what
+// they hold. n.mu must be held.
+func (n *Node) answeringNodes() int {
+	answering := 1
+	for _, p := range n.peers {
+		if p.reachable && p.vector != nil {
+			answering++
+		}
+	}
+	return answering
+}
+
+// takesAdds reports whether silence of too many nodes may count as a cut. A process that was in touch
+// with enough of them has lost them to a cut, since no more than the tolerated losses are lost at once.
+// To a process that has just started the others may be silent because they are yet to start, so it waits
+// longer. Nodes that answer, but not with what they hold, are behind no cut. n.mu must be held.
+func (n *Node) takesAdds() bool {
+	return n.joined || n.aloneTicks >= n.patienceTicks && n.reachableNodes() < n.requiredCopies
+}
+
 // awaitedNodes returns the number of nodes, including this one, whose copies an add may wait for, and
 // whether one of them is in another zone. These are the reachable ones. Behind a cut that leaves fewer
 // than the required copies, an add does not also wait for a disk that is full or does not respond.
@@ -93,7 +133,8 @@
 	return awaited, inOtherZone
 }
 
-// recordAnswer records that a node answered a call of this node. n.mu must be held.
+// recordAnswer records that a node answered a call of this node, which proves both directions of the
+// link. n.mu must be held.
 func (n *Node) recordAnswer(p *peer) {
 	p.missedTicks = 0
 	if !p.reachable {
--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -90,13 +90,14 @@
 	stop    context.CancelFunc
 
 	// The following is guarded by Node.mu.
-	zone        string
-	vector      tallies.Vector // what the node said it holds on its disk; nil if it has not answered yet
-	reachable   bool
-	missedTicks int  // since its last answer
-	stalled     bool // it answers, but did not store what this node pushed last
-	settled     bool // this node held what the other one did, or gave up waiting for its first answer
-	complete    bool // as it said last
+	zone         string
+	vector       tallies.Vector // what the node said it holds on its disk; nil if it has not answered yet
+	reachable    bool
+	missedTicks  int  // since its last answer
+	unheardTicks int  // since it last told what it holds
+	stalled      bool // it answers, but did not store what this node pushed last
+	settled      bool // this node held what the other one did, or gave up waiting for its first answer
+	complete     bool // as it said last
 }
 
 // notify starts an exchange unless one is in progress.
@@ -158,6 +159,7 @@
 	defer cancel()
 	var reply ExchangeReply
 	if err := n.transport.Exchange(callCtx, p.address, args, &reply); err != nil {
+		n.recordFailure(p, err)
 		return false
 	}
 	if len(reply.Runs) > 0 {
@@ -195,6 +197,18 @@
 	}
 }
 
+// recordFailure records that a node answered with an error. It is of a build without tallies or is about
+// to end, and holds nothing that this node could count on, but it is behind no cut.
+func (n *Node) recordFailure(p *peer, err error) {
+	var answer *rpc.RemoteError
+	if !errors.As(err, &answer) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recordAnswer(p)
+}
+
 // finishExchange records an answer and reports whether the next exchange should follow at once.
 func (n *Node) finishExchange(p *peer, args *ExchangeArgs, reply *ExchangeReply, sent tallies.Vector) (again bool) {
 	n.mu.Lock()
@@ -208,7 +222,9 @@
 		p.vector = tallies.Vector{}
 	}
 	first := !p.settled || !p.reachable
+	p.unheardTicks = 0
 	n.recordAnswer(p)
+	n.updateJoined()
 	lacks := n.state.Vector().Lacks(p.vector)
 	p.settled, p.complete, p.stalled = p.settled || !lacks, reply.Complete, reply.Stalled
 	n.updateReadiness()
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -34,6 +34,9 @@
 	unreachableTicks = 4
 	// startTicks is the same for the first answer after the start. Meanwhile callers turn to other nodes.
 	startTicks = 8
+	// startPatience is how long, in merge bounds, a process that has not reached the required number of
+	// nodes since its start waits for them before it concludes that it is behind a cut.
+	startPatience = 2
 	// exchangeIntervals is the timeout of one exchange, in intervals.
 	exchangeIntervals = 2
 	// addTimeout bounds an add: a caller without an answer for a second turns to another node.
@@ -49,8 +52,8 @@
 
 // Errors of Add and Total. After any other error than ErrUncertain nothing was written.
 var (
-	// ErrNotReady: the node has not heard from enough other nodes since its start, or its disk is full
-	// or does not respond.
+	// ErrNotReady: the node has not reached enough other nodes since its start, or its disk is full or
+	// does not respond.
 	ErrNotReady = errors.New("tallies are not available on this node now")
 	// ErrConflict: the id came before with another amount.
 	ErrConflict = errors.New("the memberId was counted with another amount")
@@ -91,6 +94,7 @@
 	self           protocol.Node
 	requiredCopies int           // one more than the tolerated losses
 	interval       time.Duration // between two exchanges with a node, and between two ticks
+	patienceTicks  int           // number of ticks after which a process that has not joined takes silence for a cut
 	store          Store
 	transport      Transport
 	members        func() []protocol.Node
@@ -98,18 +102,20 @@
 	stopped        chan struct{} // closed when Run ends
 	loops          sync.WaitGroup
 
-	mu       sync.Mutex
-	state    *tallies.State // holds only what is synced
-	changes  []*change      // wait for the writer
-	peers    map[string]*peer
-	pulling  *peer // the peer from which entries are being fetched
-	ready    bool
-	ended    bool
-	complete bool          // the disk holds what it held when other nodes counted on it; see Store
-	writing  time.Time     // when the write in progress began; zero: none
-	waiting  int           // adds that wait for copies
-	progress chan struct{} // closed when a waiting add is to be checked again
-	degraded degradedPeriod
+	mu         sync.Mutex
+	state      *tallies.State // holds only what is synced
+	changes    []*change      // wait for the writer
+	peers      map[string]*peer
+	pulling    *peer // the peer from which entries are being fetched
+	ready      bool
+	joined     bool // this process has reached the required number of nodes at the same time
+	aloneTicks int  // since the start, without having joined
+	ended      bool
+	complete   bool          // the disk holds what it held when other nodes counted on it; see Store
+	writing    time.Time     // when the write in progress began; zero: none
+	waiting    int           // adds that wait for copies
+	progress   chan struct{} // closed when a waiting add is to be checked again
+	degraded   degradedPeriod
 }
 
 // New returns a node with what the store holds. It takes part once Run is called.
@@ -118,8 +124,9 @@
 	if bound <= 0 {
 		bound = DefaultMergeBound
 	}
+	interval := min(max(bound/mergeExchanges, minInterval), maxInterval)
 	n := &Node{
-		self: options.Self, requiredCopies: options.ToleratedLosses + 1, interval: min(max(bound/mergeExchanges, minInterval), maxInterval),
+		self: options.Self, requiredCopies: options.ToleratedLosses + 1, interval: interval, patienceTicks: int(startPatience * bound / interval),
 		store: options.Store, transport: options.Transport, members: options.Members,
 		queued: make(chan struct{}, 1), stopped: make(chan struct{}), progress: make(chan struct{}),
 		state: tallies.New(options.Store.Origin()), peers: map[string]*peer{}, complete: options.Store.Complete(),
@@ -255,7 +262,7 @@
 	defer n.mu.Unlock()
 	for _, p := range n.peers {
 		if paused && p.reachable {
-			p.missedTicks = 0
+			p.missedTicks, p.unheardTicks = 0, 0
 		}
 		p.missedTicks++
 		if p.reachable && p.missedTicks >= unreachableTicks {
@@ -263,8 +270,11 @@
 			n.notifyWaiting()
 			klog.InfoS("A core node is unreachable for tallies", "address", p.address, "zone", p.zone, "reachable", n.reachableNodes(), "members", len(n.peers)+1)
 		}
-		p.settled = p.settled || p.missedTicks >= startTicks
+		p.unheardTicks++
+		p.settled = p.settled || p.unheardTicks >= startTicks
 	}
+	n.updateJoined()
+	n.countAlone()
 	n.updateReadiness()
 	if n.reachableNodes() >= n.requiredCopies {
 		n.degraded.end()
@@ -287,10 +297,12 @@
 
 // heardEnough reports whether this node holds all adds that were acknowledged with the required number
 // of copies before it started. It does if fewer disks than that can hold such an add without this
-// node: those of nodes that it has not heard from, and those that have lost their copy. If all known
-// nodes have answered or been given up, there is nothing more to wait for. n.mu must be held.
+// node: those of nodes that it has not heard from or does not know yet, and those that have lost their
+// copy. If all known nodes have answered or been given up, there is nothing more to wait for. n.mu must
+// be held.
 func (n *Node) heardEnough() bool {
 	unheard, emptied := 0, 0
+	unknown := max(n.smallestCore()-len(n.peers)-1, 0)
 	if !n.complete {
 		emptied++
 	}
@@ -302,9 +314,13 @@
 			emptied++
 		}
 	}
-	return unheard == 0 || unheard+emptied < n.requiredCopies
+	return unheard == 0 || unheard+unknown+emptied < n.requiredCopies
 }
 
+// smallestCore is the least number of core nodes that outlives the tolerated losses with the required
+// number of nodes.
+func (n *Node) smallestCore() int { return 2*n.requiredCopies - 1 }
+
 // await returns the result of a change.
 func (n *Node) await(ctx context.Context, c *change) (changeResult, error) {
 	select {
--- a/internal/controlplane/tallysync/node_test.go
+++ b/internal/controlplane/tallysync/node_test.go
@@ -273,6 +273,8 @@
 		c.stop(c.node(0))
 		c.start(0, disk)
 		time.Sleep((startTicks + 1) * maxInterval)
+		c.assertTotal(0, "t", 0)
+		time.Sleep(startPatience*testMerge - startTicks*maxInterval)
 		c.add(0, "t", "m", 1)
 		c.assertTotal(0, "t", 1)
 	})
