Tell edges that start which zones were taken back, as their servers may be cold

Cause: only an edge that saw an evacuation end took the zone's servers for cold. One that started after the Finish, or was out of touch through Begin and Finish, sent its usual traffic until the platform's list said that the servers are cold, up to 2 s later.

Change: core nodes send each directory with the zones that are taken back, their versions and how long ago they saw it. Edges take such a zone's servers for cold for the rest of the warm-up, also servers listed meanwhile, and count each version once. The time kept in evacuations.takenBackAt was read by tests only.

--- a/internal/controlplane/coordinator/calls.go
+++ b/internal/controlplane/coordinator/calls.go
@@ -87,7 +87,9 @@
 		if revision, _ := state.Configuration(); revision > args.Revision && !args.DirectoryOnly {
 			reply.Revision, reply.Steps, newer = revision, state.Since(args.Revision), true
 		}
-		newer = addDirectory(state, args, reply) || newer
+		if addDirectory(state, args, reply) {
+			reply.ReturnedZones, newer = c.returns.observe(state.ReturnedZones(), time.Now()), true
+		}
 	})
 	if args.DirectoryOnly {
 		return newer
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 	staleAfter   time.Duration
 	listInterval time.Duration // time between two listings while the lister's task is held
 	edges        edgeRegistry
+	returns      zoneReturns
 
 	mu                    sync.Mutex
 	planners              map[replica.GroupID]*repair.Planner
@@ -203,6 +204,7 @@
 		changed := c.updates.changed()
 		if directory := c.Directory(); directory.Version != version {
 			version = directory.Version
+			c.observeReturnedZones()
 			c.node.Learn(directory)
 		}
 		select {
--- a/internal/controlplane/revisions/evacuation.go
+++ b/internal/controlplane/revisions/evacuation.go
@@ -28,6 +28,17 @@
 	return slices.Contains(m.state.Directory.EvacuatedZones, zone), version
 }
 
+// ReturnedZones returns the versions, by zone, of the zones that were evacuated once and are not now.
+func (m *Machine) ReturnedZones() map[string]uint64 {
+	returned := map[string]uint64{}
+	for _, known := range m.state.ZoneVersions {
+		if !slices.Contains(m.state.Directory.EvacuatedZones, known.Zone) {
+			returned[known.Zone] = known.Version
+		}
+	}
+	return returned
+}
+
 // evacuate applies an order that builds on the zone's current version.
 func (m *Machine) evacuate(e *Evacuation) Result {
 	evacuated, version := m.Zone(e.Zone)
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -110,6 +110,9 @@
 	defer d.mu.Unlock()
 	d.classes = classesByService(c)
 	warmupsChanged := d.warmups.configure(c)
+	if warmupsChanged {
+		d.markAllReturnedZones()
+	}
 	for name, classes := range d.classes {
 		if s := d.services[name]; s != nil {
 			s.loop.Reconfigure(classes)
@@ -166,6 +169,7 @@
 		d.lists[name] = servers
 	}
 	d.warmups.observe(name, servers, time.Now())
+	d.markReturnedZones(name, servers)
 	if s := d.services[name]; s != nil {
 		d.updateBackends(s, servers)
 	}
--- a/internal/dataplane/dispatch/evacuation.go
+++ b/internal/dataplane/dispatch/evacuation.go
@@ -12,7 +12,8 @@
 // evacuations holds the evacuated zones and when others were taken back.
 type evacuations struct {
 	zones       []string             // evacuated now
-	takenBackAt map[string]time.Time // by zone that was evacuated before
+	takenBackAt map[string]time.Time // by zone that was evacuated before; not earlier than it was
+	versions    map[string]uint64    // newest protocol.ReturnedZone.Version known, by zone
 }
 
 // contains reports whether a zone is evacuated.
@@ -34,10 +35,7 @@
 			continue
 		}
 		changed = true
-		if e.takenBackAt == nil {
-			e.takenBackAt = map[string]time.Time{}
-		}
-		e.takenBackAt[zone] = now
+		e.setTakenBack(zone, now)
 		takenBack = append(takenBack, zone)
 		klog.InfoS("Zone is taken back: its servers get requests again", "zone", zone)
 	}
@@ -45,6 +43,29 @@
 	return takenBack, changed
 }
 
+func (e *evacuations) setTakenBack(zone string, at time.Time) {
+	if e.takenBackAt == nil {
+		e.takenBackAt = map[string]time.Time{}
+	}
+	e.takenBackAt[zone] = latest(e.takenBackAt[zone], at)
+}
+
+// learn takes over when the core has seen zones taken back, and returns the zones of which this node didn't know it.
+func (e *evacuations) learn(returned []protocol.ReturnedZone, now time.Time) (unknown []string) {
+	for _, r := range returned {
+		if r.Version <= e.versions[r.Zone] {
+			continue
+		}
+		if e.versions == nil {
+			e.versions = map[string]uint64{}
+		}
+		e.versions[r.Zone] = r.Version
+		e.setTakenBack(r.Zone, now.Add(-r.Age))
+		unknown = append(unknown, r.Zone)
+	}
+	return unknown
+}
+
 // drain returns the servers with those of evacuated zones marked as draining. The argument is not
 // modified.
 func (e *evacuations) drain(servers []protocol.Server) []protocol.Server {
@@ -76,6 +97,16 @@
 	return accepting
 }
 
+// AddReturnedZones makes the servers of zones cold whose evacuation was taken back, also if this node was not there
+// to see it.
+func (d *Dispatcher) AddReturnedZones(returned []protocol.ReturnedZone) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, zone := range d.evacuations.learn(returned, time.Now()) {
+		d.evacuationEnded(zone, d.evacuations.takenBackAt[zone])
+	}
+}
+
 // SetEvacuatedZones replaces the zones whose servers get no new requests. Requests that run there
 // go on.
 func (d *Dispatcher) SetEvacuatedZones(zones []string) {
--- a/internal/dataplane/dispatch/evacuation_test.go
+++ b/internal/dataplane/dispatch/evacuation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -131,3 +132,27 @@
 	d.SetEvacuatedZones(nil)
 	assert.Equal(t, len(acceptingZones(t, d, servers)), 0)
 }
+
+// A node that starts after a Finish, or was out of touch from before the Begin, hears of both only later. What
+// it already knows must not make the servers cold once more.
+func TestZoneReturnedUnseenIsColdOnlyForTheRestOfItsWarmup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{Zone: "z0", Name: "edge-1", MaxConns: 10, Budget: message.NewBudget(1 << 20), Counters: counters.New(),
+			Log: slog.New(slog.DiscardHandler), Warmup: testWarmupLimits})
+		t.Cleanup(d.Close)
+		other := warmServer("b")
+		other.Zone = "z1"
+		d.AddReturnedZones([]protocol.ReturnedZone{{Zone: "z0", Version: 2, Age: time.Second}, {Zone: "z1", Version: 2, Age: time.Minute}})
+		setList(d, warmServer("a"), other)
+		d.Configure(warmupConfiguration(t, testWarmup.Seconds()))
+		assert.DeepEqual(t, serving(t, d), []string{"b"})
+		setList(d, warmServer("a"), warmServer("late"), other)
+		assert.DeepEqual(t, serving(t, d), []string{"b"})
+		time.Sleep(testWarmup - time.Second + 2*warmupMargin)
+		assert.DeepEqual(t, serving(t, d), []string{"a", "b", "late"})
+		d.AddReturnedZones([]protocol.ReturnedZone{{Zone: "z0", Version: 2}}) // a core node that has restarted counts anew
+		assert.DeepEqual(t, serving(t, d), []string{"a", "b", "late"})
+		d.AddReturnedZones([]protocol.ReturnedZone{{Zone: "z0", Version: 4}})
+		assert.DeepEqual(t, serving(t, d), []string{"b"})
+	})
+}
--- a/internal/dataplane/dispatch/warmup.go
+++ b/internal/dataplane/dispatch/warmup.go
@@ -122,12 +122,13 @@
 }
 
 // markZoneCold makes the servers of a zone cold that a service has in it, from a time on for the pool's warm-up time.
-// It reports whether the service has such servers and cold times.
-func (t *warmupTable) markZoneCold(service string, list []protocol.Server, zone string, from time.Time) (any bool) {
+// It reports whether the service has such servers and cold times that last until now.
+func (t *warmupTable) markZoneCold(service string, list []protocol.Server, zone string, from, now time.Time) (any bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	pool, ok := t.pools[service]
-	if !ok {
+	until := from.Add(pool.duration + warmupMargin)
+	if !ok || !now.Before(until) {
 		return false
 	}
 	servers := maps.Clone(t.servers[service])
@@ -136,7 +137,7 @@
 	}
 	for _, s := range list {
 		if s.Zone == zone {
-			w := servers[s.ID].extended(from.Add(pool.duration + warmupMargin))
+			w := servers[s.ID].extended(until)
 			if old := servers[s.ID]; old == nil || !from.Before(old.coldUntil) {
 				w.hold(0, from) // the grants of an earlier warm-up have ended
 			}
@@ -360,8 +361,24 @@
 // the zone's servers are handed to the event loops again. The caller holds d.mu.
 func (d *Dispatcher) evacuationEnded(zone string, at time.Time) {
 	for name, list := range d.lists {
-		if s := d.services[name]; d.warmups.markZoneCold(name, list, zone, at) && s != nil {
+		if s := d.services[name]; d.warmups.markZoneCold(name, list, zone, at, time.Now()) && s != nil {
 			d.updateBackends(s, list)
 		}
 	}
 }
+
+// markReturnedZones makes the servers of a service cold that are listed only after the evacuation of their zone
+// was taken back. The caller holds d.mu.
+func (d *Dispatcher) markReturnedZones(service string, list []protocol.Server) {
+	for zone, at := range d.evacuations.takenBackAt {
+		d.warmups.markZoneCold(service, list, zone, at, time.Now())
+	}
+}
+
+// markAllReturnedZones does the same for all services, whose cold times may have become known only now. The
+// caller holds d.mu.
+func (d *Dispatcher) markAllReturnedZones() {
+	for name, list := range d.lists {
+		d.markReturnedZones(name, list)
+	}
+}
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -139,6 +139,7 @@
 	case update.Configuration != nil:
 		n.configure(update.Configuration)
 	case update.Directory != nil:
+		n.dispatcher.AddReturnedZones(update.ReturnedZones) // first: their servers must be cold before they get requests again
 		n.dispatcher.SetEvacuatedZones(update.Directory.EvacuatedZones)
 		n.turns.SetDirectory(*update.Directory)
 		n.isolation.SetDirectory(*update.Directory)
--- a/internal/tier/protocol/protocol.go
+++ b/internal/tier/protocol/protocol.go
@@ -278,6 +278,14 @@
 	Patch    []byte
 }
 
+// ReturnedZone is a zone whose evacuation was taken back. Its servers may have become cold shortly before, which
+// an edge that was not there to see it learns only later from the platform's list.
+type ReturnedZone struct {
+	Zone    string
+	Version uint64        // counts the accepted evacuation orders of the zone
+	Age     time.Duration // when the reply was made: how long the evacuation has been taken back, at least
+}
+
 // WatchReply holds everything newer than the caller's versions. A nil pointer or a zero
 // version means that there is nothing newer.
 type WatchReply struct {
@@ -293,8 +301,10 @@
 	Directory *Directory          // whole
 	// DirectoryChange takes the place of Directory where the caller's version is recent.
 	DirectoryChange *DirectoryChange
-	Services        [ServicePartitions]uint64 // versions of the server lists
-	Lists           []ServerList              // complete lists of the partitions with a newer version
+	// ReturnedZones come with a directory or a change of it. They are not part of it, as they have ages.
+	ReturnedZones []ReturnedZone
+	Services      [ServicePartitions]uint64 // versions of the server lists
+	Lists         []ServerList              // complete lists of the partitions with a newer version
 	// ListChanges take the place of Lists for partitions whose version at the caller is recent, in
 	// the order of their versions.
 	ListChanges []ServerListChange
--- a/internal/tier/watch/watch.go
+++ b/internal/tier/watch/watch.go
@@ -29,7 +29,8 @@
 	Revision      uint64
 	Configuration []byte
 	Directory     *protocol.Directory
-	Lists         []protocol.ServerList // complete lists of the services in Partition
+	ReturnedZones []protocol.ReturnedZone // with Directory
+	Lists         []protocol.ServerList   // complete lists of the services in Partition
 	Partition     int
 }
 
@@ -230,7 +231,7 @@
 	// know the evacuated zones by then.
 	if f.mergeDirectory(reply) {
 		directory := f.directory
-		updates = append(updates, Update{Directory: &directory})
+		updates = append(updates, Update{Directory: &directory, ReturnedZones: reply.ReturnedZones})
 	}
 	if !f.confirmed && reply.Confirmed && f.hasDirectoryOf(reply) {
 		f.confirmed = true
