Count ejected servers at one instant, so that subsets don't grow by mistake

Cause: the dispatcher took the number of avoided servers, which the event loop reports late, less the number of draining ones of its newest list. When a zone is taken back, or servers become warm, a report of the list before makes those servers look ejected, and the subset grows by that many; callers see connections that nobody needs. A correction by the difference helped only until the next late report.

Change: the event loop reports avoided and draining servers of one instant, and the dispatcher replaces the difference. TestSubsetDoesNotGrowWhenAZoneIsTakenBack hands over the late report both before and after the change, where it had set a field.

--- a/cmd/oakseam/node.go
+++ b/cmd/oakseam/node.go
@@ -90,8 +90,8 @@
 	quit := make(chan struct{})
 	defer close(quit)
 	if handoff.console != nil {
-		loop.ObserveBackendCounts(func(listed, avoided int) {
-			metricSet.SetBackendCounts(metrics.BackendCounts{Listed: listed, OutOfRotation: avoided})
+		loop.ObserveBackendCounts(func(c core.BackendCounts) {
+			metricSet.SetBackendCounts(metrics.BackendCounts{Listed: c.Listed, OutOfRotation: c.Avoided})
 		})
 		go console.New(handoff.console, operatorView{frontend, metricSet}, log).Serve()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,7 +178,7 @@
 	quit   chan struct{}
 	ready  atomic.Bool
 
-	backendCounts func(listed, avoided int) // observer of the list's size; nil: none
+	backendCounts func(BackendCounts) // observer of the list's size; nil: none
 	reportedAt    time.Time
 }
 
@@ -188,7 +188,7 @@
 // ObserveBackendCounts sets a function that the loop tells how many backends are listed,
 // and how many of these the module avoids. It must be called before Run; observe must
 // not block.
-func (l *EventLoop) ObserveBackendCounts(observe func(listed, avoided int)) {
+func (l *EventLoop) ObserveBackendCounts(observe func(BackendCounts)) {
 	l.backendCounts = observe
 }
 
--- a/internal/core/module_state.go
+++ b/internal/core/module_state.go
@@ -10,13 +10,25 @@
 // avoidanceReporter is a module that reports how many backends it avoids.
 type avoidanceReporter interface{ CountAvoided(time.Duration) int }
 
-// BackendCounts returns how many backends are listed, and how many of these the module
-// avoids now, if it reports that.
-func (e *Engine) BackendCounts() (listed, avoided int) {
+// BackendCounts are the numbers of backends at one instant.
+type BackendCounts struct {
+	Listed   int
+	Avoided  int // that get no requests now, draining ones included; 0 if the module doesn't report it
+	Draining int
+}
+
+// BackendCounts returns the present numbers of backends.
+func (e *Engine) BackendCounts() BackendCounts {
+	c := BackendCounts{Listed: len(e.backends)}
 	if m, ok := e.module.(avoidanceReporter); ok {
-		avoided = m.CountAvoided(e.moduleTime(e.env.Now()))
+		c.Avoided = m.CountAvoided(e.moduleTime(e.env.Now()))
+	}
+	for _, b := range e.backends {
+		if b.State != logic.Serving {
+			c.Draining++
+		}
 	}
-	return len(e.backends), avoided
+	return c
 }
 
 // stateTransferrer is a module that exports what it has learned and imports it from another.
--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -75,8 +75,7 @@
 	hasServers chan struct{} // closed once the service has had a server that accepts requests, or only ones in evacuated zones
 	hadServer  bool          // hasServers is closed
 	demand     demand
-	avoided    atomic.Int64 // servers of the subset that currently get no requests, including draining ones
-	draining   int          // number of servers that get no requests because they drain or are cold
+	ejected    atomic.Int64 // servers of the subset that the module gives no requests, though they don't drain
 	cold       coldState
 }
 
@@ -139,7 +138,7 @@
 	}
 	s := &service{name: name, loop: loop, hasServers: make(chan struct{})}
 	d.services[name] = s
-	loop.ObserveBackendCounts(func(_, avoided int) { s.avoided.Store(int64(avoided)) })
+	loop.ObserveBackendCounts(s.setBackendCounts)
 	go loop.Run(warmupGuard{Transport: d.pool, table: d.warmups, service: name, used: func() { go d.refresh(s) }}, nil)
 	d.updateBackends(s, d.lists[name])
 }
@@ -218,8 +217,13 @@
 // avoided servers, then with them.
 func (s *service) subsetSizes() (wanted, size int) {
 	wanted = min(subsetSize(s.wanted, s.demand.decayedPeak(time.Now())), len(s.allServers))
-	replacements := max(int(s.avoided.Load())-s.draining, 0)
-	return wanted, min(wanted+replacements, len(s.allServers))
+	return wanted, min(wanted+int(s.ejected.Load()), len(s.allServers))
+}
+
+// setBackendCounts records what the event loop reports. Both numbers are of the list that the loop has:
+// compared with a newer list, servers that have come back would seem to be ejected.
+func (s *service) setBackendCounts(c core.BackendCounts) {
+	s.ejected.Store(int64(max(c.Avoided-c.Draining, 0)))
 }
 
 // updateBackends hands this node's subset of a service's servers to the service's event loop. The
@@ -227,20 +231,11 @@
 func (d *Dispatcher) updateBackends(s *service, servers []protocol.Server) {
 	now := time.Now()
 	cold, recheck := d.warmups.cold(s.name, now)
-	before := s.draining
-	s.allServers, s.draining = servers, 0
+	s.allServers = servers
 	allEvacuated := d.evacuations.removesLast(servers)
 	servers = s.markCold(d.evacuations.drain(servers), cold)
 	granted, nextSend := d.warmups.granted(s.name, cold, now)
 	d.scheduleRecheck(s, earliest(recheck, nextSend))
-	for _, x := range servers {
-		if x.Draining && !granted[x.ID] {
-			s.draining++
-		}
-	}
-	// The module reports the number only after it has the new list. Until then it must not look as if servers
-	// that have become warm had to be replaced.
-	s.avoided.Add(int64(s.draining - before))
 	s.wanted, s.size = s.subsetSizes()
 	servers = subset(servers, d.opt.Name, d.opt.Zone, s.size)
 	s.servers = candidates(servers, granted, d.opt.Zone)
--- a/internal/dataplane/dispatch/evacuation_test.go
+++ b/internal/dataplane/dispatch/evacuation_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/core"
 	"oakseam/internal/counters"
 	"oakseam/internal/message"
 	"oakseam/internal/tier/protocol"
@@ -91,9 +92,13 @@
 	d, servers := newEvacuationDispatcher(t), serversInThreeZones(15)
 	d.list(servers)
 	d.SetEvacuatedZones([]string{"z0"})
-	d.services[evacuationService].avoided.Store(15) // as the event loop reports
+	late := core.BackendCounts{Listed: 45, Avoided: 15, Draining: 15}
+	d.services[evacuationService].setBackendCounts(late) // as the event loop reports
 	d.SetEvacuatedZones(nil)
 	assert.DeepEqual(t, acceptingZones(t, d, servers), map[string]int{"z0": minSubsetSize})
+	d.services[evacuationService].setBackendCounts(late) // of the list before, reported after the change
+	d.list(servers)
+	assert.DeepEqual(t, acceptingZones(t, d, servers), map[string]int{"z0": minSubsetSize})
 }
 
 // A process that restarts learns of the evacuation before the configuration and the lists.
--- a/internal/dataplane/dispatch/subset_test.go
+++ b/internal/dataplane/dispatch/subset_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/core"
 	"oakseam/internal/counters"
 	"oakseam/internal/message"
 	"oakseam/internal/tier/protocol"
@@ -151,7 +152,7 @@
 	}
 	updateServers(serversInThreeZones(15)[1:])
 	assert.Equal(t, subsetLen(), serversPerRequest*10, "the subset size is kept when the list changes")
-	d.services["tools"].avoided.Store(3)
+	d.services["tools"].setBackendCounts(core.BackendCounts{Avoided: 4, Draining: 1})
 	updateServers(serversInThreeZones(15))
 	assert.Equal(t, subsetLen(), serversPerRequest*10+3, "avoided servers are replaced by others")
 	d.BeginRequest("unknown")()
