--- a/internal/controlplane/revisions/revisions.go
+++ b/internal/controlplane/revisions/revisions.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/controlplane/snapshot"
 	"oakseam/internal/tier/delta"
 	"oakseam/internal/tier/protocol"
 )
@@ -368,20 +369,14 @@
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() []byte {
 	m.packedBody()
-	text, err := cbor.Marshal(&m.state)
-	if err != nil {
-		panic(err) // unreachable: the state consists of plain values
-	}
-	return text
+	return snapshot.Encode(&m.state)
 }
 
 // Restore replaces the state with a snapshot. An empty snapshot is the initial state.
 func (m *Machine) Restore(text []byte) error {
 	var next state
-	if len(text) > 0 {
-		if err := cbor.Unmarshal(text, &next); err != nil {
-			return errors.Wrap(err, "restore configuration state")
-		}
+	if err := snapshot.Decode(text, &next); err != nil {
+		return errors.Wrap(err, "restore configuration state")
 	}
 	var body []byte
 	if len(next.PackedBody) > 0 {
--- a/internal/controlplane/servers/servers.go
+++ b/internal/controlplane/servers/servers.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"oakseam/internal/controlplane/snapshot"
 	"oakseam/internal/tier/diff"
 	"oakseam/internal/tier/protocol"
 )
@@ -128,20 +129,14 @@
 
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() []byte {
-	text, err := cbor.Marshal(&m.state)
-	if err != nil {
-		panic(err) // unreachable: the state consists of plain values
-	}
-	return text
+	return snapshot.Encode(&m.state)
 }
 
 // Restore replaces the state with a snapshot. An empty snapshot is the initial state.
 func (m *Machine) Restore(text []byte) error {
 	var next state
-	if len(text) > 0 {
-		if err := cbor.Unmarshal(text, &next); err != nil {
-			return errors.Wrap(err, "restore services")
-		}
+	if err := snapshot.Decode(text, &next); err != nil {
+		return errors.Wrap(err, "restore services")
 	}
 	m.state, m.recent = next, recentChanges{}
 	m.changed()
--- a/internal/controlplane/turns/turns.go
+++ b/internal/controlplane/turns/turns.go
@@ -9,6 +9,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+
+	"oakseam/internal/controlplane/snapshot"
 )
 
 // Admission reserves the tokens of a turn before it starts.
@@ -324,21 +326,15 @@
 
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() []byte {
-	text, err := cbor.Marshal(&m.state)
-	if err != nil {
-		panic(err) // unreachable: the state consists of plain values
-	}
-	return text
+	return snapshot.Encode(&m.state)
 }
 
 // Restore replaces the state with a snapshot. An empty snapshot is the initial state. All
 // programs count as used now, so they are kept longer, never shorter.
 func (m *Machine) Restore(text []byte) error {
 	next := emptyState()
-	if len(text) > 0 {
-		if err := cbor.Unmarshal(text, &next); err != nil {
-			return errors.Wrap(err, "restore turns")
-		}
+	if err := snapshot.Decode(text, &next); err != nil {
+		return errors.Wrap(err, "restore turns")
 	}
 	now := m.now()
 	for _, p := range next.Programs {
