Keep the loop's own report out of the test of subset sizes

Change: the test runs in virtual time and waits for the loop's report first; the loop reports again only when time has passed.

--- a/internal/dataplane/dispatch/subset_test.go
+++ b/internal/dataplane/dispatch/subset_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -121,38 +122,41 @@
 // A node's subset must grow as soon as more requests are in flight, and must not shrink when the
 // server list changes.
 func TestDispatcherGrowsSubsetWithDemandAndKeepsItOnListChange(t *testing.T) {
-	d := New(Options{
-		Zone: "z0", Name: "edge-1", MaxConns: 100, Budget: message.NewBudget(1 << 20), Counters: counters.New(),
-		Log: slog.New(slog.DiscardHandler),
-	})
-	t.Cleanup(d.Close)
-	configuration, err := routing.Parse([]byte(`{"configRevision":1,"virtualServers":[
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{
+			Zone: "z0", Name: "edge-1", MaxConns: 100, Budget: message.NewBudget(1 << 20), Counters: counters.New(),
+			Log: slog.New(slog.DiscardHandler),
+		})
+		t.Cleanup(d.Close)
+		configuration, err := routing.Parse([]byte(`{"configRevision":1,"virtualServers":[
 {"name":"reads","hostHeader":"h","pathPrefix":"/","trafficClass":"idempotent","timeoutMs":5000,"targetLatencyMs":250,"poolName":"tools","retryLimit":2}],
 "pools":[{"name":"tools"}]}`))
-	assert.NilError(t, err)
-	d.Configure(configuration)
-	updateServers := func(servers []protocol.Server) {
-		d.UpdateServers(protocol.ServicePartition("tools"), []protocol.ServerList{{Service: "tools", Version: 1, Servers: servers}})
-	}
-	subsetLen := func() int {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return len(d.services["tools"].servers)
-	}
-	updateServers(serversInThreeZones(15))
-	assert.Equal(t, subsetLen(), minSubsetSize)
-	var ends []func()
-	for range 10 {
-		ends = append(ends, d.BeginRequest("tools"))
-	}
-	assert.Equal(t, subsetLen(), serversPerRequest*10)
-	for _, end := range ends {
-		end()
-	}
-	updateServers(serversInThreeZones(15)[1:])
-	assert.Equal(t, subsetLen(), serversPerRequest*10, "the subset size is kept when the list changes")
-	d.services["tools"].avoided.Store(3)
-	updateServers(serversInThreeZones(15))
-	assert.Equal(t, subsetLen(), serversPerRequest*10+3, "avoided servers are replaced by others")
-	d.BeginRequest("unknown")()
+		assert.NilError(t, err)
+		d.Configure(configuration)
+		updateServers := func(servers []protocol.Server) {
+			d.UpdateServers(protocol.ServicePartition("tools"), []protocol.ServerList{{Service: "tools", Version: 1, Servers: servers}})
+		}
+		subsetLen := func() int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return len(d.services["tools"].servers)
+		}
+		updateServers(serversInThreeZones(15))
+		assert.Equal(t, subsetLen(), minSubsetSize)
+		var ends []func()
+		for range 10 {
+			ends = append(ends, d.BeginRequest("tools"))
+		}
+		assert.Equal(t, subsetLen(), serversPerRequest*10)
+		for _, end := range ends {
+			end()
+		}
+		updateServers(serversInThreeZones(15)[1:])
+		assert.Equal(t, subsetLen(), serversPerRequest*10, "the subset size is kept when the list changes")
+		synctest.Wait() // the event loop has reported its own count, and does so again only when time has passed
+		d.services["tools"].avoided.Store(3)
+		updateServers(serversInThreeZones(15))
+		assert.Equal(t, subsetLen(), serversPerRequest*10+3, "avoided servers are replaced by others")
+		d.BeginRequest("unknown")()
+	})
 }
