--- a/internal/controlplane/cluster/evacuation_test.go
+++ b/internal/controlplane/cluster/evacuation_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"oakseam/internal/controlplane/replica"
+	"oakseam/internal/tier/protocol"
 	"oakseam/internal/wait"
 )
 
@@ -89,3 +91,44 @@
 	wait.For(t.Context(), silenceLimit)
 	edge.awaitServed(orderBound, evacuated)
 }
+
+// cutLength is how long a node is cut off while it reads a zone's version: short enough for the order to
+// be young still when the link is back.
+const cutLength = 500 * time.Millisecond
+
+// An order whose read of the zone waits while later orders are acknowledged elsewhere must not undo them,
+// though it is young and the close of its connection has not arrived.
+func TestOrderThatIsOvertakenWhileItWaitsIsNotCarriedOut(t *testing.T) {
+	c := startCluster(t, toleratedLosses, nil, zoneNames...)
+	waiting, others := c.followerOf(protocol.ConfigurationGroup)
+	c.separate([]*coreNode{waiting}, others)
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := newCaller(waiting).call(waiting, http.MethodPost, "/api/Evacuate.Begin/"+zoneNames[0], "")
+		answered <- status
+	}()
+	cut := time.Now()
+	wait.For(t.Context(), cutLength/5)
+	operator := newCaller(others...)
+	operator.order(t, "Begin", zoneNames[0])
+	operator.order(t, "Finish", zoneNames[0])
+	wait.For(t.Context(), time.Until(cut.Add(cutLength)))
+	c.network.heal()
+	status := <-answered
+	assert.Assert(t, status == 0 || status >= http.StatusInternalServerError, "acknowledged after %v: %d", time.Since(cut), status)
+}
+
+// followerOf returns a node that does not lead a group, and the other nodes.
+func (c *cluster) followerOf(group replica.GroupID) (follower *coreNode, others []*coreNode) {
+	c.Helper()
+	for _, n := range c.nodes {
+		status, err := n.process.Host.Status(group)
+		if err == nil && !status.LeaderReady && follower == nil {
+			follower = n
+			continue
+		}
+		others = append(others, n)
+	}
+	assert.Assert(c, follower != nil)
+	return follower, others
+}
--- a/internal/controlplane/coordinator/evacuation.go
+++ b/internal/controlplane/coordinator/evacuation.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"oakseam/internal/controlplane/adminapi"
 	"oakseam/internal/controlplane/host"
 	"oakseam/internal/controlplane/revisions"
@@ -22,19 +24,25 @@
 	callerCheckDelay = 50 * time.Millisecond
 )
 
-// Evacuate implements adminapi.Authority. The zone's version is read before the caller is checked:
-// if the operator turns to another node after the check, that node's order increases the version
-// and this one is rejected.
+// Evacuate implements adminapi.Authority. An order may change the zone only if no other order did since
+// this node received it: while this one waited, the operator may have turned to another node, and have
+// sent the opposite order since. So the version that this node has applied on receipt must still be the
+// version that a majority confirms, and the one that the change is made on. A node that has fallen
+// behind rejects an order, too.
 func (c *Coordinator) Evacuate(ctx context.Context, order adminapi.EvacuationOrder) adminapi.EvacuateOutcome {
 	if !c.knowsZone(order.Zone) {
 		return adminapi.EvacuateUnknownZone
 	}
+	_, onReceipt := c.appliedZone(order.Zone)
 	evacuated, version, err := c.readZone(ctx, order.Zone)
 	switch {
 	case err != nil:
 		return adminapi.EvacuateUncertain
 	case evacuated == order.Evacuated:
 		return adminapi.EvacuateAccepted
+	case version != onReceipt:
+		klog.InfoS("An evacuation order was overtaken by another one, or this node had fallen behind", "zone", order.Zone, "evacuated", order.Evacuated, "version", version, "versionOnReceipt", onReceipt)
+		return adminapi.EvacuateUncertain
 	case !wait.For(ctx, callerCheckDelay) || ctx.Err() != nil || time.Since(order.Received) > maxOrderAge:
 		return adminapi.EvacuateUncertain
 	}
@@ -64,10 +72,16 @@
 	if err := c.node.ReadBarrier(ctx, protocol.ConfigurationGroup); err != nil {
 		return false, 0, err
 	}
+	evacuated, version = c.appliedZone(zone)
+	return evacuated, version, nil
+}
+
+// appliedZone returns the state and version of a zone that this node has applied.
+func (c *Coordinator) appliedZone(zone string) (evacuated bool, version uint64) {
 	c.node.Host.ReadLocal(protocol.ConfigurationGroup, func(m host.StateMachine) {
 		evacuated, version = m.(*revisions.Machine).Zone(zone)
 	})
-	return evacuated, version, nil
+	return evacuated, version
 }
 
 // knowsZone reports whether a zone is in the settings, or has a node or a server.
--- a/internal/controlplane/simulation/evacuation_test.go
+++ b/internal/controlplane/simulation/evacuation_test.go
@@ -23,6 +23,8 @@
 	// caller left before.
 	maxCloseDelay = 40 * time.Millisecond
 	maxOrderPause = 400 * time.Millisecond
+	// heldOrderRetry is the time between two tries to send an order over a link that is cut.
+	heldOrderRetry = 10 * time.Millisecond
 )
 
 // evacuationWorkload runs the configuration's group with an operator that evacuates a zone and takes
@@ -83,16 +85,17 @@
 	})
 }
 
-// send delivers the order to the node's machine, whose process may be frozen.
+// send delivers the order to the node's machine, whose process may be frozen. A link that is cut holds
+// it until the heal, and the close of its connection arrives after it.
 func (s *evacuationWorkload) send(a *orderAttempt) {
 	w := s.world
-	there := link{s.operator, a.node.address}
-	if w.network.cutLinks[there] {
+	if w.network.cutLinks[link{s.operator, a.node.address}] {
+		w.After(heldOrderRetry, func() { s.send(a) })
 		return
 	}
 	w.After(w.Between(200*time.Microsecond, w.maxDelay), func() {
 		if a.ended {
-			s.deliverClose(a)
+			w.After(w.Between(0, maxCloseDelay), func() { a.closed = true })
 		}
 		a.node.execute(func() { s.handle(a) })
 	})
@@ -145,6 +148,10 @@
 			return
 		}
 	}
+	onReceipt := uint64(0)
+	if n.member(protocol.ConfigurationGroup) != nil {
+		_, onReceipt = s.zone(n)
+	}
 	n.awaitReadIndex(protocol.ConfigurationGroup, changeTimeout, func(ok bool) {
 		if !ok {
 			s.answer(a, false)
@@ -155,6 +162,11 @@
 			s.answer(a, true)
 			return
 		}
+		if version != onReceipt {
+			s.world.tally.abandonedOrders++
+			s.answer(a, false)
+			return
+		}
 		n.executeAfter(callerCheckDelay, func() { s.proposeOrder(a, version, received) })
 	})
 }
--- a/internal/controlplane/simulation/world_test.go
+++ b/internal/controlplane/simulation/world_test.go
@@ -114,7 +114,7 @@
 	outdated            uint64 // publications that had no effect
 	leadershipTransfers uint64
 	retirements         uint64
-	abandonedOrders     uint64 // evacuation orders that were not proposed because their caller was gone or they were old
+	abandonedOrders     uint64 // evacuation orders that were not proposed because their caller was gone, or they were old or overtaken
 }
 
 func newWorld(seed uint64, class protocol.Class, injected bugs) *world {
