Play applications that count tallies in the lab, and audit the totals

Change: an application per zone adds to tallies and reads them, turning to another core node with the same id; each add has a bit of the total for itself, so a total tells which adds it holds.

The lab's own test and the auditor's pass.

--- a/cmd/oaklab/tier_test.go
+++ b/cmd/oaklab/tier_test.go
@@ -53,6 +53,8 @@
 	}
 	assert.Positive(t, r.Report.BudgetExhausted, "programs with a small budget")
 	assert.Greater(t, r.Report.Acknowledged, 3, "configurations")
+	assert.Greater(t, r.Report.Tallies.Acknowledged, r.Report.Tallies.Adds*9/10, "adds to tallies")
+	assert.Greater(t, r.Report.Tallies.ReadsServed(), 50, "totals")
 	assert.Len(t, r.Report.Faults, 8)
 }
 
--- a/internal/audit/tier/checker.go
+++ b/internal/audit/tier/checker.go
@@ -24,15 +24,20 @@
 	ConfigurationDurable     Rule = "an acknowledged configuration is read back"
 	DrainRespected           Rule = "a drained server gets nothing new"
 	RouteAllowed             Rule = "requests go where a configuration allows"
+	TallyCountsOnce          Rule = "a tally holds nothing but what could have counted"
+	TallyHoldsOwnAdds        Rule = "a tally holds what the same process acknowledged"
+	TallyMerged              Rule = "a tally holds what was acknowledged once merged"
+	TallyDurable             Rule = "a tally is whole at the end"
 )
 
 var allRules = []Rule{RunsOnce, RejectedNeverRuns, SuccessComplete, HistoryExact, EventsInOrder, BudgetRespected, BudgetRejectionJustified,
-	TurnFound, ConfigurationDurable, DrainRespected, RouteAllowed}
+	TurnFound, ConfigurationDurable, DrainRespected, RouteAllowed, TallyCountsOnce, TallyHoldsOwnAdds, TallyMerged, TallyDurable}
 
 // Bounds are the time limits of the rules.
 type Bounds struct {
 	Drain time.Duration // a server gets no new requests once it has been listed as draining for this long
 	Apply time.Duration // no request follows a configuration once a newer one has been acknowledged for this long
+	Merge time.Duration // a tally holds every add once this has passed after it without disruption
 }
 
 // Verdict is the result of checking one rule.
@@ -91,6 +96,7 @@
 			c.checkRoute(a)
 		}
 	}
+	c.checkTallies()
 	verdicts := make([]Verdict, 0, len(allRules))
 	for _, r := range allRules {
 		verdicts = append(verdicts, *c.verdicts[r])
--- a/internal/audit/tier/checker_test.go
+++ b/internal/audit/tier/checker_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 
 const host = "tier.lab"
 
-var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second}
+var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second, Merge: 3 * time.Second}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -26,7 +27,7 @@
 }
 
 // validHistory is a history that keeps every rule: an order, a read that ran twice, three turns of
-// which the last finds the budget exhausted, two configurations, and a server that drains.
+// which the last finds the budget exhausted, two configurations, a server that drains, and tallies.
 func validHistory() *History {
 	routesTo := func(services ...string) []AllowedRoute {
 		return []AllowedRoute{{Host: host, Prefix: "/", Services: []string{"tools"}}, {Host: host, Prefix: "/turns/", Services: services}}
@@ -38,7 +39,7 @@
 		return Request{Attempt: attempt, Kind: Turn, Host: host, Path: "/turns/x", Input: input, Sent: seconds(sent), Answer: a,
 			Program: "p", Previous: previous, Budget: 5, Most: 3}
 	}
-	return &History{
+	h := &History{
 		Requests: []Request{
 			{Attempt: "order", Kind: ToolOrder, Host: host, Path: "/order", Sent: seconds(1), Answer: served(1.2, "t1/1", "done", nil)},
 			{Attempt: "read", Kind: ToolRead, Host: host, Path: "/read", Sent: seconds(1), Answer: served(1.5, "t2/1", "seen", nil)},
@@ -62,6 +63,8 @@
 		Draining: map[string]time.Duration{"t1": seconds(0.5)},
 		Kills:    []string{"at 1.0 s core-1 is killed"},
 	}
+	addTallies(h)
+	return h
 }
 
 // request returns the request with an attempt id.
@@ -91,12 +94,15 @@
 	}
 }
 
-// violations change the valid history so that it breaks the named rules and no others.
-var violations = []struct {
+// violation changes the valid history so that it breaks the rules and no others.
+type violation struct {
 	name   string
 	change func(*History)
 	breaks []Rule
-}{
+}
+
+// violations change the valid history so that it breaks the named rules and no others.
+var violations = []violation{
 	{"an order runs twice", func(h *History) {
 		again := *h.run("t1/1")
 		again.Seal, again.Server = "t2/9", "t2"
@@ -183,7 +189,7 @@
 
 func TestEachRuleDetectsItsViolations(t *testing.T) {
 	broken := map[Rule]bool{}
-	for _, b := range violations {
+	for _, b := range slices.Concat(violations, tallyViolations) {
 		t.Run(b.name, func(t *testing.T) {
 			h := validHistory()
 			b.change(h)
@@ -252,7 +258,8 @@
 	assert.Check(t, r.Kinds[Turn].Latency.Max > 499 && r.Kinds[Turn].Latency.Max < 501)
 	var text bytes.Buffer
 	r.Print(&text)
-	for _, line := range []string{"trouble: at 1.0 s core-1 is killed", "configurations: 2 ordered in 3 sends, 2 acknowledged"} {
+	for _, line := range []string{"trouble: at 1.0 s core-1 is killed", "configurations: 2 ordered in 3 sends, 2 acknowledged",
+		"tallies: 3 adds, 2 of them acknowledged; calls that add, by status (0: no whole answer): 0: 1, 200: 2, 503: 1; that read: 200: 4"} {
 		assert.Check(t, strings.Contains(text.String(), line), text.String())
 	}
 	h.Shown[0].Body = "first"
@@ -277,6 +284,10 @@
 	first := r.History().Draining["e"]
 	r.RecordDraining("e")
 	r.RecordFault("e")
+	r.RecordStart("core-1")
+	r.RecordDisruption(Disruption{Machine: "core-1"})
+	r.RecordTallyAdd(TallyAdd{Member: "one"})
+	r.RecordTallyRead(TallyRead{Tally: "t"})
 	ended, served := r.Counts()
 	h := r.History()
 	assert.Equal(t, ended, 2)
@@ -285,6 +296,8 @@
 	assert.DeepEqual(t, h.Configurations, []Configuration{{Revision: 1, Acknowledged: seconds(1), Tries: 2}})
 	assert.Equal(t, h.Draining["e"], first)
 	assert.Equal(t, len(h.Shown)+len(h.Kills), 2)
+	assert.Check(t, h.Disruptions[0].Until >= h.Starts["core-1"][0])
+	assert.Equal(t, len(h.TallyAdds)+len(h.TallyReads), 2)
 }
 
 // A person reads counts by status, in the order of the status.
--- a/internal/audit/tier/history.go
+++ b/internal/audit/tier/history.go
@@ -111,6 +111,11 @@
 	Shown          []ConfigurationRead
 	Draining       map[string]time.Duration // when the platform first listed a server as draining, by server
 	Kills          []string                 // descriptions of the injected faults
+
+	TallyAdds   []TallyAdd
+	TallyReads  []TallyRead
+	Starts      map[string][]time.Duration // when a machine's process was about to start, by machine
+	Disruptions []Disruption               // in the order in which they ended
 }
 
 // Recorder collects a History. It is safe for concurrent use.
@@ -123,7 +128,7 @@
 
 // NewRecorder returns a Recorder whose times count from now.
 func NewRecorder() *Recorder {
-	return &Recorder{start: time.Now(), history: History{Draining: map[string]time.Duration{}}}
+	return &Recorder{start: time.Now(), history: History{Draining: map[string]time.Duration{}, Starts: map[string][]time.Duration{}}}
 }
 
 // Now returns the time since the start.
@@ -198,6 +203,35 @@
 	r.history.Kills = append(r.history.Kills, description)
 }
 
+// RecordTallyAdd records an add that has ended, with all its tries.
+func (r *Recorder) RecordTallyAdd(a TallyAdd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.TallyAdds = append(r.history.TallyAdds, a)
+}
+
+// RecordTallyRead records a call that read a tally, or failed to.
+func (r *Recorder) RecordTallyRead(read TallyRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.TallyReads = append(r.history.TallyReads, read)
+}
+
+// RecordStart records that a machine's process is about to be started.
+func (r *Recorder) RecordStart(machine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Starts[machine] = append(r.history.Starts[machine], r.Now())
+}
+
+// RecordDisruption records a disruption that ends now.
+func (r *Recorder) RecordDisruption(d Disruption) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.Until = r.Now()
+	r.history.Disruptions = append(r.history.Disruptions, d)
+}
+
 // Counts returns how many requests have ended, and how many of them were served.
 func (r *Recorder) Counts() (ended, served int) {
 	r.mu.Lock()
@@ -218,5 +252,6 @@
 	return &History{
 		Requests: slices.Clone(h.Requests), Arrivals: slices.Clone(h.Arrivals), Configurations: slices.Clone(h.Configurations),
 		Shown: slices.Clone(h.Shown), Draining: maps.Clone(h.Draining), Kills: slices.Clone(h.Kills),
+		TallyAdds: slices.Clone(h.TallyAdds), TallyReads: slices.Clone(h.TallyReads), Starts: maps.Clone(h.Starts), Disruptions: slices.Clone(h.Disruptions),
 	}
 }
--- a/internal/audit/tier/report.go
+++ b/internal/audit/tier/report.go
@@ -35,6 +35,7 @@
 	Configurations        int // sent
 	Acknowledged          int // configurations
 	ConfigurationAttempts int // of all configurations together
+	Tallies               TallyCounts
 	Faults                []string
 	Verdicts              []Verdict
 }
@@ -51,6 +52,7 @@
 	for k := range whole {
 		whole[k], r.Statuses[k] = histogram(), map[int]int{}
 	}
+	r.Tallies = countTallies(h)
 	first := histogram()
 	programs, exhausted := map[string]bool{}, map[string]bool{}
 	for i := range h.Requests {
@@ -138,6 +140,7 @@
 	fmt.Fprintf(to, "turns: %d programs, %d of them spent their budget, %d turns went on from another; first byte p50 %.1f ms, p99 %.1f ms\n",
 		r.Programs, r.BudgetExhausted, r.ContinuedTurns, r.First.P50, r.First.P99)
 	fmt.Fprintf(to, "configurations: %d ordered in %d sends, %d acknowledged\n", r.Configurations, r.ConfigurationAttempts, r.Acknowledged)
+	r.Tallies.print(to)
 	for _, fault := range r.Faults {
 		fmt.Fprintf(to, "trouble: %s\n", fault)
 	}
--- a/internal/tierlab/faults.go
+++ b/internal/tierlab/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	audit "oakseam/internal/audit/tier"
 	tierfakes "oakseam/internal/fakes/tier"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/settings"
@@ -64,6 +65,7 @@
 // injectMachineFaults injects all machine faults, evenly spread.
 func (l *lab) injectMachineFaults(ctx context.Context) error {
 	storages, edges := l.machinesOf(settings.Storage), l.machinesOf(settings.Edge)
+	core := l.machinesOf(settings.Control)[0]
 	all := []fault{
 		func(ctx context.Context) error { return l.killAndRestart(ctx, storages[0], false) },
 		func(ctx context.Context) error { return l.killAndRestart(ctx, storages[1], true) },
@@ -75,6 +77,7 @@
 			func(ctx context.Context) error { return l.killAndRestart(ctx, edges[len(edges)-1], false) },
 			func(ctx context.Context) error { return l.freeze(ctx, storages[2]) },
 			func(ctx context.Context) error { return l.freeze(ctx, edges[0]) },
+			func(ctx context.Context) error { return l.freeze(ctx, core) },
 			func(ctx context.Context) error { return l.retire(ctx, storages[len(storages)-1]) },
 			l.losePower,
 		)
@@ -89,12 +92,18 @@
 	return nil
 }
 
+// beginDisruption returns the disruption of a machine that begins now. It is recorded when it ends.
+func (l *lab) beginDisruption(m *machine) audit.Disruption {
+	return audit.Disruption{Machine: m.Name, Core: m.Serves == settings.Control, From: l.recorder.Now()}
+}
+
 // waitDown waits while the lost machine stays away.
 func (l *lab) waitDown(ctx context.Context) { l.pause(ctx, l.faultShare*downShare) }
 
 // killAndRestart kills a machine's process and starts it again later, with an empty disk if wiped.
 func (l *lab) killAndRestart(ctx context.Context, m *machine, wiped bool) error {
 	diskState := "with its disk"
+	disrupted := l.beginDisruption(m)
 	m.kill()
 	start := l.elapsed()
 	if wiped {
@@ -105,6 +114,7 @@
 	}
 	l.waitDown(ctx)
 	l.recorder.RecordFault(fmt.Sprintf("at %s %s is killed, and at %s started again %s", start, m.Name, l.elapsed(), diskState))
+	defer l.recorder.RecordDisruption(disrupted)
 	return l.start(m, false)
 }
 
@@ -120,6 +130,7 @@
 // terminateAndRestart ends a process with SIGTERM, as the platform does, and starts it again.
 func (l *lab) terminateAndRestart(m *machine) error {
 	start := l.elapsed()
+	disrupted := l.beginDisruption(m)
 	process := m.takeProcess()
 	if process == nil {
 		return errors.Errorf("%s is not running", m.Name)
@@ -128,18 +139,21 @@
 		l.recordCrash(fmt.Sprintf("%s was sent SIGTERM at %s and had not ended properly by %s: %v", m.Name, start, l.elapsed(), err))
 	}
 	l.recorder.RecordFault(fmt.Sprintf("at %s %s is sent SIGTERM, and at %s it has ended and is started again", start, m.Name, l.elapsed()))
+	defer l.recorder.RecordDisruption(disrupted)
 	return l.start(m, false)
 }
 
 // freeze stops a machine's process with SIGSTOP for a while: it answers nothing and loses nothing.
 func (l *lab) freeze(ctx context.Context, m *machine) error {
 	process := m.currentProcess()
+	disrupted := l.beginDisruption(m)
 	if err := process.Signal(syscall.SIGSTOP); err != nil {
 		return errors.Wrap(err, m.Name)
 	}
 	start := l.elapsed()
 	l.waitDown(ctx)
 	l.recorder.RecordFault(fmt.Sprintf("at %s %s freezes, and at %s it continues", start, m.Name, l.elapsed()))
+	defer l.recorder.RecordDisruption(disrupted)
 	return process.Signal(syscall.SIGCONT)
 }
 
@@ -157,10 +171,12 @@
 // losePower kills all running processes at once and starts them again with their disks.
 func (l *lab) losePower(ctx context.Context) error {
 	var lost []*machine
+	var disrupted []audit.Disruption
 	var killed sync.WaitGroup
 	for _, m := range l.machines {
 		if m.currentProcess() != nil {
 			lost = append(lost, m)
+			disrupted = append(disrupted, l.beginDisruption(m))
 			killed.Go(m.kill)
 		}
 	}
@@ -172,6 +188,9 @@
 			return err
 		}
 	}
+	for _, d := range disrupted {
+		l.recorder.RecordDisruption(d)
+	}
 	l.recorder.RecordFault(fmt.Sprintf("at %s all machines lose power, and at %s all are started again", start, l.elapsed()))
 	return nil
 }
--- a/internal/tierlab/run.go
+++ b/internal/tierlab/run.go
@@ -27,6 +27,9 @@
 		agent := tierfakes.NewAgent(l.client, n+1, l.opt.Seed)
 		workers.Go(func() { agent.Run(workCtx) })
 	}
+	for _, application := range l.applications {
+		workers.Go(func() { application.Run(workCtx) })
+	}
 	var failures [3]error
 	workers.Go(func() { failures[0] = l.changeConfigurations(ctx, workCtx) })
 	workers.Go(func() { failures[1] = l.injectFaults(ctx, workCtx) })
@@ -38,6 +41,7 @@
 	if err := l.readBack(ctx); err != nil {
 		return err
 	}
+	l.readTallies(ctx)
 	// Keep watching the servers: a rejected request must not run later either.
 	<-time.After(lateRunWatch)
 	return nil
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -76,6 +76,10 @@
 	// get no new requests, and for a replaced configuration to be out of use.
 	drainBound = 3 * time.Second
 	applyBound = 2 * time.Second
+	// mergeBound is the time that the tier promises for a tally to hold every add once there is no
+	// disruption. contactBound is the time after a disruption in which the tier may still react to it.
+	mergeBound   = 3 * time.Second
+	contactBound = 3 * time.Second
 	// lateRunWatch is how long after the last answer the servers are still watched for late runs.
 	lateRunWatch = 500 * time.Millisecond
 	// pollInterval is the interval between two checks of a condition.
@@ -91,18 +95,19 @@
 
 // lab is the state of one run.
 type lab struct {
-	opt         Options
-	folder      string
-	recorder    *audit.Recorder
-	platform    *tierfakes.Platform
-	balancer    *tierfakes.LoadBalancer
-	client      *tierfakes.Client
-	operator    *tierfakes.Operator
-	connections *rpc.Pool // to the internal ports of the tier
-	machines    []*machine
-	logs        []io.Closer
-	faultShare  float64                 // time per fault, as a fraction of the run
-	cancelStart context.CancelCauseFunc // ends the start if a process crashes
+	opt          Options
+	folder       string
+	recorder     *audit.Recorder
+	platform     *tierfakes.Platform
+	balancer     *tierfakes.LoadBalancer
+	client       *tierfakes.Client
+	operator     *tierfakes.Operator
+	connections  *rpc.Pool // to the internal ports of the tier
+	machines     []*machine
+	logs         []io.Closer
+	applications []*tierfakes.Application
+	faultShare   float64                 // time per fault, as a fraction of the run
+	cancelStart  context.CancelCauseFunc // ends the start if a process crashes
 
 	mu          sync.Mutex
 	servers     []*tierfakes.Server
@@ -145,7 +150,7 @@
 	}
 	l.close()
 	history := l.recorder.History()
-	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound})
+	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Merge: mergeBound})
 	return &Result{Report: report, History: history, Crashed: l.crashed, Disk: l.diskSync}, nil
 }
 
@@ -179,6 +184,7 @@
 	l.operator = tierfakes.NewOperator(cores, l.recorder)
 	l.balancer = tierfakes.NewLoadBalancer(edges)
 	l.client = tierfakes.NewClient(l.balancer, l.recorder)
+	l.buildApplications()
 	return l.startServers()
 }
 
@@ -224,6 +230,7 @@
 		m.Log = file
 		l.logs = append(l.logs, file)
 	}
+	l.recorder.RecordStart(m.Name)
 	process, err := m.Start(bootstrap)
 	if err != nil {
 		return errors.Wrap(err, m.Name)
