Play evacuations of zones in the lab, and audit who obeys them

After all troubles clients use the tier for two seconds more. The auditor has two rules: servers of an evacuated zone get nothing from an edge in touch later than evacuateMs after the acknowledgement, and the newest acknowledged order about each zone is in force at the end, judged by where requests go. The settings of the lab's machines state the bounds by which a run is judged.

The lab's own test and the auditor's pass.

--- a/cmd/oaklab/tier_test.go
+++ b/cmd/oaklab/tier_test.go
@@ -55,6 +55,7 @@
 	assert.Greater(t, r.Report.Acknowledged, 3, "configurations")
 	assert.Greater(t, r.Report.Tallies.Acknowledged, r.Report.Tallies.Adds*9/10, "adds to tallies")
 	assert.Greater(t, r.Report.Tallies.ReadsServed(), 50, "totals")
+	assert.Equal(t, r.Report.EvacuationsAcknowledged, 3)
 	assert.Len(t, r.Report.Faults, 8)
 }
 
--- a/internal/audit/tier/checker_test.go
+++ b/internal/audit/tier/checker_test.go
@@ -14,7 +14,7 @@
 
 const host = "tier.lab"
 
-var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second, Merge: 3 * time.Second}
+var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second, Merge: 3 * time.Second, Evacuate: time.Second, Contact: 2 * time.Second}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -27,7 +27,8 @@
 }
 
 // validHistory is a history that keeps every rule: an order, a read that ran twice, three turns of
-// which the last finds the budget exhausted, two configurations, a server that drains, and tallies.
+// which the last finds the budget exhausted, two configurations, a server that drains, tallies, and
+// zones that are evacuated.
 func validHistory() *History {
 	routesTo := func(services ...string) []AllowedRoute {
 		return []AllowedRoute{{Host: host, Prefix: "/", Services: []string{"tools"}}, {Host: host, Prefix: "/turns/", Services: services}}
@@ -64,6 +65,7 @@
 		Kills:    []string{"at 1.0 s core-1 is killed"},
 	}
 	addTallies(h)
+	addEvacuations(h)
 	return h
 }
 
@@ -189,7 +191,7 @@
 
 func TestEachRuleDetectsItsViolations(t *testing.T) {
 	broken := map[Rule]bool{}
-	for _, b := range slices.Concat(violations, tallyViolations) {
+	for _, b := range slices.Concat(violations, tallyViolations, evacuationViolations) {
 		t.Run(b.name, func(t *testing.T) {
 			h := validHistory()
 			b.change(h)
@@ -259,7 +261,7 @@
 	var text bytes.Buffer
 	r.Print(&text)
 	for _, line := range []string{"trouble: at 1.0 s core-1 is killed", "configurations: 2 ordered in 3 sends, 2 acknowledged",
-		"tallies: 3 adds, 2 of them acknowledged; calls that add, by status (0: no whole answer): 0: 1, 200: 2, 503: 1; that read: 200: 4"} {
+		"tallies: 3 adds, 2 of them acknowledged; calls that add, by status (0: no whole answer): 0: 1, 200: 2, 503: 1; that read: 200: 4", "order: at 1.400 s zone-c is to be evacuated, sent 2 times, acknowledged at 1.500 s"} {
 		assert.Check(t, strings.Contains(text.String(), line), text.String())
 	}
 	h.Shown[0].Body = "first"
--- a/internal/audit/tier/history.go
+++ b/internal/audit/tier/history.go
@@ -50,6 +50,7 @@
 	Host    string
 	Path    string
 	Input   string // the body
+	Edge    string // the machine that it was sent to
 	Sent    time.Duration
 	Answer  Answer
 
@@ -64,6 +65,7 @@
 	Attempt string
 	Server  string
 	Service string
+	Zone    string // of the server
 	At      time.Duration
 	Path    string
 	Seal    string // identifies the run; empty: the server rejected the request without running it
@@ -112,6 +114,9 @@
 	Draining       map[string]time.Duration // when the platform first listed a server as draining, by server
 	Kills          []string                 // descriptions of the injected faults
 
+	Evacuations  []EvacuationOrder // in the order in which they were first sent
+	FinalTraffic Span              // of clients, after all troubles
+
 	TallyAdds   []TallyAdd
 	TallyReads  []TallyRead
 	Starts      map[string][]time.Duration // when a machine's process was about to start, by machine
@@ -180,6 +185,33 @@
 	c.Acknowledged, c.Refused, c.Tries = acknowledged, refused, tries
 }
 
+// RecordEvacuation records an order about a zone that is about to be sent, and returns its number.
+func (r *Recorder) RecordEvacuation(o EvacuationOrder) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.Sent = r.Now()
+	r.history.Evacuations = append(r.history.Evacuations, o)
+	return len(r.history.Evacuations) - 1
+}
+
+// RecordEvacuationTry records that an order was sent once, and whether it is acknowledged now.
+func (r *Recorder) RecordEvacuationTry(order int, acknowledged bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := &r.history.Evacuations[order]
+	o.Tries++
+	if acknowledged {
+		o.Acknowledged = r.Now()
+	}
+}
+
+// RecordFinalTraffic records that clients have used the tier after all troubles, until now.
+func (r *Recorder) RecordFinalTraffic(from time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.FinalTraffic = Span{From: from, Until: r.Now()}
+}
+
 // RecordReadBack records a configuration that was read.
 func (r *Recorder) RecordReadBack(read ConfigurationRead) {
 	r.mu.Lock()
@@ -252,6 +284,7 @@
 	return &History{
 		Requests: slices.Clone(h.Requests), Arrivals: slices.Clone(h.Arrivals), Configurations: slices.Clone(h.Configurations),
 		Shown: slices.Clone(h.Shown), Draining: maps.Clone(h.Draining), Kills: slices.Clone(h.Kills),
+		Evacuations: slices.Clone(h.Evacuations), FinalTraffic: h.FinalTraffic,
 		TallyAdds: slices.Clone(h.TallyAdds), TallyReads: slices.Clone(h.TallyReads), Starts: maps.Clone(h.Starts), Disruptions: slices.Clone(h.Disruptions),
 	}
 }
--- a/internal/audit/tier/report.go
+++ b/internal/audit/tier/report.go
@@ -26,18 +26,20 @@
 
 // Report summarizes a run.
 type Report struct {
-	Kinds                 [len(kindNames)]KindCounts
-	Statuses              [len(kindNames)]map[int]int // answers by status; 0: no complete answer, also a 200 that broke off
-	First                 latency.Quantiles           // of turns, to the first byte
-	Programs              int
-	BudgetExhausted       int // programs with a turn answered with status 402
-	ContinuedTurns        int // served turns that continue another one
-	Configurations        int // sent
-	Acknowledged          int // configurations
-	ConfigurationAttempts int // of all configurations together
-	Tallies               TallyCounts
-	Faults                []string
-	Verdicts              []Verdict
+	Kinds                   [len(kindNames)]KindCounts
+	Statuses                [len(kindNames)]map[int]int // answers by status; 0: no complete answer, also a 200 that broke off
+	First                   latency.Quantiles           // of turns, to the first byte
+	Programs                int
+	BudgetExhausted         int // programs with a turn answered with status 402
+	ContinuedTurns          int // served turns that continue another one
+	Configurations          int // sent
+	Acknowledged            int // configurations
+	ConfigurationAttempts   int // of all configurations together
+	Evacuations             []EvacuationOrder
+	EvacuationsAcknowledged int
+	Tallies                 TallyCounts
+	Faults                  []string
+	Verdicts                []Verdict
 }
 
 // maxLatencyMicroseconds is the largest latency of the histograms; larger ones are not recorded.
@@ -86,9 +88,29 @@
 			r.Acknowledged++
 		}
 	}
+	r.Evacuations = h.Evacuations
+	for _, order := range h.Evacuations {
+		if order.Acknowledged != 0 {
+			r.EvacuationsAcknowledged++
+		}
+	}
 	return r
 }
 
+func (r *Report) printEvacuations(to io.Writer) {
+	for _, order := range r.Evacuations {
+		what := "taken back"
+		if order.Evacuated {
+			what = "evacuated"
+		}
+		outcome := "never acknowledged"
+		if order.Acknowledged != 0 {
+			outcome = "acknowledged at " + formatTime(order.Acknowledged)
+		}
+		fmt.Fprintf(to, "order: at %s %s is to be %s, sent %d times, %s\n", formatTime(order.Sent), order.Zone, what, order.Tries, outcome)
+	}
+}
+
 func (r *Report) count(q *Request) {
 	c := &r.Kinds[q.Kind]
 	c.Sent++
@@ -140,6 +162,7 @@
 	fmt.Fprintf(to, "turns: %d programs, %d of them spent their budget, %d turns went on from another; first byte p50 %.1f ms, p99 %.1f ms\n",
 		r.Programs, r.BudgetExhausted, r.ContinuedTurns, r.First.P50, r.First.P99)
 	fmt.Fprintf(to, "configurations: %d ordered in %d sends, %d acknowledged\n", r.Configurations, r.ConfigurationAttempts, r.Acknowledged)
+	r.printEvacuations(to)
 	r.Tallies.print(to)
 	for _, fault := range r.Faults {
 		fmt.Fprintf(to, "trouble: %s\n", fault)
--- a/internal/fakes/tier/client.go
+++ b/internal/fakes/tier/client.go
@@ -36,20 +36,15 @@
 
 // LoadBalancer knows which edges accept clients, like the load balancer in front of a real tier.
 type LoadBalancer struct {
-	readiness []string // addresses of the readiness checks
-	fronts    []string // addresses for clients, in the same order
+	edges []*Machine
 
 	mu    sync.Mutex
-	ready []string // client addresses of the ready edges
+	ready []*Machine
 }
 
 // NewLoadBalancer returns a LoadBalancer for the machines. It knows no ready edge before Watch runs.
 func NewLoadBalancer(machines []*Machine) *LoadBalancer {
-	b := &LoadBalancer{}
-	for _, m := range machines {
-		b.readiness, b.fronts = append(b.readiness, m.Readiness()), append(b.fronts, m.Front())
-	}
-	return b
+	return &LoadBalancer{edges: machines}
 }
 
 // Watch checks the readiness of the edges periodically until ctx ends.
@@ -64,16 +59,16 @@
 }
 
 func (b *LoadBalancer) poll(ctx context.Context, client *http.Client) {
-	readyEdges := make([]bool, len(b.fronts))
+	readyEdges := make([]bool, len(b.edges))
 	var done sync.WaitGroup
-	for i, address := range b.readiness {
-		done.Go(func() { readyEdges[i] = EdgeReady(ctx, client, address) })
+	for i, m := range b.edges {
+		done.Go(func() { readyEdges[i] = EdgeReady(ctx, client, m.Readiness()) })
 	}
 	done.Wait()
-	var ready []string
+	var ready []*Machine
 	for i, ok := range readyEdges {
 		if ok {
-			ready = append(ready, b.fronts[i])
+			ready = append(ready, b.edges[i])
 		}
 	}
 	b.mu.Lock()
@@ -89,11 +84,11 @@
 }
 
 // pick returns a random ready edge, or any edge if none is ready.
-func (b *LoadBalancer) pick() string {
+func (b *LoadBalancer) pick() *Machine {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
-		return b.fronts[rand.IntN(len(b.fronts))]
+		return b.edges[rand.IntN(len(b.edges))]
 	}
 	return b.ready[rand.IntN(len(b.ready))]
 }
@@ -133,7 +128,9 @@
 }
 
 func (c *Client) roundTrip(ctx context.Context, call *Call, q *audit.Request) time.Duration {
-	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.Balancer.pick()+q.Path, strings.NewReader(q.Input))
+	edge := c.Balancer.pick()
+	q.Edge = edge.Name
+	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+edge.Front()+q.Path, strings.NewReader(q.Input))
 	if err != nil {
 		return 0
 	}
--- a/internal/fakes/tier/machine.go
+++ b/internal/fakes/tier/machine.go
@@ -48,10 +48,11 @@
 	IP            string
 	Zone          string
 	Zones         []string
-	Seeds         []string // addresses of all core machines
-	Platform      string   // host:port
-	MachineLosses int      // machines that may be lost at once
-	Folder        string   // holds its settings, its log and its disk
+	Seeds         []string       // addresses of all core machines
+	Platform      string         // host:port
+	MachineLosses int            // machines that may be lost at once
+	TimingBounds  map[string]int // the settings' table of that name
+	Folder        string         // holds its settings, its log and its disk
 	Log           io.Writer
 }
 
@@ -75,6 +76,7 @@
 	Limits            map[string]int    `toml:"limits"`
 	FaultTolerance    map[string]int    `toml:"faultTolerance"`
 	CloudAPI          map[string]string `toml:"cloudApi"`
+	TimingBounds      map[string]int    `toml:"timingBounds"`
 }
 
 // region contains all zones.
@@ -108,6 +110,7 @@
 		BindAddresses:  map[string]string{"front": m.Front(), "readiness": m.Readiness(), "controlPlane": m.Control()},
 		Limits:         map[string]int{"coreCount": coreCount, "memoryMb": memoryMB, "fileDescriptors": fileDescriptors},
 		FaultTolerance: map[string]int{"machineLosses": m.MachineLosses}, CloudAPI: map[string]string{"address": m.Platform},
+		TimingBounds: m.TimingBounds,
 	}
 	for _, zone := range m.Zones {
 		f.Zones[zone] = region
--- a/internal/fakes/tier/operator.go
+++ b/internal/fakes/tier/operator.go
@@ -141,6 +141,31 @@
 	return o.callUntil(ctx, http.MethodGet, "/api/Retire.Show/"+name, func(body string) bool { return strings.Contains(body, completed) })
 }
 
+// Evacuate orders that the servers of a zone get nothing more, or takes that back. It repeats the
+// order until it is acknowledged or rejected, or ctx ends.
+func (o *Operator) Evacuate(ctx context.Context, zone string, evacuated bool) error {
+	path := "/api/Evacuate.Finish/" + zone
+	if evacuated {
+		path = "/api/Evacuate.Begin/" + zone
+	}
+	order := o.recorder.RecordEvacuation(audit.EvacuationOrder{Zone: zone, Evacuated: evacuated})
+	for attempts := 1; ; attempts++ {
+		status, _ := o.call(ctx, http.MethodPost, path, nil, "")
+		o.recorder.RecordEvacuationTry(order, status == http.StatusOK)
+		switch {
+		case status == http.StatusOK:
+			return nil
+		case turnsAway(status):
+			o.current++
+		default:
+			return &RejectedError{Operation: path, Status: status, Attempts: attempts}
+		}
+		if !wait.For(ctx, retryPause) {
+			return errors.Wrap(ErrUndecided, path)
+		}
+	}
+}
+
 // callUntil repeats a call until it is answered with 200 and a wanted body, or rejected, or ctx ends.
 func (o *Operator) callUntil(ctx context.Context, method, path string, wanted func(body string) bool) error {
 	for attempts := 1; ; attempts++ {
--- a/internal/fakes/tier/server.go
+++ b/internal/fakes/tier/server.go
@@ -119,7 +119,7 @@
 	}
 	h := w.Header()
 	h.Set(attemptHeader, r.Header.Get(attemptHeader))
-	arrival := audit.Arrival{Attempt: r.Header.Get(attemptHeader), Server: s.Member.MemberID, Service: s.Member.PoolName,
+	arrival := audit.Arrival{Attempt: r.Header.Get(attemptHeader), Server: s.Member.MemberID, Service: s.Member.PoolName, Zone: s.Member.Zone,
 		At: s.opt.Recorder.Now(), Path: r.URL.Path, Input: string(input)}
 	if target := r.Header.Get(targetHeader); target != "" && target != s.Member.MemberID {
 		arrival.Misdirected = true
--- a/internal/fakes/tier/tier_test.go
+++ b/internal/fakes/tier/tier_test.go
@@ -160,6 +160,22 @@
 	assert.Equal(t, calls[len(calls)-1], "GET /api/Retire.Show/storage-1  ")
 }
 
+func TestOperatorRepeatsEvacuationUntilAcknowledged(t *testing.T) {
+	var calls []string
+	recorder := audit.NewRecorder()
+	o := NewOperator([]string{fakeCore(t, &calls, 429, 503, 200, 200, 404)}, recorder)
+	assert.NilError(t, o.Evacuate(context.Background(), "zone-a", true))
+	assert.NilError(t, o.Evacuate(context.Background(), "zone-a", false))
+	begin, finish := "POST /api/Evacuate.Begin/zone-a  ", "POST /api/Evacuate.Finish/zone-a  "
+	assert.DeepEqual(t, calls, []string{begin, begin, begin, finish})
+	var rejected *RejectedError
+	assert.Check(t, errors.As(o.Evacuate(context.Background(), "nowhere", true), &rejected))
+	orders := recorder.History().Evacuations
+	assert.Check(t, orders[0].Tries == 3 && orders[0].Evacuated && orders[0].Acknowledged > orders[0].Sent)
+	assert.Check(t, !orders[1].Evacuated && orders[1].Acknowledged > 0)
+	assert.Equal(t, orders[2].Acknowledged, time.Duration(0))
+}
+
 func TestOperatorStopsAtRejection(t *testing.T) {
 	var calls []string
 	recorder := audit.NewRecorder()
--- a/internal/tierlab/applications.go
+++ b/internal/tierlab/applications.go
@@ -6,7 +6,6 @@
 
 	tierfakes "oakseam/internal/fakes/tier"
 	"oakseam/internal/tier/settings"
-	"oakseam/internal/wait"
 )
 
 // buildApplications creates an application in each zone that has a core machine.
@@ -33,11 +32,8 @@
 	return append(near, far...)
 }
 
-// readTallies has each application read its tallies once the last adds must be merged.
+// readTallies has each application read its tallies within the time of contact.
 func (l *lab) readTallies(ctx context.Context) {
-	if !wait.For(ctx, mergeBound) {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, contactBound)
 	defer cancel()
 	var reading sync.WaitGroup
--- a/internal/tierlab/run.go
+++ b/internal/tierlab/run.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	tierfakes "oakseam/internal/fakes/tier"
+	"oakseam/internal/wait"
 )
 
 // runScenario starts the tier, lets clients and an operator use it while faults are injected, and
@@ -30,10 +31,11 @@
 	for _, application := range l.applications {
 		workers.Go(func() { application.Run(workCtx) })
 	}
-	var failures [3]error
+	var failures [4]error
 	workers.Go(func() { failures[0] = l.changeConfigurations(ctx, workCtx) })
 	workers.Go(func() { failures[1] = l.injectFaults(ctx, workCtx) })
 	workers.Go(func() { l.diskSync, failures[2] = probeDisk(workCtx, l.folder) })
+	workers.Go(func() { failures[3] = l.orderEvacuations(ctx, workCtx) })
 	workers.Wait()
 	if err := errors.Join(failures[:]...); err != nil {
 		return err
@@ -41,7 +43,9 @@
 	if err := l.readBack(ctx); err != nil {
 		return err
 	}
-	l.readTallies(ctx)
+	if err := l.useAfterTroubles(ctx); err != nil {
+		return err
+	}
 	// Keep watching the servers: a rejected request must not run later either.
 	<-time.After(lateRunWatch)
 	return nil
@@ -64,6 +68,31 @@
 	return waitUntil(ctx, "edges", func() bool { return l.balancer.ReadyCount() == l.opt.Edges })
 }
 
+// useAfterTroubles lets clients use the tier once more when all must be in force and merged, and
+// applications read the tallies.
+func (l *lab) useAfterTroubles(ctx context.Context) error {
+	readyCtx, cancel := context.WithTimeoutCause(ctx, startTimeout, errors.New("not ready in time after the troubles"))
+	defer cancel()
+	if err := waitUntil(readyCtx, "edges", func() bool { return l.balancer.ReadyCount() == l.opt.Edges }); err != nil {
+		return err
+	}
+	if !wait.For(ctx, max(contactBound, evacuateBound, mergeBound)) {
+		return ctx.Err()
+	}
+	from := l.recorder.Now()
+	workCtx, stopWork := context.WithTimeout(ctx, finalTraffic)
+	defer stopWork()
+	var workers sync.WaitGroup
+	for n := range l.opt.Agents {
+		agent := tierfakes.NewAgent(l.client, l.opt.Agents+n+1, l.opt.Seed)
+		workers.Go(func() { agent.Run(workCtx) })
+	}
+	workers.Go(func() { l.readTallies(ctx) })
+	workers.Wait()
+	l.recorder.RecordFinalTraffic(from)
+	return nil
+}
+
 // readBack reads and records the configuration in force at the end.
 func (l *lab) readBack(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -80,8 +80,14 @@
 	// disruption. contactBound is the time after a disruption in which the tier may still react to it.
 	mergeBound   = 3 * time.Second
 	contactBound = 3 * time.Second
+	// evacuateBound is the time that the tier promises for requests to keep away from an evacuated
+	// zone. acknowledgeBound is how long an operator sends an order again.
+	evacuateBound    = 2 * time.Second
+	acknowledgeBound = 4 * time.Second
 	// lateRunWatch is how long after the last answer the servers are still watched for late runs.
 	lateRunWatch = 500 * time.Millisecond
+	// finalTraffic is how long clients use the tier after all troubles.
+	finalTraffic = 2 * time.Second
 	// pollInterval is the interval between two checks of a condition.
 	pollInterval = 20 * time.Millisecond
 	// progressInterval is the interval between two progress reports.
@@ -102,7 +108,8 @@
 	balancer     *tierfakes.LoadBalancer
 	client       *tierfakes.Client
 	operator     *tierfakes.Operator
-	connections  *rpc.Pool // to the internal ports of the tier
+	evacuator    *tierfakes.Operator // gives the orders about zones
+	connections  *rpc.Pool           // to the internal ports of the tier
 	machines     []*machine
 	logs         []io.Closer
 	applications []*tierfakes.Application
@@ -150,7 +157,7 @@
 	}
 	l.close()
 	history := l.recorder.History()
-	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Merge: mergeBound})
+	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Evacuate: evacuateBound, Contact: contactBound, Merge: mergeBound})
 	return &Result{Report: report, History: history, Crashed: l.crashed, Disk: l.diskSync}, nil
 }
 
@@ -182,12 +189,23 @@
 		edges = append(edges, m.Machine)
 	}
 	l.operator = tierfakes.NewOperator(cores, l.recorder)
+	l.evacuator = tierfakes.NewOperator(cores, l.recorder)
 	l.balancer = tierfakes.NewLoadBalancer(edges)
 	l.client = tierfakes.NewClient(l.balancer, l.recorder)
 	l.buildApplications()
 	return l.startServers()
 }
 
+// timingBounds returns the settings' table of the bounds by which the run is judged.
+func timingBounds() map[string]int {
+	table := map[string]int{}
+	for key, bound := range map[string]time.Duration{"drainMs": drainBound, "configApplyMs": applyBound, "mergeMs": mergeBound,
+		"contactMs": contactBound, "evacuateMs": evacuateBound, "ackMs": acknowledgeBound} {
+		table[key] = int(bound.Milliseconds())
+	}
+	return table
+}
+
 // ip returns the address of the machine with a number, counted from 0.
 func (l *lab) ip(number int) string { return fmt.Sprintf("%s.0.%d", l.opt.Network, number+1) }
 
@@ -197,7 +215,7 @@
 	number := len(l.machines)
 	m := &tierfakes.Machine{
 		Name: name, Serves: serves, Program: program, Command: command, IP: l.ip(number), Zone: zones[number%len(zones)], Zones: zones,
-		Seeds: seeds, Platform: l.platform.Address, MachineLosses: machineLosses, Folder: filepath.Join(l.folder, name), Log: io.Discard,
+		Seeds: seeds, Platform: l.platform.Address, MachineLosses: machineLosses, TimingBounds: timingBounds(), Folder: filepath.Join(l.folder, name), Log: io.Discard,
 	}
 	l.machines = append(l.machines, &machine{Machine: m})
 }
