--- a/cmd/oaklab/tier.go
+++ b/cmd/oaklab/tier.go
@@ -58,7 +58,7 @@
 	f.IntVar(&opt.Agents, "agents", opt.Agents, "number of agents that run programs")
 	f.Uint64Var(&opt.Seed, "seed", opt.Seed, "seed of all random choices")
 	f.BoolVar(&opt.Calm, "calm", false, "inject no faults")
-	f.BoolVar(&opt.Harsh, "harsh", false, "inject more faults: an edge killed, machines frozen, one emptied, a zone cut off, power loss of a zone and of all, servers that break off")
+	f.BoolVar(&opt.Harsh, "harsh", false, "inject more faults: an edge killed, machines frozen and emptied, one retired, a zone cut off, power loss of a zone and of all, servers that break off")
 	return c
 }
 
--- a/internal/audit/tier/evacuations.go
+++ b/internal/audit/tier/evacuations.go
@@ -1,6 +1,7 @@
 package tier
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -106,7 +107,8 @@
 		newest[order.Zone] = order
 	}
 	arrivals := c.finalArrivals()
-	for zone, order := range newest {
+	for _, zone := range slices.Sorted(maps.Keys(newest)) {
+		order := newest[zone]
 		if order.Acknowledged == 0 || len(arrivals) == 0 {
 			continue
 		}
--- a/internal/audit/tier/tallies.go
+++ b/internal/audit/tier/tallies.go
@@ -1,6 +1,7 @@
 package tier
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -77,7 +78,7 @@
 		readable[read.Tally] = readable[read.Tally] || read.Final
 		c.checkTotal(read, byTally[read.Tally])
 	}
-	for tally := range byTally {
+	for _, tally := range slices.Sorted(maps.Keys(byTally)) {
 		c.check(TallyDurable, readable[tally], "%s could not be read at the end", tally)
 	}
 }
--- a/internal/tierlab/faults.go
+++ b/internal/tierlab/faults.go
@@ -67,7 +67,7 @@
 // injectMachineFaults injects all machine faults, evenly spread.
 func (l *lab) injectMachineFaults(ctx context.Context) error {
 	storages, edges := l.machinesOf(settings.Storage), l.machinesOf(settings.Edge)
-	core := l.machinesOf(settings.Control)[0]
+	cores := l.machinesOf(settings.Control)
 	all := []fault{
 		func(ctx context.Context) error { return l.killAndRestart(ctx, storages[0], false) },
 		func(ctx context.Context) error { return l.killAndRestart(ctx, storages[1], true) },
@@ -79,7 +79,8 @@
 			func(ctx context.Context) error { return l.killAndRestart(ctx, edges[len(edges)-1], false) },
 			func(ctx context.Context) error { return l.freeze(ctx, storages[2]) },
 			func(ctx context.Context) error { return l.freeze(ctx, edges[0]) },
-			func(ctx context.Context) error { return l.freeze(ctx, core) },
+			func(ctx context.Context) error { return l.freeze(ctx, cores[0]) },
+			func(ctx context.Context) error { return l.killAndRestart(ctx, cores[len(cores)-1], true) },
 			func(ctx context.Context) error { return l.retire(ctx, storages[len(storages)-1]) },
 			func(ctx context.Context) error { return l.isolate(ctx, zones[0]) },
 			func(ctx context.Context) error {
