Play cold servers in the lab, and audit how many requests each gets

Cause: the lab knew no cold servers, so a limit that all edges share was judged nowhere on processes.

Change: servers that start during traffic are cold for three seconds, as are those of a zone that is taken back; the platform tells the time left. A rule counts the requests that reach a cold server in any second, from all edges together.

--- a/internal/audit/tier/checker.go
+++ b/internal/audit/tier/checker.go
@@ -32,12 +32,13 @@
 	EvacuationDurable        Rule = "an acknowledged evacuation order is in force at the end"
 	IsolatedEdgeNotReady     Rule = "an edge of a cut-off zone is not ready"
 	IsolatedZoneCounts       Rule = "a cut-off zone goes on counting tallies"
+	ColdServerSpared         Rule = "a cold server gets no more than it can bear"
 	TallyDurable             Rule = "a tally is whole at the end"
 )
 
 var allRules = []Rule{RunsOnce, RejectedNeverRuns, SuccessComplete, HistoryExact, EventsInOrder, BudgetRespected, BudgetRejectionJustified,
 	TurnFound, ConfigurationDurable, DrainRespected, RouteAllowed, TallyCountsOnce, TallyHoldsOwnAdds, TallyMerged, TallyDurable,
-	EvacuationRespected, EvacuationAcknowledged, EvacuationDurable, IsolatedEdgeNotReady, IsolatedZoneCounts}
+	EvacuationRespected, EvacuationAcknowledged, EvacuationDurable, IsolatedEdgeNotReady, IsolatedZoneCounts, ColdServerSpared}
 
 // Bounds are the time limits of the rules.
 type Bounds struct {
@@ -47,6 +48,8 @@
 	Evacuate    time.Duration // the servers of a zone get no requests once its evacuation has been acknowledged for this long
 	Contact     time.Duration // after a disruption of the core or an edge, the edge may not know the newest orders yet
 	Merge       time.Duration // a tally holds every add once this has passed after it without disruption
+	// ColdPerWindow is how many requests a cold server may get in any second.
+	ColdPerWindow int
 }
 
 // Verdict is the result of checking one rule.
@@ -108,6 +111,7 @@
 	c.checkTallies()
 	c.checkEvacuations()
 	c.checkIsolations()
+	c.checkCold()
 	verdicts := make([]Verdict, 0, len(allRules))
 	for _, r := range allRules {
 		verdicts = append(verdicts, *c.verdicts[r])
--- a/internal/audit/tier/checker_test.go
+++ b/internal/audit/tier/checker_test.go
@@ -14,7 +14,7 @@
 
 const host = "tier.lab"
 
-var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second, Merge: 3 * time.Second, Acknowledge: time.Second, Evacuate: time.Second, Contact: 2 * time.Second}
+var bounds = Bounds{Drain: 3 * time.Second, Apply: 2 * time.Second, Merge: 3 * time.Second, Acknowledge: time.Second, Evacuate: time.Second, Contact: 2 * time.Second, ColdPerWindow: 2}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -28,7 +28,7 @@
 
 // validHistory is a history that keeps every rule: an order, a read that ran twice, three turns of
 // which the last finds the budget exhausted, two configurations, a server that drains, tallies,
-// zones that are evacuated, and one that is cut off.
+// zones that are evacuated, one that is cut off, and a cold server.
 func validHistory() *History {
 	routesTo := func(services ...string) []AllowedRoute {
 		return []AllowedRoute{{Host: host, Prefix: "/", Services: []string{"tools"}}, {Host: host, Prefix: "/turns/", Services: services}}
@@ -67,6 +67,7 @@
 	addTallies(h)
 	addEvacuations(h)
 	addIsolation(h)
+	addCold(h)
 	return h
 }
 
@@ -192,7 +193,7 @@
 
 func TestEachRuleDetectsItsViolations(t *testing.T) {
 	broken := map[Rule]bool{}
-	for _, b := range slices.Concat(violations, tallyViolations, evacuationViolations, isolationViolations) {
+	for _, b := range slices.Concat(violations, tallyViolations, evacuationViolations, isolationViolations, coldViolations) {
 		t.Run(b.name, func(t *testing.T) {
 			h := validHistory()
 			b.change(h)
@@ -287,6 +288,7 @@
 	first := r.History().Draining["e"]
 	r.RecordDraining("e")
 	r.RecordFault("e")
+	r.RecordCold("e", time.Second)
 	r.RecordReadiness("edge-1", true)
 	r.RecordIsolation(Isolation{Zone: "zone-a"})
 	r.RecordStart("core-1")
@@ -303,6 +305,7 @@
 	assert.Equal(t, len(h.Shown)+len(h.Kills), 2)
 	assert.Check(t, h.Disruptions[0].Until >= h.Starts["core-1"][0])
 	assert.Equal(t, len(h.TallyAdds)+len(h.TallyReads), 2)
+	assert.Equal(t, h.Cold[0].Until-h.Cold[0].From, time.Second)
 	assert.Check(t, h.Isolations[0].Until >= h.Readiness[0].At && h.Readiness[0].Ready)
 }
 
--- a/internal/audit/tier/history.go
+++ b/internal/audit/tier/history.go
@@ -119,6 +119,7 @@
 
 	Readiness  []Readiness // changes, in order
 	Isolations []Isolation
+	Cold       []ColdSpan
 
 	TallyAdds   []TallyAdd
 	TallyReads  []TallyRead
@@ -231,6 +232,14 @@
 	r.history.Isolations = append(r.history.Isolations, i)
 }
 
+// RecordCold records that a server is cold from now on for a time.
+func (r *Recorder) RecordCold(server string, length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from := r.Now()
+	r.history.Cold = append(r.history.Cold, ColdSpan{Server: server, Span: Span{From: from, Until: from + length}})
+}
+
 // RecordReadBack records a configuration that was read.
 func (r *Recorder) RecordReadBack(read ConfigurationRead) {
 	r.mu.Lock()
@@ -304,7 +313,7 @@
 		Requests: slices.Clone(h.Requests), Arrivals: slices.Clone(h.Arrivals), Configurations: slices.Clone(h.Configurations),
 		Shown: slices.Clone(h.Shown), Draining: maps.Clone(h.Draining), Kills: slices.Clone(h.Kills),
 		Evacuations: slices.Clone(h.Evacuations), FinalTraffic: h.FinalTraffic,
-		Readiness: slices.Clone(h.Readiness), Isolations: slices.Clone(h.Isolations),
+		Readiness: slices.Clone(h.Readiness), Isolations: slices.Clone(h.Isolations), Cold: slices.Clone(h.Cold),
 		TallyAdds: slices.Clone(h.TallyAdds), TallyReads: slices.Clone(h.TallyReads), Starts: maps.Clone(h.Starts), Disruptions: slices.Clone(h.Disruptions),
 	}
 }
--- a/internal/fakes/tier/platform.go
+++ b/internal/fakes/tier/platform.go
@@ -42,8 +42,9 @@
 	server   *http.Server
 
 	mu          sync.Mutex
-	members     []Member // as currently listed
-	changes     []func() // not visible yet, oldest first
+	members     []Member             // as currently listed, without WarmupLeftMs
+	coldUntil   map[string]time.Time // by member id
+	changes     []func()             // not visible yet, oldest first
 	pagesServed int
 }
 
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{Address: l.Addr().String(), delay: delay, onListed: onListed}
+	p := &Platform{Address: l.Addr().String(), delay: delay, onListed: onListed, coldUntil: map[string]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /members", p.serveList)
 	p.server = &http.Server{Handler: mux}
@@ -78,6 +79,11 @@
 	}, m)
 }
 
+// PutCold lists a member as cold until a time, after the delay.
+func (p *Platform) PutCold(memberID string, until time.Time) {
+	p.applyLater(func() { p.coldUntil[memberID] = until }, Member{})
+}
+
 // Remove removes a member from the list after the delay.
 func (p *Platform) Remove(m Member) {
 	p.applyLater(func() {
@@ -128,6 +134,10 @@
 	from = min(max(from, 0), len(p.members))
 	to := min(from+pageSize, len(p.members))
 	out.Members = append([]Member{}, p.members[from:to]...)
+	for i := range out.Members {
+		left := time.Until(p.coldUntil[out.Members[i].MemberID])
+		out.Members[i].WarmupLeftMs = float64(max(left, 0).Milliseconds())
+	}
 	if to < len(p.members) {
 		token := strconv.Itoa(to)
 		out.NextToken = &token
--- a/internal/fakes/tier/tier_test.go
+++ b/internal/fakes/tier/tier_test.go
@@ -57,6 +57,19 @@
 	ids, _ = readList(t, p)
 	assert.DeepEqual(t, ids, []string{"m1 draining", "m2 in_service", "m3 in_service", "m9 in_service"})
 	assert.Equal(t, p.PagesServed(), 4)
+	p.PutCold("m9", time.Now().Add(time.Minute))
+	p.Put(Member{MemberID: "m8"})
+	for listed := range listed {
+		if listed.MemberID == "m8" {
+			break
+		}
+	}
+	response, err := http.Get("http://" + p.Address + "/members?pageToken=3")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var last page
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&last))
+	assert.Check(t, last.Members[0].WarmupLeftMs > 50000 && last.Members[1].WarmupLeftMs == 0)
 }
 
 // startServer starts a server and returns it with its recorder.
--- a/internal/tierlab/configuration.go
+++ b/internal/tierlab/configuration.go
@@ -37,9 +37,11 @@
 }
 
 type poolEntry struct {
-	Name     string       `json:"name"`
-	Protocol string       `json:"protocol"`
-	Engine   *engineEntry `json:"engine,omitempty"`
+	Name       string       `json:"name"`
+	Protocol   string       `json:"protocol"`
+	Engine     *engineEntry `json:"engine,omitempty"`
+	WarmupS    float64      `json:"warmupS"`
+	WarmupPerS float64      `json:"warmupPerS"`
 }
 
 type engineEntry struct {
@@ -66,8 +68,8 @@
 		{Name: "switch", Prefix: tierfakes.SwitchPath, Class: routing.Idempotent, TimeoutMs: toolTimeoutMs, Priority: 2, Pool: switchTarget, RetryLimit: 3},
 		{Name: "turn", Prefix: tierfakes.TurnPath, Class: routing.Streaming, TimeoutMs: turnTimeoutMs, Pool: engineService, RetryLimit: 3, Retained: true, RetentionS: retentionS},
 	}, Pools: []poolEntry{
-		{Name: toolService, Protocol: "h1"},
-		{Name: engineService, Protocol: "h1", Engine: &engineEntry{Capacity: engineSlots, StreamChunk: 1}},
+		{Name: toolService, Protocol: "h1", WarmupS: warmup.Seconds(), WarmupPerS: warmupPerSecond},
+		{Name: engineService, Protocol: "h1", Engine: &engineEntry{Capacity: engineSlots, StreamChunk: 1}, WarmupS: warmup.Seconds(), WarmupPerS: warmupPerSecond},
 	}}
 	c := audit.Configuration{Revision: revision, Base: revision - 1}
 	for i := range d.Routes {
--- a/internal/tierlab/evacuations.go
+++ b/internal/tierlab/evacuations.go
@@ -15,7 +15,7 @@
 	evacuated bool
 }
 
-// evacuationSteps empty one zone and take it back, and empty another one until the end of the run.
+// evacuationSteps empty one zone and take it back when its servers have just become cold, and empty another one until the end of the run.
 func evacuationSteps() []evacuationStep {
 	return []evacuationStep{{0.2, zones[0], true}, {0.3, zones[0], false}, {0.15, zones[2], true}}
 }
@@ -27,6 +27,9 @@
 	}
 	for _, step := range evacuationSteps() {
 		l.pause(workCtx, step.after)
+		if !step.evacuated {
+			l.makeZoneCold(step.zone)
+		}
 		if err := l.order(ctx, step); err != nil {
 			return err
 		}
--- a/internal/tierlab/servers.go
+++ b/internal/tierlab/servers.go
@@ -19,18 +19,18 @@
 	maxWaiting      = 4
 	toolServiceTime = 6 * time.Millisecond
 	eventInterval   = 8 * time.Millisecond
-	warmup          = 500 * time.Millisecond
-	breakOneIn      = 50 // with Options.Harsh, one run in this many breaks off
+	warmup          = 3 * time.Second // for which a server is cold
+	breakOneIn      = 50              // with Options.Harsh, one run in this many breaks off
 )
 
 func (l *lab) startServers() error {
 	for range toolServers {
-		if _, err := l.startServer(toolService, ""); err != nil {
+		if _, err := l.startServer(toolService, "", false); err != nil {
 			return err
 		}
 	}
 	for range engineServers {
-		if _, err := l.startServer(engineService, ""); err != nil {
+		if _, err := l.startServer(engineService, "", false); err != nil {
 			return err
 		}
 	}
@@ -38,15 +38,15 @@
 }
 
 // startServer starts a server of a service and has the platform list it. If address is empty the
-// server gets its own address.
-func (l *lab) startServer(service, address string) (*tierfakes.Server, error) {
+// server gets its own address. A server that starts during traffic is cold at first.
+func (l *lab) startServer(service, address string, cold bool) (*tierfakes.Server, error) {
 	l.mu.Lock()
 	l.serverCount++
 	number := l.serverCount
 	l.mu.Unlock()
 	o := tierfakes.ServerOptions{
 		Member: tierfakes.Member{MemberID: fmt.Sprintf("%s-%d", service, number), PoolName: service, Zone: zones[number%len(zones)],
-			Capacity: toolSlots, MemberState: tierfakes.InService, WarmupLeftMs: float64(warmup.Milliseconds())},
+			Capacity: toolSlots, MemberState: tierfakes.InService},
 		Listen: cmp.Or(address, fmt.Sprintf("%s.%d.%d:0", l.opt.Network, serverSubnet, number+1)),
 		Slots:  toolSlots, QueueLimit: maxWaiting, ServiceTime: toolServiceTime, EventInterval: eventInterval, Recorder: l.recorder,
 	}
@@ -63,10 +63,30 @@
 	l.mu.Lock()
 	l.servers = append(l.servers, s)
 	l.mu.Unlock()
+	if cold {
+		l.makeCold(s)
+	}
 	l.platform.Put(s.Member)
 	return s, nil
 }
 
+// makeCold makes a server cold from now on.
+func (l *lab) makeCold(s *tierfakes.Server) {
+	l.recorder.RecordCold(s.Member.MemberID, warmup)
+	l.platform.PutCold(s.Member.MemberID, time.Now().Add(warmup))
+}
+
+// makeZoneCold makes all servers of a zone cold, as if it had no power while it was evacuated.
+func (l *lab) makeZoneCold(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.servers {
+		if s.Member.Zone == zone {
+			l.makeCold(s)
+		}
+	}
+}
+
 // crashServer ends a tool server together with its requests. A server of the other service takes
 // over its address at once, before the platform lists either change.
 func (l *lab) crashServer() error {
@@ -77,7 +97,7 @@
 	l.mu.Unlock()
 	old.Close()
 	l.platform.Remove(old.Member)
-	successor, err := l.startServer(engineService, old.Member.Address)
+	successor, err := l.startServer(engineService, old.Member.Address, true)
 	if err != nil {
 		return err
 	}
@@ -98,7 +118,7 @@
 	l.mu.Unlock()
 	l.recorder.RecordFault(fmt.Sprintf("at %s a release begins: %d servers drain, as many new ones start", l.elapsed(), len(old)))
 	for _, s := range old {
-		if _, err := l.startServer(s.Member.PoolName, ""); err != nil {
+		if _, err := l.startServer(s.Member.PoolName, "", true); err != nil {
 			return err
 		}
 		draining := s.Member
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -157,7 +157,8 @@
 	}
 	l.close()
 	history := l.recorder.History()
-	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Acknowledge: acknowledgeBound, Evacuate: evacuateBound, Contact: contactBound, Merge: mergeBound})
+	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Acknowledge: acknowledgeBound, Evacuate: evacuateBound, Contact: contactBound, Merge: mergeBound,
+		ColdPerWindow: warmupPerSecond*warmupOverrun + warmupSlack})
 	return &Result{Report: report, History: history, Crashed: l.crashed, Disk: l.diskSync}, nil
 }
 
@@ -196,6 +197,13 @@
 	return l.startServers()
 }
 
+// Requests that a cold server may get: a second, and beyond that in any second.
+const (
+	warmupPerSecond = 4
+	warmupOverrun   = 1
+	warmupSlack     = 4
+)
+
 // timingBounds returns the settings' table of the bounds by which the run is judged.
 func timingBounds() map[string]int {
 	table := map[string]int{}
@@ -203,6 +211,7 @@
 		"contactMs": contactBound, "evacuateMs": evacuateBound, "ackMs": acknowledgeBound} {
 		table[key] = int(bound.Milliseconds())
 	}
+	table["warmupOverrun"], table["warmupSlack"] = warmupOverrun, warmupSlack
 	return table
 }
 
