--- a/internal/audit/tier/history.go
+++ b/internal/audit/tier/history.go
@@ -1,5 +1,5 @@
 // Package tier checks from the outside whether the serving tier keeps its rules, by what clients,
-// servers, the platform's callers and the operator saw of it. It depends on nothing of the tier's
+// servers, applications, the platform's callers and the operator saw of it. It depends on nothing of the tier's
 // implementation, does no I/O and reads no clock except in Recorder. All times count from the start
 // of a Recorder.
 package tier
--- a/internal/tierlab/evacuations.go
+++ b/internal/tierlab/evacuations.go
@@ -15,7 +15,8 @@
 	evacuated bool
 }
 
-// evacuationSteps empty one zone and take it back when its servers have just become cold, and empty another one until the end of the run.
+// evacuationSteps empty one zone and take it back when its servers have just become cold, and empty
+// another one until the end of the run.
 func evacuationSteps() []evacuationStep {
 	return []evacuationStep{{0.2, zones[0], true}, {0.3, zones[0], false}, {0.15, zones[2], true}}
 }
--- a/internal/tierlab/run.go
+++ b/internal/tierlab/run.go
@@ -20,6 +20,22 @@
 	if err := l.startTier(ctx); err != nil {
 		return err
 	}
+	if err := l.useWithTroubles(ctx); err != nil {
+		return err
+	}
+	if err := l.readBack(ctx); err != nil {
+		return err
+	}
+	if err := l.useAfterTroubles(ctx); err != nil {
+		return err
+	}
+	// Keep watching the servers: a rejected request must not run later either.
+	<-time.After(lateRunWatch)
+	return nil
+}
+
+// useWithTroubles lets all parties use the tier for the run's time while faults are injected.
+func (l *lab) useWithTroubles(ctx context.Context) error {
 	workCtx, stopWork := context.WithTimeout(ctx, time.Duration(l.opt.Seconds*float64(time.Second)))
 	defer stopWork()
 	go l.reportProgress(workCtx)
@@ -37,18 +53,7 @@
 	workers.Go(func() { l.diskSync, failures[2] = probeDisk(workCtx, l.folder) })
 	workers.Go(func() { failures[3] = l.orderEvacuations(ctx, workCtx) })
 	workers.Wait()
-	if err := errors.Join(failures[:]...); err != nil {
-		return err
-	}
-	if err := l.readBack(ctx); err != nil {
-		return err
-	}
-	if err := l.useAfterTroubles(ctx); err != nil {
-		return err
-	}
-	// Keep watching the servers: a rejected request must not run later either.
-	<-time.After(lateRunWatch)
-	return nil
+	return errors.Join(failures[:]...)
 }
 
 // startTier starts all processes, sends the first configuration and waits until all edges accept
