--- a/internal/audit/tier/history.go
+++ b/internal/audit/tier/history.go
@@ -1,5 +1,5 @@
 // Package tier checks from the outside whether the serving tier keeps its rules, by what clients,
-// servers, the platform's callers and the operator saw of it. It depends on nothing of the tier's
+// servers, applications, the platform's callers and the operator saw of it. It depends on nothing of the tier's
 // implementation, does no I/O and reads no clock except in Recorder. All times count from the start
 // of a Recorder.
 package tier
@@ -50,6 +50,7 @@
 	Host    string
 	Path    string
 	Input   string // the body
+	Edge    string // the machine that it was sent to
 	Sent    time.Duration
 	Answer  Answer
 
@@ -64,6 +65,7 @@
 	Attempt string
 	Server  string
 	Service string
+	Zone    string // of the server
 	At      time.Duration
 	Path    string
 	Seal    string // identifies the run; empty: the server rejected the request without running it
@@ -111,6 +113,18 @@
 	Shown          []ConfigurationRead
 	Draining       map[string]time.Duration // when the platform first listed a server as draining, by server
 	Kills          []string                 // descriptions of the injected faults
+
+	Evacuations  []EvacuationOrder // in the order in which they were first sent
+	FinalTraffic Span              // of clients, after all troubles
+
+	Readiness  []Readiness // changes, in order
+	Isolations []Isolation
+	Cold       []ColdSpan
+
+	TallyAdds   []TallyAdd
+	TallyReads  []TallyRead
+	Starts      map[string][]time.Duration // when a machine's process was about to start, by machine
+	Disruptions []Disruption               // in the order in which they ended
 }
 
 // Recorder collects a History. It is safe for concurrent use.
@@ -123,7 +137,7 @@
 
 // NewRecorder returns a Recorder whose times count from now.
 func NewRecorder() *Recorder {
-	return &Recorder{start: time.Now(), history: History{Draining: map[string]time.Duration{}}}
+	return &Recorder{start: time.Now(), history: History{Draining: map[string]time.Duration{}, Starts: map[string][]time.Duration{}}}
 }
 
 // Now returns the time since the start.
@@ -175,6 +189,57 @@
 	c.Acknowledged, c.Refused, c.Tries = acknowledged, refused, tries
 }
 
+// RecordEvacuation records an order about a zone that is about to be sent, and returns its number.
+func (r *Recorder) RecordEvacuation(o EvacuationOrder) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.Sent = r.Now()
+	r.history.Evacuations = append(r.history.Evacuations, o)
+	return len(r.history.Evacuations) - 1
+}
+
+// RecordEvacuationTry records that an order was sent once, and whether that acknowledged or refused it.
+func (r *Recorder) RecordEvacuationTry(order int, acknowledged, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := &r.history.Evacuations[order]
+	o.Tries++
+	o.Refused = refused
+	if acknowledged {
+		o.Acknowledged = r.Now()
+	}
+}
+
+// RecordFinalTraffic records that clients have used the tier after all troubles, until now.
+func (r *Recorder) RecordFinalTraffic(from time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.FinalTraffic = Span{From: from, Until: r.Now()}
+}
+
+// RecordReadiness records a change of an edge's readiness.
+func (r *Recorder) RecordReadiness(edge string, ready bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Readiness = append(r.history.Readiness, Readiness{Edge: edge, Ready: ready, At: r.Now()})
+}
+
+// RecordIsolation records an isolation that ends now.
+func (r *Recorder) RecordIsolation(i Isolation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i.Until = r.Now()
+	r.history.Isolations = append(r.history.Isolations, i)
+}
+
+// RecordCold records that a server is cold from now on for a time.
+func (r *Recorder) RecordCold(server string, length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from := r.Now()
+	r.history.Cold = append(r.history.Cold, ColdSpan{Server: server, Span: Span{From: from, Until: from + length}})
+}
+
 // RecordReadBack records a configuration that was read.
 func (r *Recorder) RecordReadBack(read ConfigurationRead) {
 	r.mu.Lock()
@@ -198,6 +263,35 @@
 	r.history.Kills = append(r.history.Kills, description)
 }
 
+// RecordTallyAdd records an add that has ended, with all its tries.
+func (r *Recorder) RecordTallyAdd(a TallyAdd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.TallyAdds = append(r.history.TallyAdds, a)
+}
+
+// RecordTallyRead records a call that read a tally, or failed to.
+func (r *Recorder) RecordTallyRead(read TallyRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.TallyReads = append(r.history.TallyReads, read)
+}
+
+// RecordStart records that a machine's process is about to be started.
+func (r *Recorder) RecordStart(machine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Starts[machine] = append(r.history.Starts[machine], r.Now())
+}
+
+// RecordDisruption records a disruption that ends now.
+func (r *Recorder) RecordDisruption(d Disruption) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.Until = r.Now()
+	r.history.Disruptions = append(r.history.Disruptions, d)
+}
+
 // Counts returns how many requests have ended, and how many of them were served.
 func (r *Recorder) Counts() (ended, served int) {
 	r.mu.Lock()
@@ -218,5 +312,8 @@
 	return &History{
 		Requests: slices.Clone(h.Requests), Arrivals: slices.Clone(h.Arrivals), Configurations: slices.Clone(h.Configurations),
 		Shown: slices.Clone(h.Shown), Draining: maps.Clone(h.Draining), Kills: slices.Clone(h.Kills),
+		Evacuations: slices.Clone(h.Evacuations), FinalTraffic: h.FinalTraffic,
+		Readiness: slices.Clone(h.Readiness), Isolations: slices.Clone(h.Isolations), Cold: slices.Clone(h.Cold),
+		TallyAdds: slices.Clone(h.TallyAdds), TallyReads: slices.Clone(h.TallyReads), Starts: maps.Clone(h.Starts), Disruptions: slices.Clone(h.Disruptions),
 	}
 }
--- a/internal/fakes/tier/tier_test.go
+++ b/internal/fakes/tier/tier_test.go
@@ -57,6 +57,19 @@
 	ids, _ = readList(t, p)
 	assert.DeepEqual(t, ids, []string{"m1 draining", "m2 in_service", "m3 in_service", "m9 in_service"})
 	assert.Equal(t, p.PagesServed(), 4)
+	p.PutCold("m9", time.Now().Add(time.Minute))
+	p.Put(Member{MemberID: "m8"})
+	for listed := range listed {
+		if listed.MemberID == "m8" {
+			break
+		}
+	}
+	response, err := http.Get("http://" + p.Address + "/members?pageToken=3")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var last page
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&last))
+	assert.Check(t, last.Members[0].WarmupLeftMs > 50000 && last.Members[1].WarmupLeftMs == 0)
 }
 
 // startServer starts a server and returns it with its recorder.
@@ -160,6 +173,22 @@
 	assert.Equal(t, calls[len(calls)-1], "GET /api/Retire.Show/storage-1  ")
 }
 
+func TestOperatorRepeatsEvacuationUntilAcknowledged(t *testing.T) {
+	var calls []string
+	recorder := audit.NewRecorder()
+	o := NewOperator([]string{fakeCore(t, &calls, 429, 503, 200, 200, 404)}, recorder)
+	assert.NilError(t, o.Evacuate(context.Background(), "zone-a", true))
+	assert.NilError(t, o.Evacuate(context.Background(), "zone-a", false))
+	begin, finish := "POST /api/Evacuate.Begin/zone-a  ", "POST /api/Evacuate.Finish/zone-a  "
+	assert.DeepEqual(t, calls, []string{begin, begin, begin, finish})
+	var rejected *RejectedError
+	assert.Check(t, errors.As(o.Evacuate(context.Background(), "nowhere", true), &rejected))
+	orders := recorder.History().Evacuations
+	assert.Check(t, orders[0].Tries == 3 && orders[0].Evacuated && orders[0].Acknowledged > orders[0].Sent)
+	assert.Check(t, !orders[1].Evacuated && orders[1].Acknowledged > 0)
+	assert.Check(t, orders[2].Acknowledged == 0 && orders[2].Refused)
+}
+
 func TestOperatorStopsAtRejection(t *testing.T) {
 	var calls []string
 	recorder := audit.NewRecorder()
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -76,8 +76,18 @@
 	// get no new requests, and for a replaced configuration to be out of use.
 	drainBound = 3 * time.Second
 	applyBound = 2 * time.Second
+	// mergeBound is the time that the tier promises for a tally to hold every add once there is no
+	// disruption. contactBound is the time after a disruption in which the tier may still react to it.
+	mergeBound   = 3 * time.Second
+	contactBound = 3 * time.Second
+	// evacuateBound is the time that the tier promises for requests to keep away from an evacuated
+	// zone. acknowledgeBound is how long an operator sends an order again.
+	evacuateBound    = 2 * time.Second
+	acknowledgeBound = 4 * time.Second
 	// lateRunWatch is how long after the last answer the servers are still watched for late runs.
 	lateRunWatch = 500 * time.Millisecond
+	// finalTraffic is how long clients use the tier after all troubles.
+	finalTraffic = 2 * time.Second
 	// pollInterval is the interval between two checks of a condition.
 	pollInterval = 20 * time.Millisecond
 	// progressInterval is the interval between two progress reports.
@@ -91,18 +101,20 @@
 
 // lab is the state of one run.
 type lab struct {
-	opt         Options
-	folder      string
-	recorder    *audit.Recorder
-	platform    *tierfakes.Platform
-	balancer    *tierfakes.LoadBalancer
-	client      *tierfakes.Client
-	operator    *tierfakes.Operator
-	connections *rpc.Pool // to the internal ports of the tier
-	machines    []*machine
-	logs        []io.Closer
-	faultShare  float64                 // time per fault, as a fraction of the run
-	cancelStart context.CancelCauseFunc // ends the start if a process crashes
+	opt          Options
+	folder       string
+	recorder     *audit.Recorder
+	platform     *tierfakes.Platform
+	balancer     *tierfakes.LoadBalancer
+	client       *tierfakes.Client
+	operator     *tierfakes.Operator
+	evacuator    *tierfakes.Operator // gives the orders about zones
+	connections  *rpc.Pool           // to the internal ports of the tier
+	machines     []*machine
+	logs         []io.Closer
+	applications []*tierfakes.Application
+	faultShare   float64                 // time per fault, as a fraction of the run
+	cancelStart  context.CancelCauseFunc // ends the start if a process crashes
 
 	mu          sync.Mutex
 	servers     []*tierfakes.Server
@@ -145,7 +157,8 @@
 	}
 	l.close()
 	history := l.recorder.History()
-	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound})
+	report := audit.Summarize(history, audit.Bounds{Drain: drainBound, Apply: applyBound, Acknowledge: acknowledgeBound, Evacuate: evacuateBound, Contact: contactBound, Merge: mergeBound,
+		ColdPerWindow: warmupPerSecond*warmupOverrun + warmupSlack})
 	return &Result{Report: report, History: history, Crashed: l.crashed, Disk: l.diskSync}, nil
 }
 
@@ -177,11 +190,31 @@
 		edges = append(edges, m.Machine)
 	}
 	l.operator = tierfakes.NewOperator(cores, l.recorder)
-	l.balancer = tierfakes.NewLoadBalancer(edges)
+	l.evacuator = tierfakes.NewOperator(cores, l.recorder)
+	l.balancer = tierfakes.NewLoadBalancer(edges, l.recorder)
 	l.client = tierfakes.NewClient(l.balancer, l.recorder)
+	l.buildApplications()
 	return l.startServers()
 }
 
+// Requests that a cold server may get: a second, and beyond that in any second.
+const (
+	warmupPerSecond = 4
+	warmupOverrun   = 1
+	warmupSlack     = 4
+)
+
+// timingBounds returns the settings' table of the bounds by which the run is judged.
+func timingBounds() map[string]int {
+	table := map[string]int{}
+	for key, bound := range map[string]time.Duration{"drainMs": drainBound, "configApplyMs": applyBound, "mergeMs": mergeBound,
+		"contactMs": contactBound, "evacuateMs": evacuateBound, "ackMs": acknowledgeBound} {
+		table[key] = int(bound.Milliseconds())
+	}
+	table["warmupOverrun"], table["warmupSlack"] = warmupOverrun, warmupSlack
+	return table
+}
+
 // ip returns the address of the machine with a number, counted from 0.
 func (l *lab) ip(number int) string { return fmt.Sprintf("%s.0.%d", l.opt.Network, number+1) }
 
@@ -191,7 +224,7 @@
 	number := len(l.machines)
 	m := &tierfakes.Machine{
 		Name: name, Serves: serves, Program: program, Command: command, IP: l.ip(number), Zone: zones[number%len(zones)], Zones: zones,
-		Seeds: seeds, Platform: l.platform.Address, MachineLosses: machineLosses, Folder: filepath.Join(l.folder, name), Log: io.Discard,
+		Seeds: seeds, Platform: l.platform.Address, MachineLosses: machineLosses, TimingBounds: timingBounds(), Folder: filepath.Join(l.folder, name), Log: io.Discard,
 	}
 	l.machines = append(l.machines, &machine{Machine: m})
 }
@@ -224,6 +257,7 @@
 		m.Log = file
 		l.logs = append(l.logs, file)
 	}
+	l.recorder.RecordStart(m.Name)
 	process, err := m.Start(bootstrap)
 	if err != nil {
 		return errors.Wrap(err, m.Name)
