--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -52,6 +52,11 @@
 		err := n.receive(context.Background(), args.Runs, n.pushTimeout())
 		reply.Stalled = errors.Is(err, ErrNotReady) || errors.Is(err, ErrUncertain)
 	}
+	return n.answer(args, reply)
+}
+
+// answer tells a caller what this node holds, and what the caller lacks of it.
+func (n *Node) answer(args *ExchangeArgs, reply *ExchangeReply) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ended {
@@ -99,6 +104,11 @@
 	complete    bool // as it said last
 }
 
+// newPeer returns a node that has not answered yet. It counts as reachable at first.
+func newPeer(address string, stop context.CancelFunc) *peer {
+	return &peer{address: address, wake: make(chan struct{}, 1), stop: stop, reachable: true}
+}
+
 // notify starts an exchange unless one is in progress.
 func (p *peer) notify() {
 	select {
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -236,7 +236,7 @@
 	p := n.peers[member.Address]
 	if p == nil {
 		peerCtx, stop := context.WithCancel(ctx)
-		p = &peer{address: member.Address, wake: make(chan struct{}, 1), stop: stop, reachable: true}
+		p = newPeer(member.Address, stop)
 		n.peers[member.Address] = p
 		n.loops.Go(func() { n.exchangeRepeatedly(peerCtx, p) })
 	}
