--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -52,6 +52,11 @@
 		err := n.receive(context.Background(), args.Runs, n.pushTimeout())
 		reply.Stalled = errors.Is(err, ErrNotReady) || errors.Is(err, ErrUncertain)
 	}
+	return n.answer(args, reply)
+}
+
+// answer tells a caller what this node holds, and what the caller lacks of it.
+func (n *Node) answer(args *ExchangeArgs, reply *ExchangeReply) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ended {
@@ -100,6 +105,11 @@
 	complete     bool // as it said last
 }
 
+// newPeer returns a node that has not answered yet. It counts as reachable at first.
+func newPeer(address string, stop context.CancelFunc) *peer {
+	return &peer{address: address, wake: make(chan struct{}, 1), stop: stop, reachable: true}
+}
+
 // notify starts an exchange unless one is in progress.
 func (p *peer) notify() {
 	select {
@@ -226,7 +236,9 @@
 	n.recordAnswer(p)
 	n.updateJoined()
 	lacks := n.state.Vector().Lacks(p.vector)
-	p.settled, p.complete, p.stalled = p.settled || !lacks, reply.Complete, reply.Stalled
+	// What this node held of an emptied disk says nothing of what the disk holds once it is complete.
+	completed := reply.Complete && !p.complete
+	p.settled, p.complete, p.stalled = p.settled && !completed || !lacks, reply.Complete, reply.Stalled
 	n.updateReadiness()
 	if lacks && (len(reply.Runs) > 0 || first && args.Vector == nil && n.pulling == nil) {
 		return true
