--- a/internal/tierlab/servers.go
+++ b/internal/tierlab/servers.go
@@ -12,7 +12,7 @@
 
 // Number and behavior of the servers.
 const (
-	toolServers     = 4
+	toolServers     = 6
 	engineServers   = 6
 	toolSlots       = 6
 	engineSlots     = 8
