--- a/internal/fakes/tier/operator.go
+++ b/internal/fakes/tier/operator.go
@@ -151,7 +151,7 @@
 	order := o.recorder.RecordEvacuation(audit.EvacuationOrder{Zone: zone, Evacuated: evacuated})
 	for attempts := 1; ; attempts++ {
 		status, _ := o.call(ctx, http.MethodPost, path, nil, "")
-		refused := status != http.StatusOK && !turnsAway(status)
+		refused := status != http.StatusOK && status != http.StatusRequestTimeout && !turnsAway(status)
 		o.recorder.RecordEvacuationTry(order, status == http.StatusOK, refused)
 		switch {
 		case status == http.StatusOK:
