--- a/internal/controlplane/store/tallies.go
+++ b/internal/controlplane/store/tallies.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -48,6 +49,12 @@
 	sqlReadTallies = "SELECT origin, sequence, name, member, amount FROM entries ORDER BY rowid"
 )
 
+// entriesPerStatement is the number of rows that one statement adds when many entries are appended.
+const entriesPerStatement = 64
+
+// sqlAddEntries adds entriesPerStatement rows.
+var sqlAddEntries = sqlAddEntry + strings.Repeat(", (?, ?, ?, ?, ?)", entriesPerStatement-1)
+
 // Tallies stores the logs of tallies in one database file. It has the contract of Store: an Append
 // that returned nil is durable; one that failed with ErrFull changed nothing and may be retried, and
 // no other one may be made before; after any other failure every later one fails with ErrFailed.
@@ -58,8 +65,9 @@
 	origin   tallies.Origin
 	complete bool
 	names    map[string]int64
-	added    []string // names that the current change added
-	failure  error    // *FailedError or ErrClosed: no further change is possible
+	values   []driver.Value // buffer that addEntries reuses
+	added    []string       // names that the current change added
+	failure  error          // *FailedError or ErrClosed: no further change is possible
 	closed   bool
 }
 
@@ -191,19 +199,38 @@
 
 func (s *Tallies) append(runs []tallies.Run) error {
 	for _, run := range runs {
-		for i, entry := range run.Entries {
-			name, err := s.nameID(entry.Tally)
-			if err != nil {
-				return err
+		for first, rest := run.First, run.Entries; len(rest) > 0; {
+			rows := 1
+			if len(rest) >= entriesPerStatement {
+				rows = entriesPerStatement
 			}
-			if err := s.run(sqlAddEntry, int64(run.Origin), int64(run.First)+int64(i), name, entry.Member, entry.Amount); err != nil {
-				return errors.Wrap(err, fmt.Sprintf("append entry %d", run.First+uint64(i)))
+			if err := s.addEntries(run.Origin, first, rest[:rows]); err != nil {
+				return errors.Wrap(err, fmt.Sprintf("append entry %d", first))
 			}
+			first, rest = first+uint64(rows), rest[rows:]
 		}
 	}
 	return nil
 }
 
+// addEntries adds one row, or entriesPerStatement rows, with one statement.
+func (s *Tallies) addEntries(origin tallies.Origin, first uint64, entries []tallies.Entry) error {
+	statement := sqlAddEntry
+	if len(entries) > 1 {
+		statement = sqlAddEntries
+	}
+	s.values = s.values[:0]
+	for i, entry := range entries {
+		name, err := s.nameID(entry.Tally)
+		if err != nil {
+			return err
+		}
+		s.values = append(s.values, int64(origin), int64(first)+int64(i), name, entry.Member, entry.Amount)
+	}
+	defer clear(s.values)
+	return s.run(statement, s.values...)
+}
+
 // nameID returns the number of a tally's name and creates it for a new one.
 func (s *Tallies) nameID(name string) (int64, error) {
 	if id, known := s.names[name]; known {
--- a/internal/controlplane/store/tallies_test.go
+++ b/internal/controlplane/store/tallies_test.go
@@ -55,6 +55,39 @@
 	}
 }
 
+// No entry of a long run may be lost or change its place where one statement ends and the next one begins.
+func TestLongRunsOfTalliesKeepEveryEntry(t *testing.T) {
+	for _, count := range []int{1, entriesPerStatement - 1, entriesPerStatement, entriesPerStatement + 1, 2*entriesPerStatement + 1} {
+		s := openTallies(t, t.TempDir())
+		members := make([]string, count)
+		for i := range members {
+			members[i] = fmt.Sprint("m", i)
+		}
+		run := tallyRun(s.Origin(), 1, members...)
+		assert.NilError(t, s.Append([]tallies.Run{run, {Origin: 5, First: 1, Entries: run.Entries}}))
+		assert.DeepEqual(t, loadTallies(t, s), map[tallies.Origin][]tallies.Entry{s.Origin(): run.Entries, 5: run.Entries})
+	}
+}
+
+// A long run that does not fit must leave no part of itself.
+func TestFullDiskKeepsNoPartOfALongRun(t *testing.T) {
+	const pages = 16
+	s, err := openTalliesLimited(t.TempDir(), pages)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	members := make([]string, 100*entriesPerStatement)
+	for i := range members {
+		members[i] = fmt.Sprintf("member-%032d", i)
+	}
+	run := tallyRun(s.Origin(), 1, members...)
+	assert.ErrorIs(t, s.Append([]tallies.Run{run}), ErrFull)
+	assert.Equal(t, len(loadTallies(t, s)), 0)
+	_, err = s.connection.Exec("PRAGMA max_page_count = 4000", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Append([]tallies.Run{run}))
+	assert.DeepEqual(t, loadTallies(t, s)[s.Origin()], run.Entries)
+}
+
 // A disk that was emptied must not continue a log that other nodes hold.
 func TestEmptyDiskGetsAnotherOrigin(t *testing.T) {
 	seen := map[tallies.Origin]bool{}
