--- a/internal/controlplane/tallysync/model_search_test.go
+++ b/internal/controlplane/tallysync/model_search_test.go
@@ -93,14 +93,14 @@
 	m.failure = m.endViolation()
 }
 
-// maySilence reports whether a node is separated from one with which it has patience.
+// maySilence reports whether silence can change what a node does.
 func (m *model) maySilence(i int) bool {
 	for j, address := range modelAddresses {
-		if p := m.nodes[i].peers[address]; p != nil && !m.linked(i, j) && patience(p) > 0 {
+		if p := m.nodes[i].peers[address]; p != nil && !m.linked(i, j) && impatient(p) {
 			return true
 		}
 	}
-	return false
+	return m.impatientAlone(i)
 }
 
 type stepper func(kind string, a, b int, act func(*model) bool)
@@ -244,6 +244,7 @@
 
 // append appends all that distinguishes nodes. Ticks that a node missed from one that it reaches don't count.
 func (n *modelNode) append(text []byte) []byte {
+	text = append(text, flag(n.joined), flag(n.aloneTicks >= n.patienceTicks))
 	text = append(text, byte(n.life), byte(n.diskLife), flag(n.ready), flag(n.complete), flag(n.disk.complete), flag(n.readyApart), byte(n.owedAtBoot))
 	for origin := range modelLostOrigin + 1 {
 		if run, _ := n.state.After(origin, 0, math.MaxInt); len(run.Entries) > 0 {
@@ -256,7 +257,7 @@
 	}
 	for j, address := range modelAddresses {
 		if p := n.peers[address]; p != nil {
-			text = append(text, flag(p.reachable), byte(p.missedTicks), flag(p.stalled), flag(p.settled), flag(p.complete), flag(n.pulling == p), byte(n.heard[j]))
+			text = append(text, flag(p.reachable), flag(p.stalled), flag(p.settled), flag(p.complete), flag(n.pulling == p), byte(n.heard[j]))
 			text = n.appendKnown(text, p.vector)
 		}
 	}
--- a/internal/controlplane/tallysync/model_test.go
+++ b/internal/controlplane/tallysync/model_test.go
@@ -129,8 +129,8 @@
 
 // clonedNodeFields and clonedPeerFields are the fields that cloneNode and appendNode of the model know.
 const (
-	clonedNodeFields = 21
-	clonedPeerFields = 10
+	clonedNodeFields = 24
+	clonedPeerFields = 11
 )
 
 func cloneNode(n *Node, disk Store) *Node {
@@ -138,6 +138,7 @@
 		self: n.self, requiredCopies: n.requiredCopies, interval: n.interval, store: disk, members: n.members,
 		queued: n.queued, stopped: n.stopped, progress: n.progress, state: n.state,
 		peers: make(map[string]*peer, len(n.peers)), ready: n.ready, ended: n.ended, complete: n.complete, degraded: n.degraded,
+		joined: n.joined, aloneTicks: n.aloneTicks, patienceTicks: n.patienceTicks,
 	}
 	for address, p := range n.peers {
 		copied := *p
@@ -383,33 +384,49 @@
 	}
 }
 
-// patience returns the number of ticks without an answer after which a node thinks otherwise of a peer, 0
-// if none does that.
-func patience(p *peer) int {
-	switch {
-	case p.reachable:
-		return unreachableTicks
-	case !p.settled:
-		return startTicks
+// impatient reports whether ticks without an answer can change what a node thinks of a peer.
+func impatient(p *peer) bool { return p.reachable || !p.settled }
+
+// impatientAlone reports whether ticks can make a node that reaches no other one take adds.
+func (m *model) impatientAlone(i int) bool {
+	n := m.nodes[i]
+	if n.joined || n.aloneTicks >= n.patienceTicks {
+		return false
 	}
-	return 0
+	for j := range modelNodes {
+		if j != i && m.linked(i, j) {
+			return false
+		}
+	}
+	return true
 }
 
 // losePatience lets the ticks pass at a node until it thinks otherwise of those that the cut separates from
-// it. Those that it reaches have answered meanwhile.
+// it, or else of itself. Those that it reaches have answered meanwhile.
 func (m *model) losePatience(i int) {
 	n := m.change(i)
-	ready := n.ready
+	ready, lost := n.ready, false
 	for j, address := range modelAddresses {
-		if p := n.peers[address]; p != nil && !m.linked(i, j) {
-			p.missedTicks = max(p.missedTicks, patience(p)-1)
+		p := n.peers[address]
+		if p == nil || m.linked(i, j) || !impatient(p) {
+			continue
 		}
+		lost = true
+		if p.reachable {
+			p.missedTicks = max(p.missedTicks, unreachableTicks-1)
+		} else {
+			p.unheardTicks = startTicks - 1
+		}
+	}
+	if !lost && m.impatientAlone(i) {
+		n.aloneTicks = n.patienceTicks - 1
 	}
 	n.tick(n.interval)
-	for j, address := range modelAddresses {
-		if p := n.peers[address]; p != nil && m.linked(i, j) {
-			p.missedTicks = 0
-		}
+	for _, p := range n.peers { // only whether the patience has ended is a part of the state
+		p.missedTicks, p.unheardTicks = 0, 0
+	}
+	if n.aloneTicks < n.patienceTicks {
+		n.aloneTicks = 0
 	}
 	n.drain()
 	m.noteReady(n, ready)
