Start a node's next process in the lab's fleet only when the last one has exited

Cause: KillNode sends SIGKILL and doesn't wait, and a start that is under way when its node is killed goes on, so the next process of that node could meet one that was still there. Change: a node's process is started once the one before has exited. Result: the fleet's tests pass; the failure was not brought about on purpose.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,6 +106,7 @@
 	number      int
 	reservation *fakes.ReservedAddress // keeps the node's address while its process is down
 	registry    *fakes.Registry
+	running     sync.Mutex // held from the start of a process until it has exited: the next one needs its address
 
 	mu      sync.Mutex
 	epoch   int // changes whenever the process is started or ended
@@ -158,11 +159,17 @@
 		c.PeerListen, c.Peers = n.peerAddress(), f.relays.Peers(number)
 	}
 	f.background.Go(func() {
+		n.running.Lock()
 		process, err := f.launch(n, c)
 		if err != nil {
+			n.running.Unlock()
 			f.live.Fail(err)
 			return
 		}
+		f.background.Go(func() {
+			<-process.Exited()
+			n.running.Unlock()
+		})
 		n.mu.Lock()
 		if n.epoch != epoch {
 			n.mu.Unlock()
