--- a/internal/controlplane/tallysync/random_test.go
+++ b/internal/controlplane/tallysync/random_test.go
@@ -118,7 +118,7 @@
 	assert.Check(h.t, held, "seed %d: an acknowledged add is not held", h.seed)
 }
 
-// cutForAWhile cuts links and waits until both sides are merged again.
+// cutForAWhile cuts links, often kills nodes meanwhile, and waits until both sides are merged again.
 func (h *history) cutForAWhile() {
 	a, b := name(h.random.IntN(5)), name(h.random.IntN(5))
 	switch h.random.IntN(4) {
@@ -132,10 +132,26 @@
 		h.setCut(func(from, to string) bool { return from == a })
 	}
 	h.pause(200, 5000)
+	if h.random.IntN(2) == 0 {
+		h.killDuringCut()
+	}
 	h.heal()
 	time.Sleep(testMerge)
 }
 
+// killDuringCut kills one to all of the nodes at the same moment and starts them with their disks, so that
+// some start on a side that is cut off.
+func (h *history) killDuringCut() {
+	killed := h.random.Perm(5)[:1+h.random.IntN(5)]
+	h.stopAt(killed...)
+	h.pause(10, 1000)
+	for _, i := range killed {
+		h.startAt(i, false)
+		h.pause(1, 200)
+	}
+	h.pause(200, 8000)
+}
+
 // troubleADisk fills or stalls one disk for a while.
 func (h *history) troubleADisk() {
 	n := h.node(h.random.IntN(5))
