--- a/internal/controlplane/tallysync/model_search_test.go
+++ b/internal/controlplane/tallysync/model_search_test.go
@@ -385,6 +385,10 @@
 		{"an id at two nodes, one apart", modelBounds{cut: oneApart, adds: 2, sameID: true}, false},
 		{"a lost disk and a restart", modelBounds{adds: 1, restarts: 1, lostDisks: 1}, false},
 		{"late messages", modelBounds{adds: 1, maxCalls: 2}, true},
+		{"late messages, a lost disk", modelBounds{adds: 1, maxCalls: 2, lostDisks: 1}, false},
+		{"late messages, a restart", modelBounds{adds: 1, maxCalls: 2, restarts: 1}, true},
+		{"late messages, one apart", modelBounds{cut: oneApart, adds: 1, maxCalls: 2}, true},
+		{"late messages, one way", modelBounds{cut: oneWay, adds: 1, maxCalls: 2}, true},
 		{"all, no cut", modelBounds{adds: 2, restarts: 1, lostDisks: 1}, false},
 		{"all, one apart", modelBounds{cut: oneApart, adds: 2, restarts: 1, lostDisks: 1}, false},
 		{"all, one way", modelBounds{cut: oneWay, adds: 2, restarts: 1, lostDisks: 1}, false},
@@ -432,6 +436,7 @@
 	limit, long := modelStateLimit()
 	for _, test := range modelCases {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			most := limit
 			if test.complete && !long {
 				most = modelCompleteStates
@@ -475,6 +480,7 @@
 			continue
 		}
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			var result searchResult
 			start := newModel(&test.bounds)
 			for seed := range uint64(walks) {
