--- a/internal/dataplane/dispatch/evacuation.go
+++ b/internal/dataplane/dispatch/evacuation.go
@@ -61,6 +61,9 @@
 		}
 		e.versions[r.Zone] = r.Version
 		e.setTakenBack(r.Zone, now.Add(-r.Age))
+		if !e.contains(r.Zone) {
+			klog.InfoS("Zone was taken back unseen: its servers count as cold for a while", "zone", r.Zone, "age", r.Age.String())
+		}
 		unknown = append(unknown, r.Zone)
 	}
 	return unknown
