--- a/internal/fakes/tier/application.go
+++ b/internal/fakes/tier/application.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -161,14 +160,5 @@
 	if err != nil {
 		return 0, ""
 	}
-	response, err := a.client.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(text)
+	return completeAnswer(&a.client, request)
 }
--- a/internal/fakes/tier/operator.go
+++ b/internal/fakes/tier/operator.go
@@ -94,7 +94,13 @@
 	if header != nil {
 		request.Header = header
 	}
-	response, err := o.client.Do(request)
+	return completeAnswer(o.client, request)
+}
+
+// completeAnswer sends a request and returns status and body of its answer. Status 0 means that no
+// complete one arrived.
+func completeAnswer(client *http.Client, request *http.Request) (int, string) {
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
 	}
