--- a/internal/fakes/tier/operator.go
+++ b/internal/fakes/tier/operator.go
@@ -94,7 +94,7 @@
 	if header != nil {
 		request.Header = header
 	}
-	return completeAnswer(o.client, request)
+	return completeAnswer(&o.client, request)
 }
 
 // completeAnswer sends a request and returns status and body of its answer. Status 0 means that no
