--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -92,23 +92,9 @@
 		HeaderTimeout: routing.DefaultHeaderTimeout, BodyTimeout: routing.DefaultHeaderTimeout, IdleTimeout: routing.DefaultIdleTimeout,
 		WriteTimeout: writeTimeout, RespondNowMargin: respondMargin, MaxHeaderBytes: 4 * routing.DefaultMaxHeaderBytes, Lifecycle: lifecycle.TierTiming,
 	}, l, n.counters)
-	n.isolation.OnChange(n.handleIsolation)
 	return n, nil
 }
 
-// handleIsolation sends the clients to other zones while this one is cut off, and keeps them again after.
-// Otherwise idle connections from before the cut would come back into use, each with a request that no
-// server in reach can answer.
-func (n *Node) handleIsolation(isolated bool) {
-	change := n.server.Resume
-	if isolated {
-		change = n.server.Drain
-	}
-	if err := change(); err != nil {
-		klog.V(1).InfoS("Clients are sent away already", "isolated", isolated, "cause", err)
-	}
-}
-
 // rejectAmbiguous answers a request whose end cannot be determined safely.
 func rejectAmbiguous(w http.ResponseWriter) {
 	http.Error(w, "it is in doubt where the request ends", http.StatusBadRequest)
--- a/internal/dataplane/turnclient/isolation.go
+++ b/internal/dataplane/turnclient/isolation.go
@@ -30,9 +30,8 @@
 // nodes are silent, no other zone is better off, so the zone does not count as isolated. The same holds
 // where only one other zone has storage nodes.
 type Isolation struct {
-	pool     *rpc.Pool
-	zone     string
-	onChange func(isolated bool) // nil: nobody is told
+	pool *rpc.Pool
+	zone string
 
 	mu        sync.Mutex
 	own       []protocol.Node         // storage nodes of this zone
@@ -47,10 +46,6 @@
 	return &Isolation{pool: pool, zone: zone}
 }
 
-// OnChange sets a function that is called when the zone becomes isolated and when it no longer is. It must
-// be called before Run.
-func (i *Isolation) OnChange(tell func(isolated bool)) { i.onChange = tell }
-
 // SetDirectory replaces the directory of nodes.
 func (i *Isolation) SetDirectory(directory protocol.Directory) {
 	i.mu.Lock()
@@ -152,19 +147,15 @@
 	return true
 }
 
-// setIsolated stores whether the zone is isolated, logs a change and tells of it. A process that has heard
-// no other zone yet cannot tell a cut from nodes that have not started.
+// setIsolated stores and logs whether the zone is isolated. A process that has heard no other zone yet
+// cannot tell a cut from nodes that have not started.
 func (i *Isolation) setIsolated(isolated bool) {
 	i.mu.Lock()
 	isolated = isolated && !i.lastHeard.IsZero()
 	changed := i.isolated != isolated
 	i.isolated = isolated
 	i.mu.Unlock()
-	if !changed {
-		return
-	}
-	klog.InfoS("Reaching the storage nodes of other zones", "zone", i.zone, "reached", !isolated)
-	if i.onChange != nil {
-		i.onChange(isolated)
+	if changed {
+		klog.InfoS("Reaching the storage nodes of other zones", "zone", i.zone, "reached", !isolated)
 	}
 }
