--- a/internal/controlplane/coordinator/calls.go
+++ b/internal/controlplane/coordinator/calls.go
@@ -82,13 +82,14 @@
 // collectChanges sets what is newer in the reply, and reports whether anything is.
 func (c *Coordinator) collectChanges(args *protocol.WatchArgs, reply *protocol.WatchReply) bool {
 	newer := false
+	recent := c.configurationIsRecent()
 	c.node.Host.ReadLocal(protocol.ConfigurationGroup, func(m host.StateMachine) {
 		state := m.(*revisions.Machine)
 		if revision, _ := state.Configuration(); revision > args.Revision && !args.DirectoryOnly {
 			reply.Revision, reply.Steps, newer = revision, state.Since(args.Revision), true
 		}
 		if addDirectory(state, args, reply) {
-			reply.ReturnedZones, newer = c.returns.observe(state.ReturnedZones(), time.Now()), true
+			reply.ReturnedZones, newer = c.returns.observe(state.ReturnedZones(), recent, time.Now()), true
 		}
 	})
 	if args.DirectoryOnly {
--- a/internal/controlplane/coordinator/evacuation.go
+++ b/internal/controlplane/coordinator/evacuation.go
@@ -72,6 +72,7 @@
 	if err := c.node.ReadBarrier(ctx, protocol.ConfigurationGroup); err != nil {
 		return false, 0, err
 	}
+	c.observeReturnedZones()
 	evacuated, version = c.appliedZone(zone)
 	return evacuated, version, nil
 }
