Don't wait behind a cut for a tally node that answers with errors

Cause: since an answer with an error counts as reachable, a node that a cut leaves with fewer than the required nodes waited for copies on a node beside it that answers with errors only (an earlier build, or one about to end). Every add there got ErrUncertain after 0.8 s, for as long as the cut or the node lasted.

Change: such an answer marks the node as stalled, as one whose disk doesn't write. Stalled nodes are left out only where a cut leaves too few nodes, so without a cut nothing changes.

--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -100,7 +100,7 @@
 	reachable    bool
 	missedTicks  int  // since its last answer
 	unheardTicks int  // since it last told what it holds
-	stalled      bool // it answers, but did not store what this node pushed last
+	stalled      bool // it answers, but did not store what this node pushed last, or with an error
 	settled      bool // this node held what the other one did, or gave up waiting for its first answer
 	complete     bool // as it said last
 }
@@ -208,7 +208,8 @@
 }
 
 // recordFailure records that a node answered with an error. It is of a build without tallies or is about
-// to end, and holds nothing that this node could count on, but it is behind no cut.
+// to end, and holds nothing that this node could count on, but it is behind no cut. Where a cut leaves too
+// few nodes, adds don't wait for it.
 func (n *Node) recordFailure(p *peer, err error) {
 	var answer *rpc.RemoteError
 	if !errors.As(err, &answer) {
@@ -216,6 +217,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	p.stalled = true
 	n.recordAnswer(p)
 }
 
