--- a/internal/audit/tier/evacuations.go
+++ b/internal/audit/tier/evacuations.go
@@ -73,9 +73,7 @@
 // before an instant. Unlike the page's rule, it doesn't excuse edges by the troubles of storage
 // machines, which keep no orders.
 func (c *checker) inTouch(edge string, at time.Duration) bool {
-	return !slices.ContainsFunc(c.history.Disruptions, func(d Disruption) bool {
-		return (d.Core || d.Machine == edge) && d.From <= at && d.Until >= at-c.bounds.Contact
-	})
+	return !c.disrupted(Span{From: at, Until: at}, func(d Disruption) bool { return d.Core || d.Machine == edge })
 }
 
 // checkEvacuationsAcknowledged checks the orders that were given while the core was stable.
@@ -94,8 +92,14 @@
 // coreStable reports whether the core was not disrupted within a time, nor in the time of contact
 // before it.
 func (c *checker) coreStable(within Span) bool {
-	return !slices.ContainsFunc(c.history.Disruptions, func(d Disruption) bool {
-		return d.Core && d.From <= within.Until && d.Until >= within.From-c.bounds.Contact
+	return !c.disrupted(within, func(d Disruption) bool { return d.Core })
+}
+
+// disrupted reports whether a disruption that concerns the caller fell within a time or in the time of
+// contact before it.
+func (c *checker) disrupted(within Span, concerns func(Disruption) bool) bool {
+	return slices.ContainsFunc(c.history.Disruptions, func(d Disruption) bool {
+		return concerns(d) && d.From <= within.Until && d.Until >= within.From-c.bounds.Contact
 	})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -185,9 +185,8 @@
 // backendCountsInterval is the maximum age of the counts that an observer has.
 const backendCountsInterval = 200 * time.Millisecond
 
-// ObserveBackendCounts sets a function that the loop tells how many backends are listed,
-// and how many of these the module avoids. It must be called before Run; observe must
-// not block.
+// ObserveBackendCounts sets a function that the loop tells the numbers of backends. It must be
+// called before Run; observe must not block.
 func (l *EventLoop) ObserveBackendCounts(observe func(BackendCounts)) {
 	l.backendCounts = observe
 }
