--- a/internal/fakes/tier/machine.go
+++ b/internal/fakes/tier/machine.go
@@ -96,11 +96,11 @@
 // Internal is the address for other processes of the tier, at an offset from the first internal port.
 func (m *Machine) Internal(offset int) string { return m.address(InternalPort + offset) }
 
-// disk is the folder that stands for the machine's disk.
-func (m *Machine) disk() string { return filepath.Join(m.Folder, "disk") }
+// Disk is the folder that stands for the machine's disk.
+func (m *Machine) Disk() string { return filepath.Join(m.Folder, "disk") }
 
 // WipeDisk deletes the content of the machine's disk.
-func (m *Machine) WipeDisk() error { return os.RemoveAll(m.disk()) }
+func (m *Machine) WipeDisk() error { return os.RemoveAll(m.Disk()) }
 
 func (m *Machine) settings(bootstrap bool) *settingsFile {
 	f := &settingsFile{
@@ -119,22 +119,31 @@
 		f.SeedNodes = append(f.SeedNodes, net.JoinHostPort(seed, strconv.Itoa(ControlPort)))
 	}
 	if m.Serves != settings.Edge {
-		f.DataDir = m.disk()
+		f.DataDir = m.Disk()
 	}
 	return f
 }
 
+// WriteSettings writes the settings file of the machine's process and returns its path.
+func (m *Machine) WriteSettings(bootstrap bool) (path string, err error) {
+	if err := os.MkdirAll(m.Folder, 0o755); err != nil {
+		return "", err
+	}
+	path = filepath.Join(m.Folder, "node.toml")
+	text, err := toml.Marshal(m.settings(bootstrap))
+	if err != nil {
+		return "", errors.Wrap(err, "write settings")
+	}
+	return path, os.WriteFile(path, text, 0o600)
+}
+
 // Start starts the machine's process. The process may not serve yet when Start returns.
 func (m *Machine) Start(bootstrap bool) (*fakes.Node, error) {
-	if err := os.MkdirAll(m.disk(), 0o755); err != nil {
+	if err := os.MkdirAll(m.Disk(), 0o755); err != nil {
 		return nil, err
 	}
-	path := filepath.Join(m.Folder, "node.toml")
-	text, err := toml.Marshal(m.settings(bootstrap))
+	path, err := m.WriteSettings(bootstrap)
 	if err != nil {
-		return nil, errors.Wrap(err, "write settings")
-	}
-	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
 	// env sets the variable and replaces itself with the program, so the process id is that of the
--- a/internal/tierlab/network.go
+++ b/internal/tierlab/network.go
@@ -20,9 +20,9 @@
 // ErrNoFreeNetwork is the error of a run for which every network is reserved by another run.
 var ErrNoFreeNetwork = errors.New("every loopback network is reserved by another run")
 
-// reserveNetwork returns the first two bytes of addresses that no other run uses until the
+// ReserveNetwork returns the first two bytes of addresses that no other run uses until the
 // reservation is closed, also if its process is killed.
-func reserveNetwork() (network string, reservation io.Closer, err error) {
+func ReserveNetwork() (network string, reservation io.Closer, err error) {
 	for second := firstNetwork; second <= lastNetwork; second++ {
 		network = fmt.Sprintf("127.%d", second)
 		listener, err := net.Listen("tcp", net.JoinHostPort(network+"."+reservationHost, reservationPort))
--- a/internal/tierlab/tierlab.go
+++ b/internal/tierlab/tierlab.go
@@ -135,7 +135,7 @@
 // Run executes one run. It ends everything that it has started.
 func Run(ctx context.Context, opt Options) (*Result, error) {
 	if opt.Network == "" {
-		network, reservation, err := reserveNetwork()
+		network, reservation, err := ReserveNetwork()
 		if err != nil {
 			return nil, err
 		}
