--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -250,7 +250,7 @@
 	if len(cores) < minVoters && group != protocol.ConfigurationGroup || len(cores) == 0 {
 		return // the core nodes have not registered yet
 	}
-	view := repair.View{Status: status, Now: c.node.Now(), LostAfter: node.MemberLostAfter, Nodes: c.withUnregisteredVoters(cores, status), TargetVoters: FeasibleVoters(c.toleratedLosses, len(cores)), AllAsLearners: true}
+	view := repair.View{Status: status, Now: c.node.Now(), LostAfter: node.MemberLostAfter, Nodes: c.withUnregisteredVoters(cores, status), TargetVoters: FeasibleVoters(c.toleratedLosses, len(cores)), MaxVoters: TargetVoters(c.toleratedLosses), AllAsLearners: true}
 	submitCtx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	if c.planners[group].NeedsVoter(view) {
--- a/internal/controlplane/repair/repair.go
+++ b/internal/controlplane/repair/repair.go
@@ -29,7 +29,8 @@
 	Nodes         []protocol.Node // nodes of the right class that may be members
 	Alive         []protocol.Node // those of Nodes that respond; needed only if NeedsVoter returns true
 	Retiring      []string        // names of nodes that must not be voters
-	TargetVoters  int             // how many voters the group should have
+	TargetVoters  int             // how many voters the group should have, with the nodes that are known now
+	MaxVoters     int             // beyond this many voters, those that are not lost are removed too
 	AllAsLearners bool            // all other nodes are learners
 }
 
@@ -53,7 +54,8 @@
 	switch {
 	case len(lost) > 0 && len(current.Voters) > view.TargetVoters, len(lost) > 0 && healthy >= view.TargetVoters:
 		return withoutMember(current, lost[0]), true
-	case len(current.Voters) > view.TargetVoters:
+	case len(current.Voters) > max(view.MaxVoters, view.TargetVoters):
+		// Not from TargetVoters on: nodes that have not registered yet would be taken for surplus ones.
 		return withoutMember(current, p.surplusVoter(view)), true
 	case healthy < view.TargetVoters || p.canImprovePlacement(view):
 		if next, ok := p.promote(view); ok {
--- a/internal/controlplane/repair/repair_test.go
+++ b/internal/controlplane/repair/repair_test.go
@@ -28,6 +28,7 @@
 	nodes         []protocol.Node
 	retiring      []string
 	targetVoters  int
+	maxVoters     int
 	allAsLearners bool
 	down          map[replica.NodeID]bool
 	lag           map[replica.NodeID]uint64 // entries that a member lacks
@@ -75,7 +76,7 @@
 	}
 	return View{
 		Status: status, Now: g.now, LostAfter: lostAfter, Nodes: slices.Clone(g.nodes), Retiring: g.retiring,
-		TargetVoters: g.targetVoters, AllAsLearners: g.allAsLearners, Alive: g.alive(),
+		TargetVoters: g.targetVoters, MaxVoters: g.maxVoters, AllAsLearners: g.allAsLearners, Alive: g.alive(),
 	}
 }
 
@@ -398,3 +399,29 @@
 	}
 	assert.Equal(t, len(g.changes), 0)
 }
+
+// Guards against a group that removes voters which are alive because few nodes have registered yet: with
+// a third one missing, no quorum was left.
+func TestFewRegisteredNodesDoNotShrinkGroup(t *testing.T) {
+	for registered := 1; registered <= 3; registered++ {
+		g := newGroup(t, 3, 3)
+		g.targetVoters, g.maxVoters = registered, 3
+		for range 2 * lostAfter / planInterval {
+			g.planOnce()
+		}
+		assert.Equal(t, len(g.members.Voters), 3, "%d registered: %v", registered, g.changes)
+	}
+}
+
+// Guards against a group that removes a voter which is alive in place of the one that never started.
+func TestVoterThatNeverStartedIsTheOneRemoved(t *testing.T) {
+	for registered := 1; registered <= 2; registered++ {
+		g := newGroup(t, 3, 3)
+		g.targetVoters, g.maxVoters = registered, 3
+		g.down[3] = true
+		for range 3 * lostAfter / planInterval {
+			g.planOnce()
+		}
+		assert.DeepEqual(t, g.members.Voters, []replica.NodeID{1, 2})
+	}
+}
--- a/internal/controlplane/simulation/registry_test.go
+++ b/internal/controlplane/simulation/registry_test.go
@@ -87,7 +87,7 @@
 	}
 	view := repair.View{
 		Status: status, Now: n.clock(), LostAfter: node.MemberLostAfter, Nodes: nodes, Retiring: d.Retiring,
-		TargetVoters: coordinator.FeasibleVoters(n.world.toleratedDiskLosses, staying), AllAsLearners: everyone,
+		TargetVoters: coordinator.FeasibleVoters(n.world.toleratedDiskLosses, staying), MaxVoters: coordinator.TargetVoters(n.world.toleratedDiskLosses), AllAsLearners: everyone,
 	}
 	if m.planner.NeedsVoter(view) {
 		view.Alive = n.respondingNodes(nodes)
--- a/internal/controlplane/storage/storage.go
+++ b/internal/controlplane/storage/storage.go
@@ -187,7 +187,7 @@
 			staying++
 		}
 	}
-	view := repair.View{Status: status, Now: n.node.Now(), LostAfter: node.MemberLostAfter, Nodes: nodes, Retiring: directory.Retiring, TargetVoters: coordinator.FeasibleVoters(n.toleratedLosses, staying)}
+	view := repair.View{Status: status, Now: n.node.Now(), LostAfter: node.MemberLostAfter, Nodes: nodes, Retiring: directory.Retiring, TargetVoters: coordinator.FeasibleVoters(n.toleratedLosses, staying), MaxVoters: coordinator.TargetVoters(n.toleratedLosses)}
 	planner := n.planner(partition)
 	if planner.NeedsVoter(view) {
 		view.Alive = n.node.Alive(ctx, nodes)
