--- a/internal/tier/jsonlog/jsonlog_test.go
+++ b/internal/tier/jsonlog/jsonlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 	Role  string
 	Err   string
 	Port  int
+	Count int
 }
 
 // startLog starts the log for a test and returns a function that reads its lines.
@@ -35,7 +37,10 @@
 	t.Cleanup(state.Restore)
 	var written bytes.Buffer
 	jsonlog.Start(&written, "edge-a-1", "edge", level)
-	return func() []logLine { return parse(t, written.String()) }
+	return func() []logLine {
+		jsonlog.Flush(time.Minute)
+		return parse(t, written.String())
+	}
 }
 
 func parse(t *testing.T, content string) []logLine {
@@ -103,6 +108,81 @@
 	}
 }
 
+// heldWriter is a reader of the log that reads nothing until it is released.
+type heldWriter struct {
+	released chan struct{}
+	written  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (w *heldWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return w.written.Write(p)
+}
+
+// Guards against a log that holds up its process when nobody reads it, and one that grows without end or
+// doesn't tell what it lost.
+func TestLogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	state := klog.CaptureState()
+	t.Cleanup(state.Restore)
+	held := &heldWriter{released: make(chan struct{})}
+	jsonlog.Start(held, "edge-a-1", "edge", slog.LevelInfo)
+	const sent = 20_000
+	for i := range sent {
+		klog.InfoS("line", "port", i)
+	}
+	jsonlog.Flush(time.Millisecond) // must return though nothing is written
+	close(held.released)
+	jsonlog.Flush(time.Minute)
+	klog.InfoS("last")
+	jsonlog.Flush(time.Minute)
+	lines := parse(t, held.written.String())
+	lost := 0
+	for _, line := range lines {
+		lost += line.Count
+	}
+	assert.Equal(t, lines[len(lines)-1].Msg, "last")
+	assert.Assert(t, lost > 0)
+	told := 0
+	for _, line := range lines {
+		if line.Count > 0 {
+			told++
+		}
+	}
+	assert.Equal(t, len(lines)-told+lost, sent+1, "each line is written or counted as lost")
+	assert.Assert(t, held.written.Len() < 512<<10, "bytes queued: %d", held.written.Len())
+}
+
+// failingWriter is a log whose reader is gone.
+type failingWriter struct{ fails bool }
+
+// Write implements io.Writer.
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.fails {
+		return 0, errors.New("broken pipe")
+	}
+	return len(p), nil
+}
+
+// Guards against lines that are lost for good without a count when the reader of the log comes back.
+func TestLogCountsLinesThatCouldNotBeWritten(t *testing.T) {
+	state := klog.CaptureState()
+	t.Cleanup(state.Restore)
+	var written bytes.Buffer
+	gone := &failingWriter{fails: true}
+	jsonlog.Start(io.MultiWriter(gone, &written), "edge-a-1", "edge", slog.LevelInfo)
+	klog.InfoS("one")
+	klog.InfoS("two")
+	jsonlog.Flush(time.Minute)
+	gone.fails = false
+	klog.InfoS("three")
+	jsonlog.Flush(time.Minute)
+	lines := parse(t, written.String())
+	assert.Equal(t, len(lines), 2)
+	assert.Equal(t, lines[0].Count, 2)
+	assert.Equal(t, lines[1].Msg, "three")
+}
+
 // clock is a clock that the test advances.
 type clock struct{ at time.Time }
 
