--- a/internal/tier/process/process.go
+++ b/internal/tier/process/process.go
@@ -14,7 +14,6 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
-	"k8s.io/klog/v2"
 
 	"oakseam/internal/tier/jsonlog"
 	"oakseam/internal/tier/settings"
@@ -56,24 +55,10 @@
 	}
 	jsonlog.Start(os.Stderr, s.NodeName, s.Role, level)
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	go checkSettingsOnReload(path)
+	go handleInformingSignals()
 	return s, ctx, nil
 }
 
-// checkSettingsOnReload validates the settings file on each SIGHUP. It does not disturb
-// running work. An invalid file changes nothing, and the log names the invalid key.
-func checkSettingsOnReload(path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
-		if _, err := settings.Read(path); err != nil {
-			klog.ErrorS(err, "Changed settings are invalid; the previous settings stay in effect")
-			continue
-		}
-		klog.InfoS("Changed settings are valid; they take effect at the next start")
-	}
-}
-
 // InternalSeeds returns the net/rpc addresses of the core nodes at the seed nodes. All
 // machines use the same ports. The offset selects the role's port.
 func InternalSeeds(s *settings.Settings, offset int) []string {
