--- a/cmd/oakseam-control/main.go
+++ b/cmd/oakseam-control/main.go
@@ -44,11 +44,16 @@
 }
 
 // Run implements the command.
-func (c *coordinateCommand) Run() error {
-	s, ctx, err := process.Start(c.LogLevel)
+func (c *coordinateCommand) Run() error { return process.Run(c.LogLevel, coordinate) }
+
+// coordinate runs a core node until ctx ends.
+func coordinate(ctx context.Context, s *settings.Settings) error {
+	api, l, err := listenForAll(s)
 	if err != nil {
 		return err
 	}
+	defer api.Close()
+	defer l.Close()
 	options, err := nodeOptions(s, protocol.Core, protocol.CorePort)
 	if err != nil {
 		return err
@@ -58,7 +63,8 @@
 		return err
 	}
 	defer n.Close()
-	talliesStore, err := store.AwaitSpace(func() (*store.Tallies, error) { return store.OpenTallies(s.DataDir) })
+	s.Bootstrap = false // if this fails, an emptied disk isn't that of a first start
+	talliesStore, err := store.OpenTallies(s.DataDir)
 	if err != nil {
 		return errors.Wrap(err, "open tallies")
 	}
@@ -81,19 +87,24 @@
 	if err != nil {
 		return err
 	}
-	api, err := net.Listen("tcp", s.BindAddresses.ControlPlane)
-	if err != nil {
-		return errors.Wrap(err, "listen for operators")
-	}
-	l, err := rpc.Listen(options.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for other processes")
-	}
 	server := adminapi.NewServer(adminapi.Options{Authority: core, Tallies: coordinator.TalliesAPI{Node: tallies}})
 	defer server.Close()
 	go server.Serve(api)
 	klog.InfoS("Replicating configuration and services", "id", n.Self.ID, "address", options.Address, "first", options.Bootstrap)
-	return ignoreShutdown(ctx, core.Run(ctx, l, platform.New(s.CloudAPI.Address)))
+	return core.Run(ctx, l, platform.New(s.CloudAPI.Address))
+}
+
+// listenForAll listens for operators and for other processes.
+func listenForAll(s *settings.Settings) (operators, others net.Listener, err error) {
+	operators, err = net.Listen("tcp", s.BindAddresses.ControlPlane)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for operators")
+	}
+	others, err = rpc.Listen(process.InternalAddress(s, protocol.CorePort))
+	if err != nil {
+		return nil, nil, errors.Join(errors.Wrap(err, "listen for other processes"), operators.Close())
+	}
+	return operators, others, nil
 }
 
 // zoneNames returns the zones that the settings name.
@@ -110,11 +121,15 @@
 }
 
 // Run implements the command.
-func (c *keepCommand) Run() error {
-	s, ctx, err := process.Start(c.LogLevel)
+func (c *keepCommand) Run() error { return process.Run(c.LogLevel, keep) }
+
+// keep runs a storage node until ctx ends.
+func keep(ctx context.Context, s *settings.Settings) error {
+	l, err := rpc.Listen(process.InternalAddress(s, protocol.StoragePort))
 	if err != nil {
-		return err
+		return errors.Wrap(err, "listen for other processes")
 	}
+	defer l.Close()
 	options, err := nodeOptions(s, protocol.Storage, protocol.StoragePort)
 	if err != nil {
 		return err
@@ -129,25 +144,14 @@
 		return err
 	}
 	defer n.Close()
+	s.Bootstrap = false // if this fails, an emptied disk isn't that of a first start
 	storageNode, err := storage.New(storage.Options{Node: n, Name: s.NodeName, ToleratedLosses: s.FaultTolerance.MachineLosses, Seeds: options.Seeds})
 	if err != nil {
 		return err
 	}
 	running.Store(storageNode)
-	l, err := rpc.Listen(options.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for other processes")
-	}
 	klog.InfoS("Replicating turns", "id", n.Self.ID, "address", options.Address)
-	return ignoreShutdown(ctx, storageNode.Run(ctx, l))
-}
-
-// ignoreShutdown returns nil if the process was asked to end, otherwise the error.
-func ignoreShutdown(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return storageNode.Run(ctx, l)
 }
 
 // nodeOptions returns the options of a node that stores data, from the settings.
--- a/cmd/oakseam-edge/main.go
+++ b/cmd/oakseam-edge/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -29,11 +30,10 @@
 }
 
 // Run implements the command.
-func (c *serveCommand) Run() error {
-	s, ctx, err := process.Start(c.LogLevel)
-	if err != nil {
-		return err
-	}
+func (c *serveCommand) Run() error { return process.Run(c.LogLevel, serve) }
+
+// serve runs a node of the data plane until ctx ends.
+func serve(ctx context.Context, s *settings.Settings) error {
 	n, err := edge.New(s, process.InternalSeeds(s, protocol.CorePort), jsonlog.Logger())
 	if err != nil {
 		return err
--- a/internal/controlplane/node/node.go
+++ b/internal/controlplane/node/node.go
@@ -76,14 +76,22 @@
 // Open opens the node's disk and reads its identity.
 func Open(options Options) (*Node, error) {
 	n := &Node{seeds: options.Seeds, start: time.Now()}
-	disk, err := store.AwaitSpace(func() (*store.SQLite, error) { return store.Open(options.DataDir) })
+	disk, err := store.Open(options.DataDir)
 	if err != nil {
 		return nil, errors.Wrap(err, "open store")
 	}
 	n.store = disk
+	if err := n.open(disk, options); err != nil {
+		return nil, errors.Join(err, disk.Close())
+	}
+	return n, nil
+}
+
+// open reads the identity, the known nodes and the groups from the disk.
+func (n *Node) open(disk store.Store, options Options) error {
 	id, err := identity(disk, options)
 	if err != nil {
-		return nil, errors.Wrap(err, "identity")
+		return errors.Wrap(err, "identity")
 	}
 	n.Self = protocol.Node{ID: id, Name: options.Name, Class: options.Class, Address: options.Address, Zone: options.Zone}
 	if n.Addresses, err = LoadAddressBook(durable.Directory(options.DataDir)); err != nil {
@@ -104,9 +112,9 @@
 		Transport: &transport{addresses: n.Addresses, regular: lane{pool: n.Pool}, bulk: lane{pool: n.bulk}},
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "open groups")
+		return errors.Wrap(err, "open groups")
 	}
-	return n, nil
+	return nil
 }
 
 // identity returns the id stored on the disk, or creates one. An empty disk means that votes
--- a/internal/dataplane/edge/edge.go
+++ b/internal/dataplane/edge/edge.go
@@ -57,6 +57,7 @@
 // Node is one node of the data plane.
 type Node struct {
 	settings   *settings.Settings
+	pool       *rpc.Pool
 	dispatcher *dispatch.Dispatcher
 	turns      *turnclient.Client
 	isolation  *turnclient.Isolation
@@ -65,22 +66,24 @@
 	platform   *platform.Client
 	server     *ingress.Server
 	listener   net.Listener
+	readiness  net.Listener
 	counters   *counters.Set
 
 	mu           sync.Mutex
 	shuttingDown bool
 }
 
-// New opens the client listener and returns a node that is ready to run.
+// New opens the listeners and returns a node that is ready to run. Run closes them.
 func New(s *settings.Settings, seeds []string, log *slog.Logger) (*Node, error) {
-	l, err := net.Listen("tcp", s.BindAddresses.Front)
+	l, ready, err := listen(s.BindAddresses)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for clients")
+		return nil, err
 	}
-	n := &Node{settings: s, listener: l, counters: counters.New(), platform: platform.New(s.CloudAPI.Address)}
+	n := &Node{settings: s, listener: l, readiness: ready, counters: counters.New(), platform: platform.New(s.CloudAPI.Address)}
 	descriptors := float64(max(s.Limits.FileDescriptors-spareDescriptors, 128))
 	budget := message.NewBudget(int64(bodyShare * float64(max(s.Limits.MemoryMB, 64)) * (1 << 20)))
 	pool := rpc.NewPool(rpc.Options{})
+	n.pool = pool
 	n.dispatcher = dispatch.New(dispatch.Options{Zone: s.Zone, Name: s.NodeName, MaxConns: int(serverShare * descriptors), Budget: budget, Counters: n.counters, Log: log, Warmup: s.Warmup})
 	n.isolation = turnclient.NewIsolation(pool, s.Zone)
 	n.turns = turnclient.New(pool, n.isolation)
@@ -95,6 +98,19 @@
 	return n, nil
 }
 
+// listen listens for clients and for readiness checks.
+func listen(addresses settings.BindAddresses) (front, readiness net.Listener, err error) {
+	front, err = net.Listen("tcp", addresses.Front)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for clients")
+	}
+	readiness, err = net.Listen("tcp", addresses.Readiness)
+	if err != nil {
+		return nil, nil, errors.Join(errors.Wrap(err, "listen for readiness checks"), front.Close())
+	}
+	return front, readiness, nil
+}
+
 // rejectAmbiguous answers a request whose end cannot be determined safely.
 func rejectAmbiguous(w http.ResponseWriter) {
 	http.Error(w, "it is in doubt where the request ends", http.StatusBadRequest)
@@ -102,14 +118,10 @@
 
 // Run serves until ctx ends, then answers the accepted requests and returns.
 func (n *Node) Run(ctx context.Context) error {
+	defer n.close()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer n.dispatcher.Close()
-	ready, err := net.Listen("tcp", n.settings.BindAddresses.Readiness)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness checks")
-	}
-	go n.serveReadiness(ready)
+	go n.serveReadiness(n.readiness)
 	go n.follower.Run(background)
 	go n.pollPlatform(background)
 	go n.isolation.Run(background)
@@ -126,13 +138,22 @@
 	n.mu.Unlock()
 	klog.InfoS("Shutting down, clients are sent to other nodes")
 	mustExit := time.Now().Add(n.settings.Bounds.Grace)
-	err = n.server.Shutdown(max(n.settings.Bounds.Grace-exitMargin, n.settings.Bounds.Grace/2))
+	err := n.server.Shutdown(max(n.settings.Bounds.Grace-exitMargin, n.settings.Bounds.Grace/2))
 	reports, cancelReports := context.WithDeadline(background, mustExit.Add(-reportMargin))
 	defer cancelReports()
 	klog.InfoS("Shut down", "cause", err, "unreported", n.gateway.AwaitReports(reports))
 	return nil
 }
 
+// close closes all listeners and connections.
+func (n *Node) close() {
+	_ = n.server.Close() // closes the listener for clients
+	_ = n.listener.Close()
+	_ = n.readiness.Close()
+	n.dispatcher.Close()
+	n.pool.Close()
+}
+
 // handleUpdate applies an update from the control plane.
 func (n *Node) handleUpdate(update watch.Update) {
 	switch {
@@ -171,7 +192,7 @@
 		}
 	})
 	server := http.Server{Handler: mux, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
-	if err := server.Serve(l); err != nil {
+	if err := server.Serve(l); !errors.Is(err, net.ErrClosed) {
 		klog.ErrorS(err, "Readiness checks are no longer answered")
 	}
 }
--- a/internal/tier/process/execute.go
+++ b/internal/tier/process/execute.go
@@ -11,7 +11,6 @@
 
 	"oakseam/internal/tier/jsonlog"
 	"oakseam/internal/tier/routing"
-	"oakseam/internal/tier/settings"
 )
 
 // flushTimeout bounds the wait for the last lines of the log at the end of the process.
@@ -27,16 +26,15 @@
 		return ExitUsage
 	}
 	err = command.Run()
-	var settingsError *settings.FieldError
 	var configurationError *routing.InvalidError
 	switch {
 	case err == nil:
 		return 0
-	case errors.As(err, &settingsError), errors.As(err, &configurationError), errors.Is(err, ErrNoSettings):
+	case isUnusableSettings(err), errors.As(err, &configurationError):
 		fmt.Fprintln(os.Stderr, err)
 		return ExitUsage
 	}
-	klog.ErrorS(err, "Process failed")
+	klog.ErrorS(err, "Command failed")
 	fmt.Fprintln(os.Stderr, err)
 	return ExitFailed
 }
--- a/internal/tier/process/process.go
+++ b/internal/tier/process/process.go
@@ -1,17 +1,14 @@
-// Package process holds the common startup of all tier processes: settings, resource limits,
-// logging and signals.
+// Package process holds what all tier processes have in common: settings, resource limits, the log,
+// signals, and that no failure but unusable settings ends a process.
 package process
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -21,7 +18,7 @@
 
 // Exit codes of the programs.
 const (
-	ExitFailed = 1 // a failure at run time
+	ExitFailed = 1 // a command that is no role failed
 	ExitUsage  = 2 // invalid command line, settings or configuration
 )
 
@@ -37,16 +34,24 @@
 // not set.
 var ErrNoSettings = errors.New(settings.PathVariable + " isn't set: it holds the path of the settings file")
 
-// Start reads the settings, applies the resource limits and starts the log. The context is
-// canceled by SIGTERM and by an interrupt.
-func Start(level slog.Level) (*settings.Settings, context.Context, error) {
+// SettingsError reports settings that a process can't use.
+type SettingsError struct{ Cause error }
+
+// Error implements error.
+func (e *SettingsError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Cause }
+
+// prepare reads the settings, applies the resource limits and starts the log.
+func prepare(level slog.Level) (*settings.Settings, error) {
 	path := settings.Path()
 	if path == "" {
-		return nil, nil, ErrNoSettings
+		return nil, &SettingsError{Cause: ErrNoSettings}
 	}
 	s, err := settings.Read(path)
 	if err != nil {
-		return nil, nil, err
+		return nil, &SettingsError{Cause: err}
 	}
 	runtime.GOMAXPROCS(max(s.Limits.CoreCount, 1))
 	debug.SetGCPercent(gcPercent)
@@ -54,9 +59,7 @@
 		debug.SetMemoryLimit(int64(softMemoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	}
 	jsonlog.Start(os.Stderr, s.NodeName, s.Role, level)
-	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	go handleInformingSignals()
-	return s, ctx, nil
+	return s, nil
 }
 
 // InternalSeeds returns the net/rpc addresses of the core nodes at the seed nodes. All
