--- a/internal/controlplane/store/database.go
+++ b/internal/controlplane/store/database.go
@@ -5,6 +5,7 @@
 	"database/sql/driver"
 	"fmt"
 	"io"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/mattn/go-sqlite3"
@@ -135,11 +136,16 @@
 	return wrap(errors.Join(failures...), "close the store")
 }
 
-// isFull reports whether SQLite returned SQLITE_FULL. In this case the outcome is certain: SQLite
-// has rolled back what it could not write. A sync that fails for lack of space is not included.
+// isFull reports whether a write found no room: SQLITE_FULL, or a write that a quota or the largest size
+// of a file refused. In this case the outcome is certain: SQLite has rolled back what it could not write.
+// A sync that fails for lack of space is not included.
 func isFull(err error) bool {
 	var failure sqlite3.Error
-	return errors.As(err, &failure) && failure.Code == sqlite3.ErrFull
+	if !errors.As(err, &failure) {
+		return false
+	}
+	refused := failure.SystemErrno == syscall.EFBIG || failure.SystemErrno == syscall.EDQUOT
+	return failure.Code == sqlite3.ErrFull || failure.ExtendedCode == sqlite3.ErrIoErrWrite && refused
 }
 
 // classifyOpenError adds ErrInUse or ErrFull to an error of opening the store.
--- a/internal/processtest/ends_test.go
+++ b/internal/processtest/ends_test.go
@@ -206,6 +206,7 @@
 	m.requireAlive(settleTime, "after a write beyond the largest file size")
 	assert.NilError(t, m.process.limitFiles(unix.RLIM_INFINITY))
 	await(t, startTimeout, "a configuration is acknowledged", m.takesConfiguration)
+	assert.Assert(t, !strings.Contains(m.process.log.String(), "The role failed"), "the write has to wait for room")
 	m.requireStops()
 }
 
