--- a/internal/processtest/ends_test.go
+++ b/internal/processtest/ends_test.go
@@ -26,6 +26,8 @@
 	pageBytes = 4096
 	// smallFileBytes is a limit of file sizes under which no database fits.
 	smallFileBytes = 4096
+	// addressSpaceKiB is the least address space that a process is promised to run in.
+	addressSpaceKiB = 1536 << 10
 )
 
 // forEachRole runs a test with one machine of each role. The machines belong to one tier without
@@ -341,3 +343,15 @@
 		}
 	})
 }
+
+// Guards against a process that needs much more address space than memory: the C library and the runtime
+// reserve it by the thread.
+func TestLittleAddressSpaceEndsNoProcess(t *testing.T) {
+	forEachRole(t, func(t *testing.T, m *machine) {
+		m.startWith(true, nil, "/bin/sh", "-c", fmt.Sprintf("ulimit -v %d; exec %s %s", addressSpaceKiB, m.Program, m.Command))
+		awaitServing(t, m)
+		m.process.reload()
+		m.requireAlive(settleTime, "with little address space")
+		m.requireStops()
+	})
+}
