--- a/cmd/oaklab/tier.go
+++ b/cmd/oaklab/tier.go
@@ -45,8 +45,8 @@
 		},
 	}
 	f := c.Flags()
-	f.StringVar(&opt.EdgeProgram, "anemometer", "", "program of the data plane (default: oakseam-edge in the folder of this program)")
-	f.StringVar(&opt.ControlProgram, "barograph", "", "program of the control plane (default: oakseam-control in the folder of this program)")
+	f.StringVar(&opt.EdgeProgram, "edge-program", "", "program of the data plane (default: oakseam-edge in the folder of this program)")
+	f.StringVar(&opt.ControlProgram, "control-program", "", "program of the control plane (default: oakseam-control in the folder of this program)")
 	f.StringVar(&opt.Network, "network", opt.Network, "first two numbers of the machines' IPv4 addresses (default: a loopback network that no other run uses)")
 	f.StringVar(&opt.Folder, "folder", "", "folder of the machines' disks (default: a temporary folder)")
 	f.StringVar(&opt.LogDir, "logs", "", "folder for the processes' logs")
--- a/cmd/oaklab/tier_test.go
+++ b/cmd/oaklab/tier_test.go
@@ -66,10 +66,10 @@
 // TestTierReportsMissingPrograms guards against a run that doesn't report a missing program, or one
 // that exits at once.
 func TestTierReportsMissingPrograms(t *testing.T) {
-	code, _, errs := runOaklab("tier", "--barograph", "/bin/false")
+	code, _, errs := runOaklab("tier", "--control-program", "/bin/false")
 	assert.Equal(t, cli.ExitUsage, code, "there is no oakseam-edge in the test's folder")
 	assert.Contains(t, errs, "oakseam-edge")
-	code, _, errs = runOaklab("tier", "--network", "127.31", "--anemometer", "/bin/false", "--barograph", "/bin/false")
+	code, _, errs = runOaklab("tier", "--network", "127.31", "--edge-program", "/bin/false", "--control-program", "/bin/false")
 	assert.Equal(t, cli.ExitFailure, code)
 	assert.Contains(t, errs, tierlab.ErrCrashed.Error())
 }
