--- a/cmd/oakseam/main.go
+++ b/cmd/oakseam/main.go
@@ -17,7 +17,8 @@
 )
 
 func main() {
-	// First of all: an early signal must not end the node.
+	// First of all: an early signal must not end the node, nor a write to a standard stream that nobody reads.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	os.Exit(cli.Run(rootCommand(signals), os.Args[1:]))
