--- a/internal/processtest/ends_test.go
+++ b/internal/processtest/ends_test.go
@@ -171,6 +171,7 @@
 			assert.NilError(t, err)
 			defer held.Close()
 			m.start(true)
+			m.awaitLog(roleFailed)
 			m.requireAlive(settleTime, "while its port is held: "+name)
 			assert.NilError(t, held.Close())
 			awaitServing(t, m)
@@ -185,6 +186,7 @@
 	forEachRole(t, func(t *testing.T, m *machine) {
 		m.IP = "192.0.2.1" // for documentation: on no machine
 		m.start(true)
+		m.awaitLog(roleFailed)
 		m.requireAlive(settleTime, "while its address is missing")
 		m.requireStops()
 	})
@@ -195,6 +197,7 @@
 	forEachStoringRole(t, func(t *testing.T, m *machine) {
 		// The shell counts in blocks of 512 bytes.
 		m.startWith(true, nil, "/bin/sh", "-c", fmt.Sprintf("ulimit -S -f %d; exec %s %s", smallFileBytes/512, m.Program, m.Command))
+		m.awaitLog(roleFailed)
 		m.requireAlive(settleTime, "while files are limited to 4 KiB")
 		assert.NilError(t, m.process.limitFiles(unix.RLIM_INFINITY))
 		awaitServing(t, m)
@@ -230,6 +233,7 @@
 func TestProcessThatWaitsForSpaceStops(t *testing.T) {
 	forEachStoringRole(t, func(t *testing.T, m *machine) {
 		m.startWith(true, nil, "/bin/sh", "-c", fmt.Sprintf("ulimit -S -f %d; exec %s %s", smallFileBytes/512, m.Program, m.Command))
+		m.awaitLog(roleFailed)
 		m.requireAlive(settleTime, "while files are limited to 4 KiB")
 		m.requireStops()
 	})
@@ -242,6 +246,7 @@
 		assert.NilError(t, err)
 		defer held.Close()
 		m.start(true)
+		m.awaitLog(roleFailed)
 		m.requireAlive(settleTime, "while its store is held")
 		assert.NilError(t, held.Close())
 		awaitServing(t, m)
@@ -255,6 +260,7 @@
 		assert.NilError(t, m.WipeDisk())
 		assert.NilError(t, os.WriteFile(m.Disk(), nil, 0o600))
 		m.start(true)
+		m.awaitLog(roleFailed)
 		m.requireAlive(settleTime, "while a file stands in place of its data folder")
 		assert.NilError(t, os.Remove(m.Disk()))
 		awaitServing(t, m)
@@ -281,6 +287,7 @@
 	forEachRole(t, func(t *testing.T, m *machine) {
 		for _, descriptors := range []int{16, 32, 256} {
 			m.startWith(true, nil, "/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s %s", descriptors, m.Program, m.Command))
+			m.awaitLog(processStarted)
 			m.requireAlive(settleTime, fmt.Sprintf("with %d descriptors", descriptors))
 			m.requireStops()
 		}
--- a/internal/processtest/programs_test.go
+++ b/internal/processtest/programs_test.go
@@ -221,6 +221,20 @@
 	}
 }
 
+// Lines of the log that tell how far a process has come. From processStarted on it takes SIGTERM.
+const (
+	processStarted = "Process started"
+	roleFailed     = "The role failed"
+)
+
+// awaitLog waits until the process has logged a line, or has ended.
+func (m *machine) awaitLog(line string) {
+	m.t.Helper()
+	await(m.t, startTimeout, m.Name+" logs "+line, func() bool {
+		return m.process.ended() || strings.Contains(m.process.log.String(), line)
+	})
+}
+
 // requireStops sends SIGTERM and fails the test unless the process ends with exit code 0 in time.
 func (m *machine) requireStops() {
 	m.t.Helper()
