--- a/internal/processtest/programs_test.go
+++ b/internal/processtest/programs_test.go
@@ -60,12 +60,13 @@
 
 // tier is a set of machines on a loopback network of their own.
 type tier struct {
-	t       *testing.T
-	folder  string
-	network string
-	cores   []*machine
-	stores  []*machine
-	edges   []*machine
+	t        *testing.T
+	folder   string
+	network  string
+	platform *tierfakes.Platform
+	cores    []*machine
+	stores   []*machine
+	edges    []*machine
 }
 
 // machine is a machine of the tier with its current process.
@@ -85,6 +86,7 @@
 	platform, err := tierfakes.NewPlatform(c.address(200), 0, func(tierfakes.Member) {})
 	assert.NilError(t, err)
 	t.Cleanup(platform.Close)
+	c.platform = platform
 	platform.Put(tierfakes.Member{MemberID: "m", PoolName: "p", Address: c.address(201) + ":8080", Zone: "zone-a", Capacity: 1, MemberState: "in_service"})
 	var seeds []string
 	for i := range min(cores, 3) {
--- a/internal/processtest/starts_test.go
+++ b/internal/processtest/starts_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // firstStartTimeout bounds the first start of a tier of which no more than machineLosses machines are
@@ -135,3 +137,33 @@
 	c.cores[2].process.signal(syscall.SIGCONT)
 	awaitConfigured(t, c.cores[2])
 }
+
+// Guards against a tier that takes no configuration, or whose processes end, while the platform is away.
+func TestFirstStartWithoutPlatform(t *testing.T) {
+	c := newTier(t, 3, 3, 1)
+	c.platform.Close()
+	startAll(c.all()...)
+	awaitConfigured(t, c.cores[0])
+	for _, m := range c.all() {
+		m.requireAlive(settleTime, "without a platform")
+	}
+}
+
+// Guards against edges that wait for ever because fewer storage nodes come than a group has voters.
+func TestFirstStartWithTwoStorageNodes(t *testing.T) {
+	c := newTier(t, 3, 2, 1)
+	startAll(c.all()...)
+	awaitConfigured(t, c.cores[0])
+	awaitReady(t, c.edges...)
+}
+
+// Guards against a node without a majority that takes a configuration, or ends.
+func TestFirstStartOfOneCoreNodeWaitsForAMajority(t *testing.T) {
+	c := newTier(t, 3, 0, 0)
+	c.cores[0].start(true)
+	await(t, startTimeout, "the internal port answers", func() bool { return greets(c.cores[0].Internal(0)) })
+	assert.Assert(t, !c.cores[0].takesConfiguration())
+	c.cores[0].requireAlive(settleTime, "without a majority")
+	c.cores[1].start(true)
+	awaitConfigured(t, c.cores[0])
+}
