--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -37,7 +37,8 @@
 // machine is a machine of the tier with its process, if one runs.
 type machine struct {
 	*tierfakes.Machine
-	cores   int // processors that it shows; 0: one
+	cores   int  // processors that it shows; 0: one
+	warmup  bool // the bounds of cold servers are stated
 	process *fakes.Node
 }
 
@@ -91,6 +92,7 @@
 	zones  []string
 	seeds  []string
 	bounds map[string]int
+	warmup bool // the bounds of cold servers are stated too
 }
 
 // add adds a machine that runs one role of the deploy file.
@@ -102,7 +104,7 @@
 	case settings.Storage:
 		program, command = "oakseam-control", "keep"
 	}
-	m := &machine{cores: s.cores, Machine: &tierfakes.Machine{
+	m := &machine{cores: s.cores, warmup: s.warmup, Machine: &tierfakes.Machine{
 		Name: name, Serves: serves, Program: filepath.Join(l.programs, program), Command: command, IP: l.address(0, len(l.machines)+1),
 		Zone: zone, Zones: s.zones, Seeds: s.seeds, Platform: l.platform.Address, MachineLosses: s.losses, TimingBounds: s.bounds,
 		Folder: filepath.Join(l.folder, name), Log: io.Discard,
@@ -120,11 +122,7 @@
 }
 
 // startProcess starts the machine's process with the command of the deploy file.
-func (m *machine) startProcess(bootstrap bool) (err error) {
-	if m.cores == 0 {
-		m.process, err = m.Start(bootstrap)
-		return err
-	}
+func (m *machine) startProcess(bootstrap bool) error {
 	if err := os.MkdirAll(m.Disk(), 0o755); err != nil {
 		return err
 	}
@@ -132,16 +130,26 @@
 	if err != nil {
 		return err
 	}
+	if err := m.adjustSettings(path); err != nil {
+		return err
+	}
+	m.process, err = fakes.StartNode("env", m.Folder, struct{}{}, m.Front(), "", m.Log, settings.PathVariable+"="+path, m.Program, m.Command)
+	return err
+}
+
+// adjustSettings writes the settings that the project's stand-in of a machine has no field for.
+func (m *machine) adjustSettings(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	text = bytes.Replace(text, []byte("coreCount = 1\n"), fmt.Appendf(nil, "coreCount = %d\n", m.cores), 1)
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
+	if m.cores > 0 {
+		text = bytes.Replace(text, []byte("coreCount = 1\n"), fmt.Appendf(nil, "coreCount = %d\n", m.cores), 1)
 	}
-	m.process, err = fakes.StartNode("env", m.Folder, struct{}{}, m.Front(), "", m.Log, settings.PathVariable+"="+path, m.Program, m.Command)
-	return err
+	if m.warmup {
+		text = bytes.Replace(text, []byte("[timingBounds]\n"), fmt.Appendf(nil, "[timingBounds]\nwarmupOverrun = %v\nwarmupSlack = %v\n", coldOverrun, coldSlack), 1)
+	}
+	return os.WriteFile(path, text, 0o600)
 }
 
 func (l *lab) kill(m *machine) {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -42,7 +44,9 @@
 		return exitNotRun
 	}
 	defer record.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, maxDuration)
 	defer cancel()
 	l, err := newLab(record, *programs, os.Getenv("TROUBLE") != "0")
 	if err != nil {
