Review case 4: edge and storage machines of all zones run on

Cause: with core machines alone, the fifth machine's view was the same as that behind a cut, and a reader could take the loss for one.

Change: five storage and five edge machines, one of each in each zone, run through the case and go on calling the fifth core machine. The losses, the bounds and the check are as before.

--- a/review/lab2/overlap.go
+++ b/review/lab2/overlap.go
@@ -23,7 +23,8 @@
 )
 
 // playOverlap: four of five core machines lose power, the fifth acknowledges an add and then loses its
-// disk, and all come back.
+// disk, and all come back. The edge and storage machines of all five zones run on and reach each other
+// and the fifth: no zone is cut off.
 func playOverlap(ctx context.Context, l *lab) (bool, error) {
 	zones := []string{"gent-a", "gent-b", "antw-a", "leuv-a", "brug-a"}
 	s := settingsOf{losses: 2, zones: zones, bounds: apartBounds}
@@ -34,11 +35,27 @@
 	for _, zone := range zones {
 		cores = append(cores, l.add("core-"+zone, settings.Control, zone, s))
 	}
-	for _, m := range cores {
+	var edges []*machine
+	for _, zone := range zones {
+		l.add("storage-"+zone, settings.Storage, zone, s)
+		edges = append(edges, l.add("edge-"+zone, settings.Edge, zone, s))
+	}
+	for i, zone := range zones {
+		if err := l.startDocumentServer(i, zone); err != nil {
+			return false, err
+		}
+	}
+	for _, m := range l.machines {
 		if err := l.start(m, true); err != nil {
 			return false, err
 		}
 	}
+	if err := l.configure(ctx, cores, documentConfiguration()); err != nil {
+		return false, err
+	}
+	if err := awaitReady(ctx, edges); err != nil {
+		return false, err
+	}
 	if err := awaitTallies(ctx, l, cores); err != nil {
 		return false, err
 	}
