--- a/cmd/oakseam-control/main.go
+++ b/cmd/oakseam-control/main.go
@@ -145,7 +145,18 @@
 	}
 	defer n.Close()
 	s.Bootstrap = false // if this fails, an emptied disk isn't that of a first start
-	storageNode, err := storage.New(storage.Options{Node: n, Name: s.NodeName, ToleratedLosses: s.FaultTolerance.MachineLosses, Seeds: options.Seeds})
+	copies, err := store.OpenTallyCopies(s.DataDir)
+	if err != nil {
+		return errors.Wrap(err, "open copies of adds to tallies")
+	}
+	defer copies.Close()
+	transport := tallysync.NewPoolTransport(nil)
+	defer transport.Close()
+	holder, err := tallysync.NewHolder(tallysync.HolderOptions{Store: copies, Transport: transport, Members: n.Addresses.All})
+	if err != nil {
+		return err
+	}
+	storageNode, err := storage.New(storage.Options{Node: n, Name: s.NodeName, ToleratedLosses: s.FaultTolerance.MachineLosses, Seeds: options.Seeds, Holder: holder})
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/storage/storage.go
+++ b/internal/controlplane/storage/storage.go
@@ -1,5 +1,6 @@
 // Package storage is a storage node: with others of its class it replicates the turns of
-// programs and the programs' remaining token budgets.
+// programs and the programs' remaining token budgets. It also holds copies of adds to tallies
+// while too few core nodes can be reached.
 package storage
 
 import (
@@ -19,6 +20,7 @@
 	"oakseam/internal/controlplane/repair"
 	"oakseam/internal/controlplane/replica"
 	"oakseam/internal/controlplane/revisions"
+	"oakseam/internal/controlplane/tallysync"
 	"oakseam/internal/controlplane/turns"
 	"oakseam/internal/tier/protocol"
 	"oakseam/internal/tier/watch"
@@ -42,6 +44,7 @@
 	node            *node.Node
 	toleratedLosses int
 	follower        *watch.Follower
+	holder          *tallysync.Holder
 
 	mu             sync.Mutex
 	openPartitions map[int]bool // partitions whose group runs here
@@ -55,11 +58,12 @@
 	Name            string
 	ToleratedLosses int
 	Seeds           []string
+	Holder          *tallysync.Holder // holds copies of adds to tallies; nil if this node holds none
 }
 
 // New restores the groups that are stored on the disk.
 func New(options Options) (*Node, error) {
-	n := &Node{node: options.Node, toleratedLosses: options.ToleratedLosses, openPartitions: map[int]bool{}, planners: map[int]*repair.Planner{}, reported: map[int]uint64{}}
+	n := &Node{node: options.Node, toleratedLosses: options.ToleratedLosses, holder: options.Holder, openPartitions: map[int]bool{}, planners: map[int]*repair.Planner{}, reported: map[int]uint64{}}
 	n.follower = watch.New(watch.Options{Name: options.Name, Seeds: options.Seeds, ConcurrentCalls: options.ToleratedLosses + 1, DirectoryOnly: true, Pool: options.Node.Pool, OnUpdate: n.applyUpdate})
 	for _, group := range options.Node.Host.StoredGroups() {
 		partition, ok := protocol.TurnPartitionOf(group)
@@ -122,13 +126,29 @@
 
 // Run serves other processes on l until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context, l net.Listener) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	services := map[string]any{"Turns": &turnsService{n}}
+	if n.holder != nil {
+		services[tallysync.HolderServiceName] = n.holder.Service()
+		go n.handOverCopies(ctx, cancel)
+	}
 	go n.follower.Run(ctx)
 	go coordinator.Register(ctx, n.node, n.follower.Directory)
 	go n.runEvery(ctx, repairInterval, n.maintainPartitions)
 	go n.runEvery(ctx, forgetInterval, n.forgetIdlePrograms)
-	return n.node.Serve(ctx, l, map[string]any{"Turns": &turnsService{n}})
+	err := n.node.Serve(ctx, l, services)
+	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+// handOverCopies hands copies of adds over until ctx ends. If their disk fails, it ends the node by cancel.
+func (n *Node) handOverCopies(ctx context.Context, cancel context.CancelCauseFunc) {
+	if err := n.holder.Run(ctx); err != nil {
+		cancel(errors.Wrap(err, "copies of adds to tallies"))
+	}
 }
 
 // runEvery calls step at a fixed interval until ctx ends.
--- a/internal/controlplane/store/tallies_test.go
+++ b/internal/controlplane/store/tallies_test.go
@@ -214,3 +214,33 @@
 		})
 	}
 }
+
+// A copy that was confirmed must be on the disk, and one that a full disk refused must not be; what is removed
+// must not come again.
+func TestCopiesOfAddsSurvivePowerLossAndFullDisk(t *testing.T) {
+	directory := t.TempDir()
+	s, err := openTallyCopiesLimited(directory, 12)
+	assert.NilError(t, err)
+	defer s.Close()
+	held := map[tallies.Entry]bool{}
+	for i := 0; err == nil; i++ {
+		entries := []tallies.Entry{{Tally: "t", Member: fmt.Sprint("m", i), Amount: 1}, {Tally: "t", Member: fmt.Sprint("m", i), Amount: 2}}
+		if err = s.Add(entries); err == nil {
+			held[entries[0]], held[entries[1]] = true, true
+			assert.NilError(t, s.Add(entries))
+			assert.NilError(t, s.Remove(entries[:1]))
+			delete(held, entries[0])
+		}
+	}
+	assert.ErrorIs(t, err, ErrFull)
+	copied, err := OpenTallyCopies(copyFiles(t, directory))
+	assert.NilError(t, err)
+	defer copied.Close()
+	loaded := map[tallies.Entry]bool{}
+	assert.NilError(t, copied.Load(func(e tallies.Entry) { loaded[e] = true }))
+	assert.DeepEqual(t, loaded, held)
+	for e := range held {
+		assert.NilError(t, s.Remove([]tallies.Entry{e}))
+		break
+	}
+}
--- a/internal/controlplane/tallies/tallies.go
+++ b/internal/controlplane/tallies/tallies.go
@@ -252,7 +252,7 @@
 	rest := log[last:]
 	count, size := 0, 0
 	for count < len(rest) && (count == 0 || size < maxBytes) {
-		size += entryOverheadBytes + len(rest[count].Tally) + len(rest[count].Member)
+		size += rest[count].Bytes()
 		count++
 	}
 	run.Entries = rest[:count:count]
@@ -279,11 +279,14 @@
 	return runs
 }
 
+// Bytes estimates the size of an entry in a message.
+func (e *Entry) Bytes() int { return entryOverheadBytes + len(e.Tally) + len(e.Member) }
+
 // Bytes estimates the size of a run in a message.
 func (r Run) Bytes() int {
 	size := 0
 	for i := range r.Entries {
-		size += entryOverheadBytes + len(r.Entries[i].Tally) + len(r.Entries[i].Member)
+		size += r.Entries[i].Bytes()
 	}
 	return size
 }
--- a/internal/controlplane/tallysync/change.go
+++ b/internal/controlplane/tallysync/change.go
@@ -12,18 +12,21 @@
 	"oakseam/internal/controlplane/tallies"
 )
 
-// change waits for the writer: an add of this node, runs that another node sent, or that the disk is
-// complete now.
+// change waits for the writer: an add of this node, runs that another node sent, adds that a holder holds
+// copies of, or that the disk is complete now.
 type change struct {
-	entry    *tallies.Entry // the add, or nil
-	runs     []tallies.Run
-	complete bool
-	done     chan changeResult // receives the result once it is durable
+	entry     *tallies.Entry // the add, or nil
+	runs      []tallies.Run
+	held      []tallies.Entry
+	replicate bool // the held adds are to get copies on enough core nodes
+	complete  bool
+	done      chan changeResult // receives the result once it is durable
 }
 
-// changeResult is the result of a change. The position is that of an add's entry.
+// changeResult is the result of a change.
 type changeResult struct {
-	position tallies.Position
+	position tallies.Position   // of an add's entry
+	held     []tallies.Position // of the entries for held adds
 	err      error
 }
 
@@ -91,6 +94,9 @@
 	for i := range c.runs {
 		size += c.runs[i].Bytes()
 	}
+	for i := range c.held {
+		size += c.held[i].Bytes()
+	}
 	return size
 }
 
@@ -179,6 +185,9 @@
 		t.results[i].err = n.planRuns(t, c.runs)
 	}
 	for i, c := range changes {
+		for _, entry := range c.held {
+			t.results[i].held = append(t.results[i].held, n.planHeld(t, entry, c.replicate))
+		}
 		if c.entry != nil {
 			t.results[i].position, t.results[i].err = n.planAdd(t, *c.entry)
 		}
@@ -223,18 +232,41 @@
 		if err := sameAmount(record.Amount, entry.Amount); err != nil {
 			return tallies.Position{}, err
 		}
-		if record.Position.Origin == n.state.Own() || n.copied(record.Position) {
+		if record.Position.Origin == n.state.Own() || n.copied(record.Position, nil) {
 			return record.Position, nil
 		}
 	} else if n.state.Total(entry.Tally) > math.MaxInt64-t.sums[entry.Tally]-entry.Amount {
 		return tallies.Position{}, ErrTooLarge
 	}
+	return n.appendOwn(t, entry), nil
+}
+
+// planHeld returns the position of an add that a holder holds a copy of, and adds an entry to this node's
+// log if there is none yet. Like a merge, it refuses nothing: of two amounts the smaller one counts. If the
+// add is to be replicated, an entry of another node's log is enough only if it is on enough nodes. n.mu must
+// be held.
+func (n *Node) planHeld(t *transaction, entry tallies.Entry, replicate bool) tallies.Position {
+	staged, repeated := t.staged[addKey{tally: entry.Tally, member: entry.Member}]
+	if repeated && staged.amount <= entry.Amount {
+		return staged.position
+	}
+	record, known := n.state.Find(entry.Tally, entry.Member)
+	if known && record.Amount <= entry.Amount {
+		if !replicate || record.Position.Origin == n.state.Own() || n.onEnoughNodes(record.Position) {
+			return record.Position
+		}
+	}
+	return n.appendOwn(t, entry)
+}
+
+// appendOwn adds an entry to this node's log and returns its position. n.mu must be held.
+func (n *Node) appendOwn(t *transaction, entry tallies.Entry) tallies.Position {
 	own := n.state.Own()
 	t.own = append(t.own, entry)
 	position := tallies.Position{Origin: own, Sequence: n.endOf(t, own) + uint64(len(t.own))}
-	t.staged[key] = stagedAdd{amount: entry.Amount, position: position}
+	t.staged[addKey{tally: entry.Tally, member: entry.Member}] = stagedAdd{amount: entry.Amount, position: position}
 	t.sums[entry.Tally] += entry.Amount
-	return position, nil
+	return position
 }
 
 func sameAmount(counted, amount int64) error {
--- a/internal/controlplane/tallysync/cluster_test.go
+++ b/internal/controlplane/tallysync/cluster_test.go
@@ -101,8 +101,11 @@
 	mu    sync.Mutex
 	nodes map[string]*testNode // by address
 	known []protocol.Node
-	cut   func(from, to string) bool // whether packets from one address to another are lost
-	stall map[string]chan struct{}   // nodes whose process stands still
+	// storage are the known storage machines, holders those of them whose process runs, by address.
+	storage []protocol.Node
+	holders map[string]*Holder
+	cut     func(from, to string) bool // whether packets from one address to another are lost
+	stall   map[string]chan struct{}   // nodes whose process stands still
 	// knownTo is how many members a node knows if not all, and earlier tells nodes of a build without tallies.
 	knownTo map[string]int
 	earlier map[string]bool
@@ -122,7 +125,7 @@
 func runCluster(t *testing.T, losses int, zones []string, test func(*testing.T, *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, losses: losses, nodes: map[string]*testNode{}, stall: map[string]chan struct{}{}, knownTo: map[string]int{}, earlier: map[string]bool{}, cut: func(string, string) bool { return false }}
+		c := &cluster{t: t, losses: losses, nodes: map[string]*testNode{}, holders: map[string]*Holder{}, stall: map[string]chan struct{}{}, knownTo: map[string]int{}, earlier: map[string]bool{}, cut: func(string, string) bool { return false }}
 		for i, zone := range zones {
 			c.known = append(c.known, protocol.Node{ID: replica.NodeID(i + 1), Name: name(i), Class: protocol.Core, Address: name(i), Zone: zone})
 		}
@@ -187,9 +190,12 @@
 	if limited {
 		return n.cluster.known[:count]
 	}
-	return n.cluster.known
+	return n.cluster.members()
 }
 
+// members returns all machines.
+func (c *cluster) members() []protocol.Node { return slices.Concat(c.known, c.storage) }
+
 // setCut decides which packets are lost from now on.
 func (c *cluster) setCut(cut func(from, to string) bool) {
 	c.mu.Lock()
@@ -208,7 +214,16 @@
 // deliver returns the node at an address once a packet has arrived there. Each node is further away
 // than the one before, so that copies come one after another.
 func (c *cluster) deliver(ctx context.Context, from, to string) (*testNode, error) {
-	time.Sleep(testLatency * time.Duration(1+slices.IndexFunc(c.known, func(n protocol.Node) bool { return n.Address == to })))
+	target, err := c.travel(ctx, from, to)
+	if err == nil && target == nil {
+		err = errors.New("connection refused")
+	}
+	return target, err
+}
+
+// travel lets a packet arrive at an address. It returns the core node there, or nil if there is none.
+func (c *cluster) travel(ctx context.Context, from, to string) (*testNode, error) {
+	time.Sleep(testLatency * time.Duration(1+slices.IndexFunc(c.members(), func(n protocol.Node) bool { return n.Address == to })))
 	c.mu.Lock()
 	target, lost, earlier := c.nodes[to], c.cut(from, to), c.earlier[to]
 	c.mu.Unlock()
@@ -217,10 +232,7 @@
 		return nil, ctx.Err()
 	}
 	if earlier {
-		return nil, &rpc.RemoteError{Address: to, Method: exchangeMethod, Text: "no such service"}
-	}
-	if target == nil {
-		return nil, errors.New("connection refused")
+		return nil, &rpc.RemoteError{Address: to, Text: "no such service"}
 	}
 	return target, ctx.Err()
 }
--- a/internal/controlplane/tallysync/copies.go
+++ b/internal/controlplane/tallysync/copies.go
@@ -9,13 +9,40 @@
 	"oakseam/internal/controlplane/tallies"
 )
 
-// awaitCopies waits until an entry is on enough nodes.
-func (n *Node) awaitCopies(ctx context.Context, position tallies.Position) error {
+// awaitCopies waits until an entry is on enough disks.
+func (n *Node) awaitCopies(ctx context.Context, entry tallies.Entry, position tallies.Position) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.waiting++
-	defer func() { n.waiting-- }()
-	for !n.copied(position) {
+	add := &waitingAdd{entry: entry, position: position, holders: map[string]string{}}
+	n.waiting[add] = struct{}{}
+	defer delete(n.waiting, add)
+	n.wakeHolders()
+	if err := n.awaitLocked(ctx, func() bool { return n.copied(position, add.holders) }); err != nil {
+		return err
+	}
+	if copies, _ := n.copies(position, add.holders); copies < n.requiredCopies {
+		n.degraded.count(n.reachableNodes(), len(n.peers)+1)
+	}
+	return nil
+}
+
+// awaitCoreCopies waits until each of some entries is on enough core nodes.
+func (n *Node) awaitCoreCopies(ctx context.Context, positions []tallies.Position) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.adopting++
+	defer func() { n.adopting-- }()
+	for _, position := range positions {
+		if err := n.awaitLocked(ctx, func() bool { return n.onEnoughNodes(position) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitLocked waits until a condition holds. n.mu must be held; it is released meanwhile.
+func (n *Node) awaitLocked(ctx context.Context, holds func() bool) error {
+	for !holds() {
 		progress := n.progress
 		n.mu.Unlock()
 		err := awaitProgress(ctx, progress, n.stopped)
@@ -24,9 +51,6 @@
 			return err
 		}
 	}
-	if copies, _ := n.copies(position); copies < n.requiredCopies {
-		n.degraded.count(n.reachableNodes(), len(n.peers)+1)
-	}
 	return nil
 }
 
@@ -40,21 +64,34 @@
 	return ErrUncertain
 }
 
-// copied reports whether an entry that this node holds is synced on enough nodes to be acknowledged:
-// on as many as must survive the tolerated losses, or on all that can be waited for if these are fewer;
-// and not only in one zone, if a node of another one is waited for. n.mu must be held.
-func (n *Node) copied(position tallies.Position) bool {
-	copies, otherZoneHolds := n.copies(position)
-	awaited, inOtherZone := n.awaitedNodes()
-	if copies < min(n.requiredCopies, awaited) {
+// copied reports whether an entry that this node holds is synced on enough disks to be acknowledged: on as
+// many as must survive the tolerated losses, and not only in one zone if a disk of another one can be waited
+// for. The disks are those of core nodes, and of the holders that have synced it. Fewer are enough only if
+// no more can be reached and that looks like a cut. n.mu must be held.
+func (n *Node) copied(position tallies.Position, held map[string]string) bool {
+	copies, otherZoneHolds := n.copies(position, held)
+	awaited, inOtherZone := n.awaitedDisks()
+	required := n.requiredCopies
+	if n.takesSilenceForCut() {
+		required = min(required, awaited)
+	}
+	if copies < required {
 		return false
 	}
 	return otherZoneHolds || n.requiredCopies == 1 || !inOtherZone
 }
 
-// copies returns the number of nodes, including this one, that have synced an entry, and whether one
-// of them is in another zone. n.mu must be held.
-func (n *Node) copies(position tallies.Position) (copies int, otherZoneHolds bool) {
+// onEnoughNodes reports whether an entry that this node holds is synced on enough core nodes. n.mu must be
+// held.
+func (n *Node) onEnoughNodes(position tallies.Position) bool {
+	copies, _ := n.copies(position, nil)
+	return copies >= n.requiredCopies
+}
+
+// copies returns the number of disks, including this node's, on which an entry is synced, and whether one
+// of them is in another zone. The second argument are the zones of the holders that have synced it. n.mu
+// must be held.
+func (n *Node) copies(position tallies.Position, held map[string]string) (copies int, otherZoneHolds bool) {
 	copies = 1
 	for _, p := range n.peers {
 		if p.vector.Holds(position) {
@@ -62,6 +99,10 @@
 			otherZoneHolds = otherZoneHolds || p.zone != n.self.Zone
 		}
 	}
+	for _, zone := range held {
+		copies++
+		otherZoneHolds = otherZoneHolds || zone != n.self.Zone
+	}
 	return copies, otherZoneHolds
 }
 
@@ -108,28 +149,60 @@
 	return answering
 }
 
-// takesAdds reports whether silence of too many nodes may count as a cut. A process that was in touch
-// with enough of them has lost them to a cut, since no more than the tolerated losses are lost at once.
-// To a process that has just started the others may be silent because they are yet to start, so it waits
+// takesAdds reports whether adds can be acknowledged, as far as this node knows: on enough disks, or behind
+// a cut. A process that was in touch with enough core nodes waits to learn which of them it is. To one that
+// has just started the others may be silent because they are yet to start, so without enough disks it waits
 // longer. Nodes that answer, but not with what they hold, are behind no cut. n.mu must be held.
 func (n *Node) takesAdds() bool {
-	return n.joined || n.aloneTicks >= n.patienceTicks && n.reachableNodes() < n.requiredCopies
+	if n.answeringNodes()+n.answeringHolders() >= n.requiredCopies {
+		return true
+	}
+	if !n.joined && (n.aloneTicks < n.patienceTicks || n.reachableNodes() >= n.requiredCopies) {
+		return false
+	}
+	return n.reachableDisks() >= n.requiredCopies || n.ownZoneAlone()
 }
 
-// awaitedNodes returns the number of nodes, including this one, whose copies an add may wait for, and
-// whether one of them is in another zone. These are the reachable ones. Behind a cut that leaves fewer
-// than the required copies, an add does not also wait for a disk that is full or does not respond.
-// n.mu must be held.
-func (n *Node) awaitedNodes() (awaited int, inOtherZone bool) {
-	cutOff := n.reachableNodes() < n.requiredCopies
+// answeringHolders returns the number of holders that have answered since they are asked, and store what
+// they are sent. n.mu must be held.
+func (n *Node) answeringHolders() int {
+	answering := 0
+	for _, h := range n.storingHolders() {
+		if h.answered {
+			answering++
+		}
+	}
+	return answering
+}
+
+// reachableDisks returns the number of machines with a disk for adds that can be reached, including this
+// one. n.mu must be held.
+func (n *Node) reachableDisks() int { return n.reachableNodes() + len(n.storingHolders()) }
+
+// takesSilenceForCut reports whether an add may be acknowledged on fewer disks than must survive the
+// tolerated losses, because no more can be reached and that looks like a cut. n.mu must be held.
+func (n *Node) takesSilenceForCut() bool {
+	return n.reachableDisks() < n.requiredCopies && n.ownZoneAlone()
+}
+
+// awaitedDisks returns the number of disks, including this node's, whose copies an add may wait for, and
+// whether one of them is in another zone. These are the reachable ones. Where they are fewer than the
+// required copies, an add does not also wait for a core node whose disk is full or does not respond. n.mu
+// must be held.
+func (n *Node) awaitedDisks() (awaited int, inOtherZone bool) {
+	tooFew := n.reachableDisks() < n.requiredCopies
 	awaited = 1
 	for _, p := range n.peers {
-		if !p.reachable || cutOff && p.stalled {
+		if !p.reachable || tooFew && p.stalled {
 			continue
 		}
 		awaited++
 		inOtherZone = inOtherZone || p.zone != n.self.Zone
 	}
+	for _, h := range n.storingHolders() {
+		awaited++
+		inOtherZone = inOtherZone || h.zone != n.self.Zone
+	}
 	return awaited, inOtherZone
 }
 
@@ -144,9 +217,9 @@
 	n.notifyWaiting()
 }
 
-// notifyWaiting lets waiting adds check their copies again. n.mu must be held.
+// notifyWaiting lets those that wait for copies check them again. n.mu must be held.
 func (n *Node) notifyWaiting() {
-	if n.waiting > 0 {
+	if len(n.waiting)+n.adopting > 0 {
 		close(n.progress)
 		n.progress = make(chan struct{})
 	}
--- a/internal/controlplane/tallysync/exchange.go
+++ b/internal/controlplane/tallysync/exchange.go
@@ -273,5 +273,10 @@
 	return t.pool.Call(ctx, address, exchangeMethod, args, reply)
 }
 
+// Hold implements Transport.
+func (t *PoolTransport) Hold(ctx context.Context, address string, args *HoldArgs, reply *HoldReply) error {
+	return t.pool.Call(ctx, address, holdMethod, args, reply)
+}
+
 // Close closes the connections.
 func (t *PoolTransport) Close() { t.pool.Close() }
--- a/internal/controlplane/tallysync/model_test.go
+++ b/internal/controlplane/tallysync/model_test.go
@@ -129,7 +129,7 @@
 
 // clonedNodeFields and clonedPeerFields are the fields that cloneNode and appendNode of the model know.
 const (
-	clonedNodeFields = 24
+	clonedNodeFields = 26
 	clonedPeerFields = 11
 )
 
@@ -139,6 +139,7 @@
 		queued: n.queued, stopped: n.stopped, progress: n.progress, state: n.state,
 		peers: make(map[string]*peer, len(n.peers)), ready: n.ready, ended: n.ended, complete: n.complete, degraded: n.degraded,
 		joined: n.joined, aloneTicks: n.aloneTicks, patienceTicks: n.patienceTicks,
+		holders: n.holders, // the model has none: only whether they are asked changes
 	}
 	for address, p := range n.peers {
 		copied := *p
@@ -453,7 +454,7 @@
 func (m *model) acknowledgeAll() {
 	for k := range m.adds {
 		a := &m.adds[k]
-		if a.outcome != addWaiting || !m.nodes[a.at].copied(a.position) {
+		if a.outcome != addWaiting || !m.nodes[a.at].copied(a.position, nil) {
 			continue
 		}
 		a.outcome, a.phase = addAcknowledged, m.phase
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -1,7 +1,8 @@
 // Package tallysync replicates tallies between the core nodes without a leader: each node writes its
 // own log, pushes it to the others, and fetches from them what it lacks. An add is acknowledged when
-// enough nodes have synced it to disk. Behind a cut that is all nodes that can be reached; after the
-// cut, the nodes exchange what the other side wrote.
+// enough disks have synced it. Where too few core nodes answer, storage nodes hold the missing copies until
+// enough core nodes have them. Where a cut leaves fewer disks than required, all that can be reached are
+// enough; after the cut, the nodes exchange what the other side wrote.
 //
 // A node tells others only of entries that are synced on its own disk.
 package tallysync
@@ -74,9 +75,10 @@
 	Append(runs []tallies.Run) error
 }
 
-// Transport makes calls to other nodes.
+// Transport makes calls to other nodes: Exchange to core nodes, Hold to storage nodes.
 type Transport interface {
 	Exchange(ctx context.Context, address string, args *ExchangeArgs, reply *ExchangeReply) error
+	Hold(ctx context.Context, address string, args *HoldArgs, reply *HoldReply) error
 }
 
 // Options configure a Node.
@@ -85,7 +87,7 @@
 	ToleratedLosses int // number of machines that may be lost at once
 	Store           Store
 	Transport       Transport
-	Members         func() []protocol.Node // the known core nodes; may contain this one
+	Members         func() []protocol.Node // the known core and storage nodes; may contain this one
 	MergeBound      time.Duration          // 0 for DefaultMergeBound
 }
 
@@ -111,10 +113,12 @@
 	joined     bool // this process has reached the required number of nodes at the same time
 	aloneTicks int  // since the start, without having joined
 	ended      bool
-	complete   bool          // the disk holds what it held when other nodes counted on it; see Store
-	writing    time.Time     // when the write in progress began; zero: none
-	waiting    int           // adds that wait for copies
-	progress   chan struct{} // closed when a waiting add is to be checked again
+	complete   bool      // the disk holds what it held when other nodes counted on it; see Store
+	writing    time.Time // when the write in progress began; zero: none
+	waiting    map[*waitingAdd]struct{}
+	adopting   int           // calls that wait until adds are on enough core nodes
+	progress   chan struct{} // closed when copies are to be checked again
+	holders    holderSet
 	degraded   degradedPeriod
 }
 
@@ -128,7 +132,7 @@
 	n := &Node{
 		self: options.Self, requiredCopies: options.ToleratedLosses + 1, interval: interval, patienceTicks: int(startPatience * bound / interval),
 		store: options.Store, transport: options.Transport, members: options.Members,
-		queued: make(chan struct{}, 1), stopped: make(chan struct{}), progress: make(chan struct{}),
+		queued: make(chan struct{}, 1), stopped: make(chan struct{}), progress: make(chan struct{}), waiting: map[*waitingAdd]struct{}{},
 		state: tallies.New(options.Store.Origin()), peers: map[string]*peer{}, complete: options.Store.Complete(),
 	}
 	err := options.Store.Load(func(run tallies.Run) error {
@@ -187,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	return n.awaitCopies(ctx, result.position)
+	return n.awaitCopies(ctx, *c.entry, result.position)
 }
 
 // Total returns the total of a tally as far as this node knows, which includes all adds that it
@@ -236,6 +240,7 @@
 			n.notifyWaiting()
 		}
 	}
+	n.updateHolders(ctx, members)
 }
 
 // updatePeer starts the exchanges with a node that is new. n.mu must be held.
@@ -273,6 +278,7 @@
 		p.unheardTicks++
 		p.settled = p.settled || p.unheardTicks >= startTicks
 	}
+	n.tickHolders(paused)
 	n.updateJoined()
 	n.countAlone()
 	n.updateReadiness()
@@ -297,9 +303,9 @@
 
 // heardEnough reports whether this node holds all adds that were acknowledged with the required number
 // of copies before it started. It does if fewer disks than that can hold such an add without this
-// node: those of nodes that it has not heard from or does not know yet, and those that have lost their
-// copy. If all known nodes have answered or been given up, there is nothing more to wait for. n.mu must
-// be held.
+// node: those of core nodes and holders that it has not heard from, of core nodes that it does not know
+// yet, and those that have lost their copy. If all known nodes have answered or been given up, there is
+// nothing more to wait for. n.mu must be held.
 func (n *Node) heardEnough() bool {
 	unheard, emptied := 0, 0
 	unknown := max(n.smallestCore()-len(n.peers)-1, 0)
@@ -314,6 +320,11 @@
 			emptied++
 		}
 	}
+	for _, h := range n.holders.byAddress {
+		if !h.settled {
+			unheard++
+		}
+	}
 	return unheard == 0 || unheard+unknown+emptied < n.requiredCopies
 }
 
