--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -20,20 +20,16 @@
 	closed atomic.Bool
 	active atomic.Bool // a request is open, as net/http reports
 
-	raw       syscall.RawConn // nil: the connection has no file descriptor
-	readMu    sync.Mutex      // held while reading
-	readAhead []byte          // received after an open request, to be read next
-	discarded int             // bytes received after it that were discarded
+	raw    syscall.RawConn // nil: the connection has no file descriptor
+	readMu sync.Mutex      // held while reading
+	held   []byte          // received after an open request, to be read next
 
 	mu      sync.Mutex // held while the socket is inspected and the result is acted on
 	closing bool       // received bytes are no longer read
 }
 
 const (
-	// maxReadAhead is how many bytes that follow an open request are kept. maxDiscarded is how many
-	// more are discarded before reading stops: a client that keeps sending has not left, and its
-	// close follows its bytes.
-	maxReadAhead = 8 << 10
+	// maxDiscarded is how many bytes are discarded from a session that the node closes.
 	maxDiscarded = 4 << 20
 	// lingerTime is how long data is still read from a session that the node closes. Bytes that
 	// cross the close would otherwise cause a reset, and the client could lose a response that it
@@ -41,9 +37,6 @@
 	lingerTime = 250 * time.Millisecond
 )
 
-// errReadAheadOverflow ends a session of which bytes were discarded.
-var errReadAheadOverflow = errors.New("too many bytes received after an open request")
-
 // newConn returns a Conn for an accepted connection.
 func newConn(c net.Conn, s *Server) *Conn {
 	conn := &Conn{Conn: c, framing: framing{length: -1}, server: s}
@@ -62,9 +55,13 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
-	if c.ClientClosed() || !c.server.linger() {
+	if c.endReached() || !c.server.linger() {
 		c.server.sessions.Add(-1)
-		return c.Conn.Close()
+		err := c.Conn.Close()
+		c.readMu.Lock()
+		defer c.readMu.Unlock()
+		c.dropHeld()
+		return err
 	}
 	go c.linger()
 	return nil
@@ -78,6 +75,7 @@
 	c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes a reader
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
+	c.dropHeld()
 	c.Conn.SetReadDeadline(time.Now().Add(c.server.lingerTime))
 	io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscarded))
 }
@@ -117,8 +115,9 @@
 }
 
 // Read implements net.Conn and tracks the framing. After a complete request net/http reads one byte
-// ahead to detect that the client closes, and would detect nothing after such a byte. So Read keeps
-// bytes that arrive then, and goes on waiting for the close.
+// ahead to detect that the client closes, and would detect nothing after such a byte. It goes on doing so
+// when the client already has the whole response. So Read leaves bytes that arrive then to a later Read,
+// and waits for the close.
 func (c *Conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	closing := c.closing
@@ -130,43 +129,13 @@
 	defer c.readMu.Unlock()
 	switch {
 	case len(b) == 1 && c.active.Load() && c.raw != nil: // net/http never reads a body by single bytes
-		return 0, c.watchForClose(b)
-	case len(c.readAhead) > 0:
-		n := copy(b, c.readAhead)
-		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
-			c.readAhead = nil
-		}
-		return n, nil
-	case c.discarded > 0:
-		return 0, errReadAheadOverflow
+		return 0, c.awaitClose()
+	case len(c.held) > 0:
+		return c.readHeld(b), nil
 	}
 	return c.readAndTrack(b)
 }
 
-// watchForClose keeps received bytes until the client closes or the read is interrupted. Most
-// clients send nothing then, so it uses the caller's buf and allocates a larger buffer only after
-// the first byte.
-func (c *Conn) watchForClose(buf []byte) error {
-	for {
-		n, err := c.readAndTrack(buf)
-		if err != nil {
-			return err
-		}
-		kept := min(n, maxReadAhead-len(c.readAhead))
-		if c.discarded > 0 {
-			kept = 0
-		}
-		c.readAhead = append(c.readAhead, buf[:kept]...)
-		c.discarded += n - kept
-		switch {
-		case c.discarded > maxDiscarded:
-			buf = nil // waits without reading more
-		case len(buf) == 1:
-			buf = make([]byte, 512)
-		}
-	}
-}
-
 // readAndTrack reads received bytes and tracks their framing in one critical section, so that a
 // concurrent check whether the session is idle sees both or neither.
 func (c *Conn) readAndTrack(b []byte) (n int, err error) {
@@ -175,39 +144,58 @@
 		c.track(b[:n])
 		return n, err
 	}
-	rawErr := c.raw.Read(func(fd uintptr) bool {
+	err = c.withSocket(func(fd int) (done bool, err error) {
+		if len(b) == 0 {
+			return true, nil
+		}
+		if n, err = readSocket(fd, b); err == syscall.EAGAIN {
+			return false, nil
+		}
+		c.track(b[:n])
+		return true, err
+	})
+	return n, err
+}
+
+// withSocket calls step when the socket has become readable, and again until it is done. c.mu is held
+// meanwhile, and step is not called on a session that is closing.
+func (c *Conn) withSocket(step func(fd int) (done bool, err error)) error {
+	var err error
+	rawErr := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		switch n, err = 0, nil; {
-		case c.closing:
+		if c.closing {
 			err = net.ErrClosed
 			return true
-		case len(b) == 0:
-			return false
-		}
-		for {
-			if n, err = syscall.Read(int(fd), b); err != syscall.EINTR {
-				break
-			}
 		}
-		switch n = max(n, 0); {
-		case err == syscall.EAGAIN:
-			return false
-		case err != nil:
-			err = os.NewSyscallError("read", err)
-		case n == 0:
-			err = io.EOF
-		}
-		c.track(b[:n])
-		return true
+		done, err = step(int(fd))
+		return done
 	})
 	if rawErr != nil {
-		n, err = 0, rawErr
+		err = rawErr
 	}
 	if err != nil && err != io.EOF {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	}
-	return n, err
+	return err
+}
+
+// readSocket reads from a socket without waiting.
+func readSocket(fd int, b []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, b)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+			return 0, err
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
 }
 
 // idle reports whether the session is between requests and no part of a request has arrived.
@@ -221,9 +209,20 @@
 	return err == syscall.EAGAIN
 }
 
-// ClientClosed reports whether the client has closed its connection and all its bytes have been
-// read. It inspects the socket, because the reading goroutine may not have run yet.
+// ClientClosed reports whether the client has closed its connection, also if bytes that it sent before
+// are still to be read. It inspects the socket, because the reading goroutine may not have run yet.
 func (c *Conn) ClientClosed() bool {
+	if c.raw == nil {
+		return false
+	}
+	closed := false
+	err := c.raw.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
+	return closed || err != nil
+}
+
+// endReached reports whether the client has closed its connection and all its bytes have been read from
+// the socket.
+func (c *Conn) endReached() bool {
 	n, err := c.peek()
 	return n == 0 && err != syscall.EAGAIN && err != errNoDescriptor
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -56,6 +56,7 @@
 	maxSessions     atomic.Int64  // present limit of client sessions
 	overflow        atomic.Int64  // connections beyond the limit that are accepted while others are shed
 	lingering       atomic.Int64  // closed sessions from which data is still read
+	heldBytes       atomic.Int64  // bytes behind open requests that are held in memory
 	lingerTime      time.Duration // how long data is read from a closed session
 	headerTimeout   atomic.Int64  // present HeaderTimeout, in nanoseconds
 	idleTimeout     atomic.Int64  // present IdleTimeout, in nanoseconds
