--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -115,6 +115,9 @@
 		}
 		c.planners[group] = &repair.Planner{}
 	}
+	if c.tallies != nil {
+		c.tallies.ObserveCallers(func(within time.Duration) bool { return c.edges.calledFromOtherZone(c.node.Self.Zone, within) })
+	}
 	return c, nil
 }
 
--- a/internal/controlplane/coordinator/edges.go
+++ b/internal/controlplane/coordinator/edges.go
@@ -88,6 +88,19 @@
 	return edges
 }
 
+// calledFromOtherZone reports whether an edge of another zone than the given one has called this node within a time.
+func (r *edgeRegistry) calledFromOtherZone(zone string, within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, e := range r.edges {
+		if e.zone != zone && e.zone != "" && now.Sub(e.calledHere) < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Edges returns the edges that follow this node. The core node that lists the servers asks for them.
 func (s *controlService) Edges(_ *protocol.Nothing, reply *protocol.EdgesReply) error {
 	reply.Edges = s.coordinator.edges.here(time.Now())
--- a/internal/controlplane/tallysync/holder_test.go
+++ b/internal/controlplane/tallysync/holder_test.go
@@ -220,24 +220,39 @@
 
 // Guards against a node that takes the silence of machines without power for a cut.
 func TestNodeBesideTooFewDisksRefusesAdds(t *testing.T) {
-	for name, running := range map[string][]int{"nobody else runs": nil, "a storage machine of another zone runs": {3}} {
-		t.Run(name, func(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		running []int // storage machines
+		calls   bool  // an edge of another zone calls
+	}{
+		{name: "nobody else runs"},
+		{name: "a storage machine of another zone runs", running: []int{3}},
+		{name: "one of the own zone runs, and an edge of another zone", running: []int{4}, calls: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			runWithStorage(t, func(t *testing.T, c *cluster, machines []*storageMachine) {
-				for i := range 4 {
+				disk := c.node(4).disk
+				for i := range 5 {
 					c.stop(c.node(i))
 				}
+				start := func() { c.start(4, disk).ObserveCallers(func(time.Duration) bool { return test.calls }) }
+				c.start(3, &testDisk{origin: 903})
+				c.start(2, &testDisk{origin: 902})
+				start()
+				time.Sleep(testMerge)
+				c.stop(c.node(2))
+				c.stop(c.node(3))
 				for i, m := range machines {
-					if !slices.Contains(running, i) {
+					if !slices.Contains(test.running, i) {
 						m.kill()
 					}
 				}
 				time.Sleep(time.Second)
-				assert.ErrorIs(t, c.node(4).Add(t.Context(), "t", "m", 1), ErrNotReady)
-				disk := c.node(4).disk
+				assert.ErrorIs(t, c.node(4).Add(t.Context(), "t", "m", 1), ErrNotReady, "after the others were lost")
 				c.stop(c.node(4))
-				c.start(4, disk)
+				start()
 				time.Sleep(3 * startPatience * testMerge)
-				assert.ErrorIs(t, c.node(4).Add(t.Context(), "t", "m", 1), ErrNotReady)
+				assert.ErrorIs(t, c.node(4).Add(t.Context(), "t", "m", 1), ErrNotReady, "started alone")
 				assert.Equal(t, c.disksOf(machines, "m"), 0)
 			})
 		})
--- a/internal/controlplane/tallysync/holders.go
+++ b/internal/controlplane/tallysync/holders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -19,6 +20,9 @@
 	// holderUnreachableTicks is the number of ticks in a row without an answer after which a holder counts
 	// as unreachable.
 	holderUnreachableTicks = 3
+	// callerWindow is how long ago a machine of another zone may have called this node to count as one that
+	// can be reached. An edge calls again after its call was held for watch.LongPollWait.
+	callerWindow = 1200 * time.Millisecond
 )
 
 // holderPeer is a machine outside the core that can hold copies of adds: a storage machine. Holders are called
@@ -156,10 +160,20 @@
 	return storing
 }
 
+// ObserveCallers sets a function that reports whether a machine outside the core has called this node from
+// another zone within a time. It must be called before Run.
+func (n *Node) ObserveCallers(calledFromOtherZone func(within time.Duration) bool) {
+	n.calledFromOtherZone = calledFromOtherZone
+}
+
 // ownZoneAlone reports whether it looks from here as if the own zone were cut off: no machine outside the
-// core answers from another zone, but one of the own zone does, if one is known. Machines that have lost
-// their power are silent too, so without an answer from the own zone nothing is concluded. n.mu must be held.
+// core answers or calls from another zone, but one of the own zone answers, if one is known. Machines that
+// have lost their power are silent too, so without an answer from the own zone nothing is concluded. n.mu
+// must be held.
 func (n *Node) ownZoneAlone() bool {
+	if n.calledFromOtherZone != nil && n.calledFromOtherZone(callerWindow) {
+		return false
+	}
 	known, answers := false, false
 	for _, h := range n.holders.byAddress {
 		known = known || h.zone == n.self.Zone
--- a/internal/controlplane/tallysync/model_test.go
+++ b/internal/controlplane/tallysync/model_test.go
@@ -129,7 +129,7 @@
 
 // clonedNodeFields and clonedPeerFields are the fields that cloneNode and appendNode of the model know.
 const (
-	clonedNodeFields = 26
+	clonedNodeFields = 27
 	clonedPeerFields = 11
 )
 
--- a/internal/controlplane/tallysync/node.go
+++ b/internal/controlplane/tallysync/node.go
@@ -103,6 +103,8 @@
 	queued         chan struct{} // signals that changes wait for the writer
 	stopped        chan struct{} // closed when Run ends
 	loops          sync.WaitGroup
+	// calledFromOtherZone is what ObserveCallers set, or nil.
+	calledFromOtherZone func(within time.Duration) bool
 
 	mu         sync.Mutex
 	state      *tallies.State // holds only what is synced
