Open and change the three databases of a node through one type

Cause: the groups' store, the tallies' store and that of copied adds each wrote the same opening, the same commit with its full disk and permanent failure, and the same closing.

Change: openDatabase, database.commit and database.close hold them once; the stores keep what differs. Two log lines for each add that is handed over, which a cut of the core would repeat for as long as it lasts, go to the debug level.

--- a/internal/controlplane/store/database.go
+++ b/internal/controlplane/store/database.go
@@ -5,6 +5,7 @@
 	"database/sql/driver"
 	"fmt"
 	"io"
+	"path/filepath"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -17,10 +18,42 @@
 	connection *sqlite3.SQLiteConn
 	statements map[string]*sqlite3.SQLiteStmt // prepared statements by their text
 	arguments  []driver.NamedValue            // buffer that run reuses
+	failure    error                          // *FailedError or ErrClosed: no further change is possible
+	closed     bool
 }
 
-func newDatabase(connection *sqlite3.SQLiteConn) database {
-	return database{connection: connection, statements: map[string]*sqlite3.SQLiteStmt{}}
+// databaseFile describes a file: its name, and its tables with their version.
+type databaseFile struct {
+	name    string
+	schema  string
+	version int64
+}
+
+// openDatabase opens a file in a directory, creates both if they do not exist, and syncs the directory.
+// maxPages bounds the number of database pages; 0 means no bound.
+func openDatabase(directory string, file databaseFile, maxPages int) (database, error) {
+	if err := makeDirectory(directory); err != nil {
+		return database{}, err
+	}
+	connection, err := connect(filepath.Join(directory, file.name))
+	if err != nil {
+		return database{}, err
+	}
+	d := database{connection: connection, statements: map[string]*sqlite3.SQLiteStmt{}}
+	if err := d.initialize(directory, file, maxPages); err != nil {
+		return database{}, errors.Join(err, d.close())
+	}
+	return d, nil
+}
+
+func (d *database) initialize(directory string, file databaseFile, maxPages int) error {
+	if err := d.configure(maxPages); err != nil {
+		return err
+	}
+	if err := d.createTables(file.schema, file.version); err != nil {
+		return err
+	}
+	return syncDirectory(directory)
 }
 
 // connect opens the database file. The path may contain any characters.
@@ -79,6 +112,26 @@
 	return err
 }
 
+// commit executes a change in one durable transaction. If the disk is full, the change is undone: undo
+// reverts what it did in memory, and the log's space is freed. Any other failure is permanent, because
+// memory may then differ from the file.
+func (d *database) commit(change func() error, undo func()) error {
+	if d.failure != nil {
+		return d.failure
+	}
+	err := d.transact(change)
+	switch {
+	case err == nil:
+		return nil
+	case isFull(err):
+		undo()
+		d.checkpoint()
+		return &FullError{Cause: err}
+	}
+	d.failure = &FailedError{Cause: err}
+	return d.failure
+}
+
 // run executes a statement, which is prepared on its first use.
 func (d *database) run(text string, values ...driver.Value) error {
 	statement, ok := d.statements[text]
@@ -126,8 +179,12 @@
 	_, _ = d.connection.Exec(sqlCheckpoint, nil) // best effort
 }
 
-// close closes the statements and the connection.
+// close closes the statements and the connection, once. Every later change fails with ErrClosed.
 func (d *database) close() error {
+	if d.closed {
+		return nil
+	}
+	d.closed, d.failure = true, ErrClosed
 	var failures []error
 	for _, statement := range d.statements {
 		failures = append(failures, statement.Close())
--- a/internal/controlplane/store/sqlite.go
+++ b/internal/controlplane/store/sqlite.go
@@ -24,8 +24,6 @@
 	nextID  int64
 	nextSeq int64    // sequence number of the next entry, over all groups
 	undo    []func() // reverts what the current change did to the fields above
-	failure error    // *FailedError or ErrClosed: no further change is possible
-	closed  bool
 }
 
 // group is the in-memory record of a stored group.
@@ -42,36 +40,19 @@
 
 // openLimited is Open with a bound on the number of database pages; 0 means no bound.
 func openLimited(directory string, maxPages int) (*SQLite, error) {
-	if err := makeDirectory(directory); err != nil {
-		return nil, err
-	}
-	connection, err := connect(filepath.Join(directory, fileName))
+	opened, err := openDatabase(directory, databaseFile{name: fileName, schema: schema, version: schemaVersion}, maxPages)
 	if err != nil {
 		return nil, err
 	}
-	s := &SQLite{
-		database: newDatabase(connection),
-		groups:   map[replica.GroupID]*group{},
-		nextID:   1,
-		nextSeq:  1,
-	}
-	if err := s.initialize(directory, maxPages); err != nil {
-		return nil, errors.Join(err, connection.Close())
+	s := &SQLite{database: opened, groups: map[replica.GroupID]*group{}, nextID: 1, nextSeq: 1}
+	if err := s.loadGroups(); err != nil {
+		return nil, errors.Join(err, s.database.close())
 	}
 	return s, nil
 }
 
-// initialize applies the pragmas, creates the tables, syncs the directory and loads the groups.
-func (s *SQLite) initialize(directory string, maxPages int) error {
-	if err := s.configure(maxPages); err != nil {
-		return err
-	}
-	if err := s.createTables(schema, schemaVersion); err != nil {
-		return err
-	}
-	if err := syncDirectory(directory); err != nil {
-		return err
-	}
+// loadGroups reads which groups are stored, and where their logs end.
+func (s *SQLite) loadGroups() error {
 	stored, err := s.load()
 	if err != nil {
 		return err
@@ -140,43 +121,23 @@
 func (s *SQLite) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
-		return nil
-	}
-	s.closed, s.failure = true, ErrClosed
 	return s.database.close()
 }
 
-// commit executes the change in one durable transaction. If the disk is full, the change is
-// undone. Any other failure is permanent, because the in-memory records may then differ from the
-// file.
+// commit executes the change in one durable transaction.
 func (s *SQLite) commit(change func() error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failure != nil {
-		return s.failure
-	}
 	s.undo = s.undo[:0]
-	err := s.transact(change)
-	switch {
-	case err == nil:
-		return nil
-	case isFull(err):
-		s.undoChange()
-		return &FullError{Cause: err}
-	}
-	s.failure = &FailedError{Cause: err}
-	return s.failure
+	return s.database.commit(change, s.undoChange)
 }
 
-// undoChange reverts the in-memory fields after a rollback. It also moves the write-ahead log into
-// the database, so that the log's space can be reused.
+// undoChange reverts the in-memory fields after a rollback.
 func (s *SQLite) undoChange() {
 	for i := len(s.undo) - 1; i >= 0; i-- {
 		s.undo[i]()
 	}
 	s.undo = s.undo[:0]
-	s.checkpoint()
 }
 
 func (s *SQLite) write(w *Write) error {
--- a/internal/controlplane/store/tallies.go
+++ b/internal/controlplane/store/tallies.go
@@ -4,7 +4,6 @@
 	"database/sql/driver"
 	"fmt"
 	"math/rand/v2"
-	"path/filepath"
 	"strings"
 	"sync"
 
@@ -67,8 +66,6 @@
 	names    map[string]int64
 	values   []driver.Value // buffer that addEntries reuses
 	added    []string       // names that the current change added
-	failure  error          // *FailedError or ErrClosed: no further change is possible
-	closed   bool
 }
 
 // OpenTallies opens the tallies' store in a directory and creates both if they do not exist. A new
@@ -77,36 +74,18 @@
 
 // openTalliesLimited is OpenTallies with a bound on the number of database pages; 0 means no bound.
 func openTalliesLimited(directory string, maxPages int) (*Tallies, error) {
-	if err := makeDirectory(directory); err != nil {
-		return nil, err
-	}
-	connection, err := connect(filepath.Join(directory, talliesFileName))
+	file := databaseFile{name: talliesFileName, schema: talliesSchema, version: talliesSchemaVersion}
+	opened, err := openDatabase(directory, file, maxPages)
 	if err != nil {
 		return nil, err
 	}
-	s := &Tallies{database: newDatabase(connection), names: map[string]int64{}}
-	if err := s.initialize(directory, maxPages); err != nil {
+	s := &Tallies{database: opened, names: map[string]int64{}}
+	if err := errors.Join(s.loadOrigin(), s.loadNames(map[int64]string{})); err != nil {
 		return nil, errors.Join(err, s.database.close())
 	}
 	return s, nil
 }
 
-func (s *Tallies) initialize(directory string, maxPages int) error {
-	if err := s.configure(maxPages); err != nil {
-		return err
-	}
-	if err := s.createTables(talliesSchema, talliesSchemaVersion); err != nil {
-		return err
-	}
-	if err := syncDirectory(directory); err != nil {
-		return err
-	}
-	if err := s.loadOrigin(); err != nil {
-		return err
-	}
-	return s.loadNames(map[int64]string{})
-}
-
 // loadOrigin reads the origin, and creates it in a new file.
 func (s *Tallies) loadOrigin() error {
 	err := s.query(sqlReadOrigin, func(row []driver.Value) error {
@@ -176,25 +155,14 @@
 	return s.commit(func() error { return s.append(runs) })
 }
 
-// commit executes a change in one durable transaction. If the disk is full, the change is undone.
+// commit executes a change in one durable transaction.
 func (s *Tallies) commit(change func() error) error {
-	if s.failure != nil {
-		return s.failure
-	}
 	s.added = s.added[:0]
-	err := s.transact(change)
-	switch {
-	case err == nil:
-		return nil
-	case isFull(err):
+	return s.database.commit(change, func() {
 		for _, name := range s.added {
 			delete(s.names, name)
 		}
-		s.checkpoint()
-		return &FullError{Cause: err}
-	}
-	s.failure = &FailedError{Cause: err}
-	return s.failure
+	})
 }
 
 func (s *Tallies) append(runs []tallies.Run) error {
@@ -249,9 +217,5 @@
 func (s *Tallies) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
-		return nil
-	}
-	s.closed, s.failure = true, ErrClosed
 	return s.database.close()
 }
--- a/internal/controlplane/store/tallycopies.go
+++ b/internal/controlplane/store/tallycopies.go
@@ -2,11 +2,8 @@
 
 import (
 	"database/sql/driver"
-	"path/filepath"
 	"sync"
 
-	"github.com/go-faster/errors"
-
 	"oakseam/internal/controlplane/tallies"
 )
 
@@ -38,8 +35,6 @@
 type TallyCopies struct {
 	mu sync.Mutex
 	database
-	failure error // *FailedError or ErrClosed: no further change is possible
-	closed  bool
 }
 
 // OpenTallyCopies opens the store of copied adds in a directory and creates both if they do not exist.
@@ -49,28 +44,12 @@
 
 // openTallyCopiesLimited is OpenTallyCopies with a bound on the number of database pages; 0 means no bound.
 func openTallyCopiesLimited(directory string, maxPages int) (*TallyCopies, error) {
-	if err := makeDirectory(directory); err != nil {
-		return nil, err
-	}
-	connection, err := connect(filepath.Join(directory, tallyCopiesFileName))
+	file := databaseFile{name: tallyCopiesFileName, schema: tallyCopiesSchema, version: tallyCopiesSchemaVersion}
+	opened, err := openDatabase(directory, file, maxPages)
 	if err != nil {
 		return nil, err
 	}
-	s := &TallyCopies{database: newDatabase(connection)}
-	if err := s.initialize(directory, maxPages); err != nil {
-		return nil, errors.Join(err, s.database.close())
-	}
-	return s, nil
-}
-
-func (s *TallyCopies) initialize(directory string, maxPages int) error {
-	if err := s.configure(maxPages); err != nil {
-		return err
-	}
-	if err := s.createTables(tallyCopiesSchema, tallyCopiesSchemaVersion); err != nil {
-		return err
-	}
-	return syncDirectory(directory)
+	return &TallyCopies{database: opened}, nil
 }
 
 // Load passes the stored adds to add.
@@ -92,39 +71,23 @@
 // Remove removes adds in one commit.
 func (s *TallyCopies) Remove(entries []tallies.Entry) error { return s.change(sqlRemoveCopy, entries) }
 
-// change executes a statement for each add in one durable transaction. If the disk is full, it is undone.
+// change executes a statement for each add in one durable transaction.
 func (s *TallyCopies) change(statement string, entries []tallies.Entry) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failure != nil {
-		return s.failure
-	}
-	err := s.transact(func() error {
+	return s.commit(func() error {
 		for _, entry := range entries {
 			if err := s.run(statement, entry.Tally, entry.Member, entry.Amount); err != nil {
 				return err
 			}
 		}
 		return nil
-	})
-	switch {
-	case err == nil:
-		return nil
-	case isFull(err):
-		s.checkpoint()
-		return &FullError{Cause: err}
-	}
-	s.failure = &FailedError{Cause: err}
-	return s.failure
+	}, func() {})
 }
 
 // Close closes the store. Every later call fails with ErrClosed.
 func (s *TallyCopies) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
-		return nil
-	}
-	s.closed, s.failure = true, ErrClosed
 	return s.database.close()
 }
--- a/internal/controlplane/tallysync/hold.go
+++ b/internal/controlplane/tallysync/hold.go
@@ -176,7 +176,7 @@
 	if err := n.awaitCoreCopies(ctx, result.held); err != nil {
 		return err
 	}
-	klog.InfoS("Adds to tallies of which storage nodes held copies are on enough core nodes", "adds", len(entries))
+	klog.V(1).InfoS("Adds to tallies of which storage nodes held copies are on enough core nodes", "adds", len(entries))
 	return nil
 }
 
--- a/internal/controlplane/tallysync/holder.go
+++ b/internal/controlplane/tallysync/holder.go
@@ -261,7 +261,7 @@
 	for i := range cores {
 		core := cores[(first+i)%len(cores)]
 		if h.adopt(ctx, core.Address, entries) {
-			klog.InfoS("Copies of adds to tallies are handed over", "adds", len(entries), "to", core.Name)
+			klog.V(1).InfoS("Copies of adds to tallies are handed over", "adds", len(entries), "to", core.Name)
 			return true
 		}
 	}
