Ask a server that gets much whether it is cold, and spare it before the list tells

Cause: only the platform's list told edges of a cold server, after its own age and a listing. Servers tell it at once in their health answers, which nobody asked for; asking all of them often is dear.

Change: an edge that has sent a server a quarter of what it bears when cold, within a second, asks for its health, and again for each further quarter. A server that says that it is cold gets nothing until the list brings grants. More than four edges that each send a server less than the quarter are not covered.

--- a/internal/dataplane/dispatch/dispatch.go
+++ b/internal/dataplane/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 	opt     Options
 	pool    *upstream.Pool
 	warmups *warmupTable
+	checks  *healthChecks
 	quit    chan struct{}
 
 	mu          sync.Mutex
@@ -83,6 +84,7 @@
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{opt: o, quit: make(chan struct{}), services: map[string]*service{}, classes: map[string][]logic.Class{}, lists: map[string][]protocol.Server{}}
 	d.warmups = newWarmupTable(o.Name, o.Warmup)
+	d.checks = newHealthChecks(d.serverIsCold)
 	d.pool = upstream.New(codec{}, upstream.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: connIdleTimeout, LearnIdleLimits: true, MaxConns: o.MaxConns, TCPUserTimeout: tcpUserTimeout, Budget: o.Budget,
 	}, o.Counters, o.Log)
@@ -96,6 +98,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	close(d.quit)
+	d.checks.close()
 	for _, s := range d.services {
 		s.loop.Stop()
 		d.scheduleRecheck(s, time.Time{})
@@ -139,7 +142,7 @@
 	s := &service{name: name, loop: loop, hasServers: make(chan struct{})}
 	d.services[name] = s
 	loop.ObserveBackendCounts(s.setBackendCounts)
-	go loop.Run(warmupGuard{Transport: d.pool, table: d.warmups, service: name, used: func() { go d.refresh(s) }}, nil)
+	go loop.Run(warmupGuard{Transport: d.pool, table: d.warmups, service: name, checks: d.checks, used: func() { go d.refresh(s) }}, nil)
 	d.updateBackends(s, d.lists[name])
 }
 
@@ -168,12 +171,21 @@
 		d.lists[name] = servers
 	}
 	d.warmups.observe(name, servers, time.Now())
+	d.checks.forget(name, idsOf(servers))
 	d.markReturnedZones(name, servers)
 	if s := d.services[name]; s != nil {
 		d.updateBackends(s, servers)
 	}
 }
 
+func idsOf(servers []protocol.Server) map[string]bool {
+	ids := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		ids[s.ID] = true
+	}
+	return ids
+}
+
 // BeginRequest counts a request of a service as in flight until the returned function is called.
 func (d *Dispatcher) BeginRequest(name string) (end func()) {
 	d.mu.Lock()
--- a/internal/dataplane/dispatch/warmup.go
+++ b/internal/dataplane/dispatch/warmup.go
@@ -40,6 +40,13 @@
 type poolWarmup struct {
 	duration time.Duration // of a warm-up
 	perS     float64       // requests per second that a cold server can handle
+	health   string        // path of the health check, empty: no check
+}
+
+// checkRule says when a pool's servers are asked for their health.
+type checkRule struct {
+	path  string // empty: never
+	every int    // requests to a server, within checkWindow
 }
 
 // warmup is what this node knows about the warm-up of a server.
@@ -62,7 +69,7 @@
 	pools := map[string]poolWarmup{}
 	for _, p := range c.Pools {
 		if p.Warmup > 0 {
-			pools[p.Name] = poolWarmup{duration: p.Warmup, perS: p.WarmupPerS}
+			pools[p.Name] = poolWarmup{duration: p.Warmup, perS: p.WarmupPerS, health: p.HealthMonitor}
 		}
 	}
 	t.mu.Lock()
@@ -148,6 +155,47 @@
 	return any
 }
 
+// markServerCold takes a server for cold for a time from now on, the pool's warm-up time at most, unless it is
+// known to be cold. It reports whether it was not.
+func (t *warmupTable) markServerCold(service, id string, remaining time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.servers[service][id]
+	pool, limited := t.pools[service]
+	if !limited || known != nil && now.Before(known.coldUntil) {
+		return false
+	}
+	w := known.extended(now.Add(min(remaining, pool.duration) + warmupMargin))
+	w.hold(0, now) // the grants of an earlier warm-up have ended
+	servers := maps.Clone(t.servers[service])
+	if servers == nil {
+		servers = map[string]*warmup{}
+	}
+	servers[id] = w
+	t.servers[service] = servers
+	return true
+}
+
+// checkRule returns when servers of a service are asked for their health.
+func (t *warmupTable) checkRule(service string) checkRule {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pool, limited := t.pools[service]
+	if !limited || pool.perS <= 0 {
+		return checkRule{}
+	}
+	return checkRule{path: pool.health, every: max(int(checkShare*t.limit(pool)), 1)}
+}
+
+// limit is how many requests in any second all nodes together may send to a cold server of a pool.
+func (t *warmupTable) limit(pool poolWarmup) float64 {
+	overrun := t.limits.Overrun
+	if overrun == 0 {
+		overrun = 1
+	}
+	return pool.perS*overrun + t.limits.Slack
+}
+
 // cold returns the cold servers of a service by id, with the earliest time at which one of them becomes warm.
 func (t *warmupTable) cold(service string, now time.Time) (ids map[string]bool, firstWarm time.Time) {
 	t.mu.Lock()
@@ -234,11 +282,7 @@
 	if holders == 0 || pool.perS <= 0 {
 		return grant{}
 	}
-	overrun := t.limits.Overrun
-	if overrun == 0 {
-		overrun = 1
-	}
-	limit := pool.perS*overrun + t.limits.Slack
+	limit := t.limit(pool)
 	window := (time.Second + grantStartTimeout).Seconds()
 	burst := math.Min(math.Max(math.Floor((limit-pool.perS*window)/holders), 1), maxGrantBurst)
 	perS := min(pool.perS, (limit-burst*holders)/window) / holders
@@ -280,7 +324,8 @@
 	core.Transport
 	table   *warmupTable
 	service string
-	used    func() // called when the last request was counted that a cold server may receive now; must not block
+	checks  *healthChecks // nil: servers are not asked for their health
+	used    func()        // called when the last request was counted that a cold server may receive now; must not block
 }
 
 // Start implements core.Transport.
@@ -297,6 +342,9 @@
 	if p.last {
 		g.used()
 	}
+	if !p.cold && g.checks != nil {
+		g.checks.sending(serverKey{service: g.service, id: string(a.Instance.ID)}, a.Instance, g.table.checkRule(g.service), now)
+	}
 	return g.Transport.Start(a, done)
 }
 
