--- a/internal/controlplane/tallysync/holder.go
+++ b/internal/controlplane/tallysync/holder.go
@@ -99,8 +99,7 @@
 	return nil
 }
 
-// storeInTime reports whether adds are on the disk within storeTimeout. A write that takes longer goes on;
-// meanwhile no further one begins.
+// storeInTime reports whether adds are on the disk within storeTimeout. A write that takes longer goes on.
 func (h *Holder) storeInTime(entries []tallies.Entry) bool {
 	lacking, ok := h.beginStore(entries)
 	if !ok || len(lacking) == 0 {
@@ -275,7 +274,8 @@
 	return h.transport.Adopt(ctx, address, &AdoptArgs{Entries: entries}, &reply) == nil
 }
 
-// drop removes adds that are on enough core nodes. On a full disk they stay, and are handed over again.
+// drop removes adds that are on enough core nodes. On a full disk they stay there, and are handed over again
+// by the next process.
 func (h *Holder) drop(entries []tallies.Entry) error {
 	h.writeMu.Lock()
 	defer h.writeMu.Unlock()
--- a/internal/controlplane/tallysync/holders.go
+++ b/internal/controlplane/tallysync/holders.go
@@ -40,7 +40,7 @@
 	refuses     bool // it stored nothing at the last call: its disk is full or stalls, or its build holds no copies
 
 	settled      bool // this node has all that it held at this node's start, or gave up waiting for it
-	unheardTicks int  // until it is settled
+	unheardTicks int  // since the node knows it
 	life         uint64
 	fetched      uint64 // position up to which this node has what the holder held, in that life of its process
 }
